--- /dev/null
+++ b/kumquatport/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small functions shared by every subsystem."""
--- /dev/null
+++ b/kumquatport/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a whole process."""
--- /dev/null
+++ b/kumquatport/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/kumquatport/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version: documents, members, tables."""
