Errors: one root, stable codes

Cause: every failure needs a type before subsystems can be written side by side. Conclusion: codes are grouped by thousand (settings, platform, document, peers, requests); subsystems add subclasses.

--- /dev/null
+++ b/kumquatport/exceptions.py
@@ -0,0 +1,109 @@
+"""Errors with stable codes, one root for all of them."""
+
+import typing
+
+
+class Fault(typing.NamedTuple):
+    """One thing that is wrong in an input.
+
+    Attributes:
+        path: Where it is, for example ``services[0].entry_port``.
+        reason: What was expected.
+    """
+
+    path: str
+    reason: str
+
+
+class KumquatportError(Exception):
+    """Root of all errors; ``code`` is stable across releases."""
+
+    code: typing.ClassVar[str] = 'KQ-0000'
+
+
+class SettingsError(KumquatportError):
+    """The settings file is missing, malformed or does not fit its schema."""
+
+    code = 'KQ-1001'
+
+
+class TlsMaterialError(KumquatportError):
+    """A certificate or key cannot be read or does not fit the other."""
+
+    code = 'KQ-1002'
+
+
+class StartError(KumquatportError):
+    """A process cannot take what it needs at start, such as a port."""
+
+    code = 'KQ-1003'
+
+
+class PlatformUnavailableError(KumquatportError):
+    """The platform did not answer; a read that failed, nothing changed."""
+
+    code = 'KQ-2001'
+
+
+class VersionConflictError(KumquatportError):
+    """A conditional update lost: the object has another version."""
+
+    code = 'KQ-2002'
+
+
+class OutcomeUnknownError(KumquatportError):
+    """A write may or may not have taken effect: its answer was lost."""
+
+    code = 'KQ-2003'
+
+
+class ObjectMissingError(KumquatportError):
+    """The platform holds no object under this key."""
+
+    code = 'KQ-2004'
+
+
+class DocumentRejectedError(KumquatportError):
+    """A document is not valid; it is rejected as a whole."""
+
+    code = 'KQ-3001'
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        """Keep every fault.
+
+        Args:
+            faults: Everything wrong with the document, at least one.
+        """
+        lines = [f'{fault.path}: {fault.reason}' for fault in faults]
+        super().__init__('; '.join(lines))
+        self.faults = faults
+
+
+class FrameError(KumquatportError):
+    """A control message or forward is malformed or not authentic."""
+
+    code = 'KQ-4001'
+
+
+class PeerUnavailableError(KumquatportError):
+    """Another instance did not answer a control message in time."""
+
+    code = 'KQ-4002'
+
+
+class ConnectionIdError(KumquatportError):
+    """A connection ID was not issued under the shared key."""
+
+    code = 'KQ-4003'
+
+
+class RefusedError(KumquatportError):
+    """A request was refused before any byte reached the backend server."""
+
+    code = 'KQ-5001'
+
+
+class OutcomeLostError(KumquatportError):
+    """A request may have run; what became of it cannot be known."""
+
+    code = 'KQ-5002'
