--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -63,6 +63,12 @@
     code = 'KQ-2004'
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """The platform refused a write as malformed; nothing changed."""
+
+    code = 'KQ-2005'
+
+
 class DocumentRejectedError(KumquatportError):
     """A document is not valid; it is rejected as a whole."""
 
@@ -79,6 +85,12 @@
         self.faults = faults
 
 
+class NotInDocumentError(KumquatportError):
+    """The document has no service or failure domain of that name."""
+
+    code = 'KQ-3002'
+
+
 class FrameError(KumquatportError):
     """A control message or forward is malformed or not authentic."""
 
--- /dev/null
+++ b/kumquatport/process/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's object API."""
--- /dev/null
+++ b/kumquatport/version/document/__init__.py
@@ -0,0 +1,30 @@
+"""The operators' document: schema, checks, encoding, look-ups.
+
+Everything that other subsystems need is reachable from here, so that they
+write ``document.parse(value)``.
+"""
+
+from kumquatport.version.document import codec, lookup, model
+
+check = codec.check
+decode = codec.decode
+encode = codec.encode
+parse = codec.parse
+
+class_of = lookup.class_of
+failure_domain = lookup.failure_domain
+failure_domains_of = lookup.failure_domains_of
+service = lookup.service
+services_named = lookup.services_named
+tenant_of = lookup.tenant_of
+weight_of = lookup.weight_of
+
+Document = model.Document
+FailureDomain = model.FailureDomain
+Limits = model.Limits
+Predecessor = model.Predecessor
+Ramp = model.Ramp
+Rule = model.Rule
+Service = model.Service
+Tenant = model.Tenant
+TrafficClass = model.TrafficClass
--- /dev/null
+++ b/kumquatport/version/document/fields.py
@@ -0,0 +1,214 @@
+"""Validators of single fields, for use in voluptuous schemas."""
+
+import functools
+import ipaddress
+import re
+import typing
+from collections import abc
+
+import voluptuous
+
+from kumquatport.version.document import const
+
+Validator = abc.Callable[[typing.Any], typing.Any]
+
+_NAME = re.compile('[a-z0-9][a-z0-9._-]*')
+_OPERATOR = re.compile('[A-Za-z0-9][A-Za-z0-9._@-]*')
+_IDENTIFIER = re.compile('[A-Za-z0-9-]{1,64}')
+
+
+def name(value: typing.Any) -> str:
+    """Check a name: lower case letters, digits, dots, dashes, underscores."""
+    _require_matching(value, _NAME, 'a name of [a-z0-9._-]')
+    if len(value) > const.MAX_NAME_CHARS:
+        raise voluptuous.Invalid(
+            f'expected at most {const.MAX_NAME_CHARS} characters'
+        )
+    return value
+
+
+def operator(value: typing.Any) -> str:
+    """Check an operator's name, which may be empty in a draft."""
+    if value == '':
+        return value
+    _require_matching(value, _OPERATOR, 'a name of [A-Za-z0-9._@-]')
+    if len(value) > const.MAX_NAME_CHARS:
+        raise voluptuous.Invalid(
+            f'expected at most {const.MAX_NAME_CHARS} characters'
+        )
+    return value
+
+
+def identifier(value: typing.Any) -> str:
+    """Check an identifier, for example a UUID; empty in a draft."""
+    if value == '':
+        return value
+    return _require_matching(
+        value, _IDENTIFIER, '1 to 64 letters, digits or dashes'
+    )
+
+
+def comment(value: typing.Any) -> str:
+    """Check one line of printable text."""
+    if not isinstance(value, str) or not value.isprintable():
+        raise voluptuous.Invalid('expected one line of printable text')
+    if len(value) > const.MAX_COMMENT_CHARS:
+        raise voluptuous.Invalid(
+            f'expected at most {const.MAX_COMMENT_CHARS} characters'
+        )
+    return value
+
+
+def address(value: typing.Any) -> str:
+    """Check an address such as ``192.0.2.1:4433``."""
+    if not isinstance(value, str):
+        raise voluptuous.Invalid('expected an IPv4 address and a port')
+    host, _, port = value.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise voluptuous.Invalid(
+            'expected an IPv4 address and a port, such as 192.0.2.1:4433',
+        ) from None
+    if not _is_port(port):
+        raise voluptuous.Invalid(f'expected a port from 1 to {const.MAX_PORT}')
+    return value
+
+
+def path_prefix(value: typing.Any) -> str:
+    """Check the start of a path."""
+    if not isinstance(value, str) or not value.startswith('/'):
+        raise voluptuous.Invalid('expected a path that starts with /')
+    if not value.isascii() or not value.isprintable() or ' ' in value:
+        raise voluptuous.Invalid('expected printable ASCII without spaces')
+    if len(value) > const.MAX_PATH_CHARS:
+        raise voluptuous.Invalid(
+            f'expected at most {const.MAX_PATH_CHARS} characters'
+        )
+    return value
+
+
+def method(value: typing.Any) -> str:
+    """Check an HTTP method."""
+    if not isinstance(value, str) or value not in const.KNOWN_METHODS:
+        known = ', '.join(const.KNOWN_METHODS)
+        raise voluptuous.Invalid(f'expected one of {known}')
+    return value
+
+
+def flag(value: typing.Any) -> bool:
+    """Check a boolean; numbers and strings do not count."""
+    if not isinstance(value, bool):
+        raise voluptuous.Invalid('expected true or false')
+    return value
+
+
+def integer(low: int, high: int) -> Validator:
+    """Return a validator of whole numbers from low to high."""
+    return functools.partial(_check_integer, low, high)
+
+
+def number(low: float, high: float) -> Validator:
+    """Return a validator of finite numbers from low to high."""
+    return functools.partial(_check_number, low, high)
+
+
+def positive(high: float) -> Validator:
+    """Return a validator of finite numbers above 0, up to high."""
+    return functools.partial(_check_positive, high)
+
+
+def optional(validator: Validator) -> Validator:
+    """Return a validator that also takes null."""
+    return functools.partial(_check_optional, validator)
+
+
+def rows(validator: Validator, high: int, low: int = 0) -> Validator:
+    """Return a validator of a list that names the faults of every row.
+
+    The list of voluptuous itself stops at the first row with a fault inside.
+
+    Args:
+        validator: Checks one row.
+        high: Most rows.
+        low: Least rows.
+    """
+    return functools.partial(_check_rows, validator, high, low)
+
+
+def _check_integer(low: int, high: int, value: typing.Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise voluptuous.Invalid('expected a whole number')
+    if not low <= value <= high:
+        raise voluptuous.Invalid(f'expected {low} to {high}')
+    return value
+
+
+def _check_number(low: float, high: float, value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise voluptuous.Invalid('expected a number')
+    if not low <= value <= high:
+        raise voluptuous.Invalid(f'expected a number from {low:g} to {high:g}')
+    return float(value)
+
+
+def _check_positive(high: float, value: typing.Any) -> float:
+    checked = _check_number(0, high, value)
+    if checked == 0:
+        raise voluptuous.Invalid('expected more than 0')
+    return checked
+
+
+def _check_optional(validator: Validator, value: typing.Any) -> typing.Any:
+    return None if value is None else validator(value)
+
+
+def _check_rows(
+    validator: Validator, high: int, low: int, value: typing.Any
+) -> list[typing.Any]:
+    if not isinstance(value, list):
+        raise voluptuous.Invalid('expected a list')
+    if not low <= len(value) <= high:
+        raise voluptuous.Invalid(f'expected {low} to {high} rows')
+    faults: list[voluptuous.Invalid] = []
+    checked = [
+        _check_row(validator, index, row, faults)
+        for index, row in enumerate(value)
+    ]
+    if faults:
+        raise voluptuous.MultipleInvalid(faults)
+    return checked
+
+
+def _check_row(
+    validator: Validator,
+    index: int,
+    row: typing.Any,
+    faults: list[voluptuous.Invalid],
+) -> typing.Any:
+    """Check one row; its faults are added to the list."""
+    try:
+        return validator(row)
+    except voluptuous.MultipleInvalid as several:
+        several.prepend([index])
+        faults.extend(several.errors)
+    except voluptuous.Invalid as single:
+        single.prepend([index])
+        faults.append(single)
+    return None
+
+
+def _require_matching(
+    value: typing.Any, pattern: re.Pattern[str], expected: str
+) -> str:
+    """Return the value when it is a string that matches as a whole."""
+    if not isinstance(value, str) or not pattern.fullmatch(value):
+        raise voluptuous.Invalid(f'expected {expected}')
+    return value
+
+
+def _is_port(text: str) -> bool:
+    """Tell whether the text is a port in its usual form."""
+    if not text.isascii() or not text.isdecimal() or text.startswith('0'):
+        return False
+    return len(text) < 6 and int(text) <= const.MAX_PORT
--- /dev/null
+++ b/kumquatport/version/document/lookup.py
@@ -0,0 +1,96 @@
+"""Look-ups in a checked document."""
+
+from kumquatport import exceptions
+from kumquatport.version.document import const, model
+
+
+def service(document: model.Document, name: str) -> model.Service:
+    """Return the service of that name.
+
+    Raises:
+        NotInDocumentError: There is none.
+    """
+    for row in document['services']:
+        if row['name'] == name:
+            return row
+    raise exceptions.NotInDocumentError(f'service {name}')
+
+
+def services_named(document: model.Document) -> dict[str, model.Service]:
+    """Return all services by name, for repeated look-ups."""
+    return {row['name']: row for row in document['services']}
+
+
+def failure_domain(document: model.Document, name: str) -> model.FailureDomain:
+    """Return the failure domain of that name.
+
+    Raises:
+        NotInDocumentError: There is none.
+    """
+    for row in document['failure_domains']:
+        if row['name'] == name:
+            return row
+    raise exceptions.NotInDocumentError(f'failure domain {name}')
+
+
+def class_of(
+    service: model.Service, method: str, path: str
+) -> model.TrafficClass:
+    """Return the first class that matches, else the class ``other``."""
+    for row in service['classes']:
+        if method in row['methods'] and path.startswith(row['path_prefix']):
+            return row
+    for named in service['classes']:
+        if named['name'] == const.CLASS_OTHER:
+            return named
+    return {
+        'name': const.CLASS_OTHER,
+        'methods': list(const.KNOWN_METHODS),
+        'path_prefix': '/',
+        'repeatable': False,
+        'holds_slot': True,
+        'deadline_s': None,
+    }
+
+
+def tenant_of(service: model.Service, name: str | None) -> model.Tenant:
+    """Return the tenant a request names, else the tenant ``default``."""
+    default: model.Tenant = {
+        'name': const.TENANT_DEFAULT,
+        'share': const.DEFAULT_SHARE,
+    }
+    for row in service['tenants']:
+        if row['name'] == name:
+            return row
+        if row['name'] == const.TENANT_DEFAULT:
+            default = row
+    return default
+
+
+def weight_of(
+    document: model.Document, service_name: str, domain_name: str
+) -> float:
+    """Return the weight of a failure domain for a service's new work.
+
+    Without a rule it is 1; a failure domain that is out has weight 0.
+    """
+    return failure_domains_of(document, service_name).get(domain_name, 0)
+
+
+def failure_domains_of(
+    document: model.Document, service_name: str
+) -> dict[str, float]:
+    """Return the weight of each failure domain that takes the service's work.
+
+    Failure domains that are out or have weight 0 are not among them.
+    """
+    weights = {
+        row['name']: const.DEFAULT_WEIGHT
+        for row in document['failure_domains']
+        if not row['out']
+    }
+    for rule in document['rules']:
+        if rule['service'] == service_name:
+            name = rule['failure_domain']
+            weights[name] = rule['weight'] if name in weights else 0
+    return {name: weight for name, weight in weights.items() if weight > 0}
