--- /dev/null
+++ b/kumquatport/connection/connection_id/__init__.py
@@ -0,0 +1,1 @@
+"""Connection IDs that name the agent holding the connection."""
--- /dev/null
+++ b/kumquatport/connection/connection_id/codec.py
@@ -0,0 +1,129 @@
+"""Encoding of connection IDs under the shared key."""
+
+import hashlib
+import itertools
+import secrets
+import socket
+import struct
+import typing
+from collections import abc
+
+from cryptography.hazmat.primitives import ciphers
+from cryptography.hazmat.primitives.ciphers import algorithms, modes
+
+from kumquatport import exceptions
+from kumquatport.connection.connection_id import const
+from kumquatport.helpers import keys
+
+_LAYOUT = struct.Struct('!4sHIHI')
+
+
+class Holder(typing.NamedTuple):
+    """What a connection ID says of the agent that holds the connection.
+
+    Attributes:
+        packed_address: IPv4 address, 4 bytes.
+        port: UDP port that takes forwards.
+        service_tag: Tag of the service the connection was opened for.
+        domain_tag: Tag of the agent's failure domain.
+        counter: Number that keeps the IDs of one agent apart.
+    """
+
+    packed_address: bytes
+    port: int
+    service_tag: int
+    domain_tag: int
+    counter: int
+
+
+Decode = abc.Callable[[bytes], Holder]
+Token = abc.Callable[[bytes], bytes]
+
+
+def make_decoder(shared_key: bytes) -> Decode:
+    """Return a function that reads connection IDs.
+
+    The caller must check the tags: a connection ID that was not issued under
+    the shared key decodes to random numbers, not to an error.
+
+    Args:
+        shared_key: The key that all instances share, 32 bytes.
+
+    Returns:
+        A function from a connection ID to its holder. It raises
+        ``ConnectionIdError`` for a wrong length or key generation.
+    """
+    decryptor = _cipher(shared_key).decryptor()
+    unpack = _LAYOUT.unpack
+
+    def decode(connection_id: bytes) -> Holder:
+        if len(connection_id) != const.CONNECTION_ID_BYTES:
+            raise exceptions.ConnectionIdError('wrong length')
+        if connection_id[0] != const.KEY_GENERATION:
+            raise exceptions.ConnectionIdError('unknown key generation')
+        return Holder(*unpack(decryptor.update(connection_id[1:])))
+
+    return decode
+
+
+def make_issuer(
+    shared_key: bytes,
+    endpoint: tuple[str, int],
+    service_tag: int,
+    domain_tag: int,
+) -> abc.Callable[[], bytes]:
+    """Return a function that issues connection IDs of one agent.
+
+    Args:
+        shared_key: The key that all instances share, 32 bytes.
+        endpoint: IPv4 address and UDP port of the agent.
+        service_tag: Tag of the agent's service.
+        domain_tag: Tag of the agent's failure domain.
+
+    Returns:
+        A function that returns a new connection ID at each call.
+    """
+    encryptor = _cipher(shared_key).encryptor()
+    address = socket.inet_aton(endpoint[0])
+    # A random start keeps IDs of an earlier process at this address apart.
+    numbers = itertools.count(secrets.randbelow(const.COUNTER_LIMIT))
+    prefix = bytes((const.KEY_GENERATION,))
+
+    def issue() -> bytes:
+        counter = next(numbers) % const.COUNTER_LIMIT
+        block = _LAYOUT.pack(
+            address,
+            endpoint[1],
+            service_tag,
+            domain_tag,
+            counter,
+        )
+        return prefix + encryptor.update(block)
+
+    return issue
+
+
+def make_reset_token(shared_key: bytes) -> Token:
+    """Return a function that derives the stateless reset token of an ID.
+
+    Any instance can derive it, so one that holds no state of the connection
+    can still tell the caller that it is lost (RFC 9000, section 10.3).
+    """
+    key = keys.derive(shared_key, const.PURPOSE_RESET, keys.SHARED_KEY_BYTES)
+
+    def token(connection_id: bytes) -> bytes:
+        digest = hashlib.blake2s(
+            connection_id,
+            key=key,
+            digest_size=const.RESET_TOKEN_BYTES,
+        )
+        return digest.digest()
+
+    return token
+
+
+def _cipher(shared_key: bytes) -> ciphers.Cipher:
+    key = keys.derive(shared_key, const.PURPOSE_BLOCK, const.BLOCK_BYTES)
+    # One block each, unique by its counter: ECB of a single block is a
+    # plain pseudorandom permutation here.
+    return ciphers.Cipher(algorithms.AES(key), modes.ECB())
--- /dev/null
+++ b/kumquatport/connection/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Packets of callers on their way between instances."""
--- /dev/null
+++ b/kumquatport/connection/forward/header.py
@@ -0,0 +1,101 @@
+"""Header in front of a caller's packet while it travels between instances."""
+
+import hashlib
+import hmac
+import socket
+import struct
+import typing
+from collections import abc
+
+from kumquatport import exceptions
+from kumquatport.connection.forward import const
+from kumquatport.helpers import keys
+
+_LAYOUT = struct.Struct('!BBI16sH')
+_MAPPED = bytes(10) + b'\xff\xff'
+
+Endpoint = tuple[str, int]
+
+
+class Forward(typing.NamedTuple):
+    """A caller's packet as an agent receives it.
+
+    Attributes:
+        hops: Instances that have passed the packet on, the balancer included.
+        service_tag: Tag of the service whose address the caller used.
+        caller: IP number and UDP port of the caller.
+        payload: The caller's packet, unchanged.
+    """
+
+    hops: int
+    service_tag: int
+    caller: Endpoint
+    payload: bytes
+
+
+Write = abc.Callable[[bytearray, int, int, Endpoint], None]
+Read = abc.Callable[[bytes], Forward]
+
+
+def make_writer(shared_key: bytes) -> Write:
+    """Return a function that writes a header into the front of a buffer.
+
+    Args:
+        shared_key: The key that all instances share, 32 bytes.
+
+    Returns:
+        A function of buffer, hops, service tag and caller. It fills the first
+        ``PREFIX_BYTES`` of the buffer.
+    """
+    keyed = _keyed(shared_key)
+    pack_into = _LAYOUT.pack_into
+    aton = socket.inet_aton
+
+    def write(
+        buffer: bytearray,
+        hops: int,
+        service_tag: int,
+        caller: Endpoint,
+    ) -> None:
+        mapped = _MAPPED + aton(caller[0])
+        version = const.FORWARD_VERSION
+        pack_into(buffer, 0, version, hops, service_tag, mapped, caller[1])
+        mac = keyed.copy()
+        mac.update(buffer[: const.HEADER_BYTES])
+        buffer[const.HEADER_BYTES : const.PREFIX_BYTES] = mac.digest()
+
+    return write
+
+
+def make_reader(shared_key: bytes) -> Read:
+    """Return a function that checks and reads forwards.
+
+    Args:
+        shared_key: The key that all instances share, 32 bytes.
+
+    Returns:
+        A function from a datagram to a ``Forward``. It raises ``FrameError``
+        for a datagram that is short, of another version or not authentic.
+    """
+    keyed = _keyed(shared_key)
+
+    def read(datagram: bytes) -> Forward:
+        if len(datagram) <= const.PREFIX_BYTES:
+            raise exceptions.FrameError('short')
+        if datagram[0] != const.FORWARD_VERSION:
+            raise exceptions.FrameError('version')
+        mac = keyed.copy()
+        mac.update(datagram[: const.HEADER_BYTES])
+        sent = datagram[const.HEADER_BYTES : const.PREFIX_BYTES]
+        if not hmac.compare_digest(mac.digest(), sent):
+            raise exceptions.FrameError('mac')
+        _, hops, tag, mapped, port = _LAYOUT.unpack_from(datagram)
+        caller = (socket.inet_ntoa(mapped[-4:]), port)
+        return Forward(hops, tag, caller, datagram[const.PREFIX_BYTES :])
+
+    return read
+
+
+def _keyed(shared_key: bytes) -> 'hashlib.blake2s':
+    key = keys.derive(shared_key, const.PURPOSE_FORWARD, keys.SHARED_KEY_BYTES)
+    return hashlib.blake2s(key=key, digest_size=const.MAC_BYTES)
