Acceptance: one conditional update, lost answers settled; differences, guard rails

Each document names the latest attempts accepted before it, so an attempt whose answer was lost can be told from the document in force, also after others were accepted on top. Ruled out: taking 'the base is still in force' as proof of failure, because a copy on its way may yet arrive; the same bytes are sent again under the same condition instead, until a version follows.

--- /dev/null
+++ b/kumquatport/version/acceptance/__init__.py
@@ -0,0 +1,24 @@
+"""Acceptance: putting one document in force, or telling why it is not."""
+
+from kumquatport.version.acceptance import (
+    accept,
+    audit,
+    model,
+    settle,
+    store,
+)
+
+Accepted = model.Accepted
+AcceptanceConflictError = model.AcceptanceConflictError
+AcceptanceUnknownError = model.AcceptanceUnknownError
+AuditEntry = model.AuditEntry
+GuardRailError = model.GuardRailError
+InForce = model.InForce
+
+async_accept = accept.async_accept
+async_ask = settle.async_ask
+async_change = accept.async_change
+async_history = audit.async_history
+async_in_force = store.async_in_force
+async_record = audit.async_record
+new_identifier = accept.new_identifier
--- /dev/null
+++ b/kumquatport/version/acceptance/accept.py
@@ -0,0 +1,159 @@
+"""Putting one document in force by one conditional update."""
+
+import time
+import uuid
+from collections import abc
+
+from kumquatport import exceptions
+from kumquatport.process.platform import client as platform
+from kumquatport.version import document
+from kumquatport.version.acceptance import (
+    const,
+    lineage,
+    model,
+    settle,
+    store,
+)
+from kumquatport.version.document import const as document_const
+
+Edit = abc.Callable[[document.Document], document.Document]
+Check = abc.Callable[[model.InForce, document.Document], None]
+Recorder = abc.Callable[[model.InForce, model.InForce], abc.Awaitable[object]]
+
+
+def new_identifier() -> str:
+    """Return an identifier for one attempt."""
+    return uuid.uuid4().hex
+
+
+async def async_accept(
+    client: platform.PlatformClient,
+    submitted: document.Document,
+    record: Recorder,
+    identifier: str = '',
+) -> model.Accepted:
+    """Put a document in force as a whole, or leave everything as it is.
+
+    Args:
+        client: Access to the platform.
+        submitted: The checked document; its ``base_version`` is the version
+            that the operator started from.
+        record: Called once the document is in force, to write the audit.
+        identifier: Of an attempt that may have been sent before; a fresh one
+            otherwise.
+
+    Raises:
+        AcceptanceConflictError: Another version is in force; nothing changed.
+        AcceptanceUnknownError: Not known yet; ask again by its identifier.
+        PlatformUnavailableError: Nothing was sent, nothing changed.
+        DocumentRejectedError: The document does not fit into one object.
+    """
+    if not identifier:
+        return await _async_attempt(client, submitted, record, new_identifier())
+    try:
+        return await _async_attempt(client, submitted, record, identifier)
+    except exceptions.PlatformUnavailableError as error:
+        # An earlier call with this identifier may have been sent.
+        raise model.AcceptanceUnknownError(
+            identifier, submitted['base_version']
+        ) from error
+
+
+async def async_change(
+    client: platform.PlatformClient,
+    edit: Edit,
+    check: Check,
+    record: Recorder,
+) -> model.Accepted:
+    """Apply one small change to whatever is in force, over conflicts.
+
+    A change that is already in force is accepted without a write.
+
+    Args:
+        client: Access to the platform.
+        edit: Returns the changed copy of a document.
+        check: Raises when the change must not be made.
+        record: Called once the document is in force, to write the audit.
+
+    Raises:
+        AcceptanceConflictError: Others were faster each time.
+        AcceptanceUnknownError: Not known yet.
+        PlatformUnavailableError: Nothing was sent, nothing changed.
+    """
+    for _ in range(const.MAX_CONFLICTS):
+        before = await store.async_in_force(client)
+        changed = edit(before.document)
+        if not document.compare(before.document, changed):
+            return model.Accepted(
+                before.version, before.document['identifier'], before.version
+            )
+        check(before, changed)
+        try:
+            return await _async_write(
+                client, before, prepare(before, changed), record
+            )
+        except model.AcceptanceConflictError as error:
+            last = error
+    raise last
+
+
+def prepare(
+    before: model.InForce,
+    submitted: document.Document,
+    identifier: str = '',
+) -> document.Document:
+    """Return the document as it is sent on top of the one in force.
+
+    Args:
+        before: The document in force.
+        submitted: The new document.
+        identifier: Of the attempt; a fresh one when empty.
+    """
+    prepared = submitted.copy()
+    prepared['identifier'] = identifier or new_identifier()
+    prepared['base_version'] = before.version
+    prepared['submitted_s'] = round(time.time(), 3)
+    prepared['predecessors'] = lineage.extended(before)
+    return prepared
+
+
+async def _async_attempt(
+    client: platform.PlatformClient,
+    submitted: document.Document,
+    record: Recorder,
+    identifier: str,
+) -> model.Accepted:
+    """Send a document, unless the version it was made on has passed."""
+    before = await store.async_in_force(client)
+    base_version = submitted['base_version']
+    if before.version != base_version:
+        return await settle.async_ask(
+            client, identifier, base_version, submitted
+        )
+    prepared = prepare(before, submitted, identifier)
+    return await _async_write(client, before, prepared, record)
+
+
+async def _async_write(
+    client: platform.PlatformClient,
+    before: model.InForce,
+    prepared: document.Document,
+    record: Recorder,
+) -> model.Accepted:
+    """Send a prepared document and settle a lost answer."""
+    stored = document.encode(prepared)
+    try:
+        version = await client.async_put(
+            document_const.DOCUMENT_KEY, stored, before.version
+        )
+    except (
+        exceptions.OutcomeUnknownError,
+        exceptions.VersionConflictError,
+    ):
+        # A conflict is settled too: something between us and the platform
+        # may have repeated an update that took effect.
+        accepted = await settle.async_settle(client, prepared)
+    else:
+        accepted = model.Accepted(version, prepared['identifier'], version)
+    await record(before, model.InForce(accepted.version, prepared, stored))
+    return accepted
--- /dev/null
+++ b/kumquatport/version/acceptance/audit.py
@@ -0,0 +1,149 @@
+"""The audit: one entry in the platform for each accepted document."""
+
+import asyncio
+import typing
+from collections import abc
+
+import msgspec
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.process.platform import client as platform
+from kumquatport.version import document
+from kumquatport.version.acceptance import const, model, pauses
+from kumquatport.version.document import const as document_const
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+async def async_record(
+    client: platform.PlatformClient,
+    before: model.InForce,
+    after: model.InForce,
+) -> bool:
+    """Write the entry of an acceptance, and the one before if it is missing.
+
+    A failure is logged and not raised: the document is in force either way,
+    and the next acceptor fills in what is missing.
+
+    Args:
+        client: Access to the platform.
+        before: What was in force before.
+        after: What was accepted.
+
+    Returns:
+        Whether the entry is written.
+    """
+    changes = document.change_lines(
+        document.compare(before.document, after.document)
+    )
+    written = await _async_write(client, entry_of(after, changes), None)
+    if before.version:
+        await _async_write(client, entry_of(before, None), 0)
+    return written
+
+
+def entry_of(
+    in_force: model.InForce, changes: abc.Sequence[str] | None
+) -> model.AuditEntry:
+    """Return the entry of a document.
+
+    Args:
+        in_force: The document and its version.
+        changes: One line for each change; None when they are not known.
+    """
+    own = in_force.document
+    return {
+        'version': in_force.version,
+        'base_version': own['base_version'],
+        'identifier': own['identifier'],
+        'operator': own['operator'],
+        'comment': own['comment'],
+        'submitted_s': own['submitted_s'],
+        'changes': None if changes is None else _shortened(changes),
+    }
+
+
+async def async_entry(
+    client: platform.PlatformClient, version: int
+) -> model.AuditEntry | None:
+    """Return the entry of one version, or None when it has none.
+
+    Raises:
+        PlatformUnavailableError: The platform did not answer.
+    """
+    try:
+        stored = await client.async_get(_key(version))
+    except exceptions.ObjectMissingError:
+        return None
+    try:
+        return msgspec.json.decode(stored.value, type=model.AuditEntry)
+    except msgspec.DecodeError as error:
+        _LOGGER.warning('malformed audit entry', key=stored.key, error=error)
+    return None
+
+
+async def async_history(
+    client: platform.PlatformClient,
+    in_force: model.InForce,
+    count: int = const.DEFAULT_HISTORY_COUNT,
+) -> list[model.AuditEntry]:
+    """Return the latest entries, newest first.
+
+    Args:
+        client: Access to the platform.
+        in_force: The document in force; stands for its own missing entry.
+        count: Most versions to look at, one call each.
+
+    Raises:
+        PlatformUnavailableError: The platform did not answer.
+    """
+    lowest = max(in_force.version - count, 0)
+    versions = range(in_force.version, lowest, -1)
+    found = await asyncio.gather(
+        *(async_entry(client, version) for version in versions)
+    )
+    entries = [entry for entry in found if entry is not None]
+    if in_force.version and found[0] is None:
+        entries.insert(0, entry_of(in_force, None))
+    return entries
+
+
+async def _async_write(
+    client: platform.PlatformClient,
+    entry: model.AuditEntry,
+    expected: int | None,
+) -> bool:
+    """Write one entry; repeating it is harmless, the bytes are the same."""
+    key = _key(entry['version'])
+    failure: typing.Any = None
+    async for attempt in pauses.async_attempts(const.READ_PATIENCE_S):
+        try:
+            await client.async_put(key, msgspec.json.encode(entry), expected)
+        except exceptions.VersionConflictError:
+            return True
+        except (
+            exceptions.OutcomeUnknownError,
+            exceptions.PlatformUnavailableError,
+        ) as error:
+            failure = error
+        else:
+            return True
+        if attempt + 1 >= const.AUDIT_ATTEMPTS:
+            break
+    _LOGGER.warning('audit entry not written', key=key, error=repr(failure))
+    return False
+
+
+def _shortened(changes: abc.Sequence[str]) -> list[str]:
+    """Return the lines within the entry's size."""
+    kept = [line[: const.MAX_AUDIT_LINE_CHARS] for line in changes]
+    if len(kept) <= const.MAX_AUDIT_LINES:
+        return kept
+    left = len(kept) - const.MAX_AUDIT_LINES
+    return [*kept[: const.MAX_AUDIT_LINES], f'and {left} more']
+
+
+def _key(version: int) -> str:
+    """Return the key of a version's entry."""
+    return f'{document_const.AUDIT_PREFIX}{version}'
--- /dev/null
+++ b/kumquatport/version/acceptance/store.py
@@ -0,0 +1,45 @@
+"""Reading the document in force from the platform."""
+
+from kumquatport import exceptions
+from kumquatport.process.platform import client as platform
+from kumquatport.version import document
+from kumquatport.version.acceptance import const, model, pauses
+from kumquatport.version.document import const as document_const
+
+
+async def async_in_force(
+    client: platform.PlatformClient,
+    patience_s: float = const.READ_PATIENCE_S,
+) -> model.InForce:
+    """Read the document in force, repeating the read for a while.
+
+    Args:
+        client: Access to the platform.
+        patience_s: Seconds during which a failed read is repeated.
+
+    Raises:
+        PlatformUnavailableError: The platform did not answer in that time.
+        DocumentRejectedError: The stored document is not valid.
+    """
+    failure: exceptions.KumquatportError | None = None
+    async for _ in pauses.async_attempts(patience_s):
+        try:
+            return await async_read(client)
+        except exceptions.PlatformUnavailableError as error:
+            failure = error
+    raise exceptions.PlatformUnavailableError(str(failure)) from failure
+
+
+async def async_read(client: platform.PlatformClient) -> model.InForce:
+    """Read the document in force with one call.
+
+    Raises:
+        PlatformUnavailableError: The platform did not answer.
+        DocumentRejectedError: The stored document is not valid.
+    """
+    try:
+        stored = await client.async_get(document_const.DOCUMENT_KEY)
+    except exceptions.ObjectMissingError:
+        return model.InForce(0, document.empty(), b'')
+    parsed = document.parse(stored.value)
+    return model.InForce(stored.version, parsed, stored.value)
--- a/kumquatport/version/document/__init__.py
+++ b/kumquatport/version/document/__init__.py
@@ -4,13 +4,31 @@
 write ``document.parse(value)``.
 """
 
-from kumquatport.version.document import codec, lookup, model
+from kumquatport.version.document import (
+    codec,
+    difference,
+    edit,
+    guard,
+    lookup,
+    model,
+)
 
 check = codec.check
 decode = codec.decode
 encode = codec.encode
 parse = codec.parse
 
+Change = difference.Change
+change_lines = difference.lines
+compare = difference.difference
+
+empty = edit.empty
+with_domain_out = edit.with_domain_out
+
+Concern = guard.Concern
+DomainLoad = guard.DomainLoad
+concerns = guard.concerns
+
 class_of = lookup.class_of
 failure_domain = lookup.failure_domain
 failure_domains_of = lookup.failure_domains_of
