--- a/kumquatport/connection/connection_id/codec.py
+++ b/kumquatport/connection/connection_id/codec.py
@@ -36,6 +36,9 @@
     counter: int
 
 
+# No service has a tag below zero.
+NOBODY = Holder(b'', 0, -1, -1, 0)
+
 Decode = abc.Callable[[bytes], Holder]
 Token = abc.Callable[[bytes], bytes]
 
--- /dev/null
+++ b/kumquatport/connection/forward/route.py
@@ -0,0 +1,149 @@
+"""Where a caller's packet goes: one decision for each packet."""
+
+import typing
+from collections import abc
+
+import xxhash
+
+from kumquatport import exceptions
+from kumquatport.connection.connection_id import codec
+from kumquatport.connection.forward import header
+from kumquatport.connection.quic import const as quic_const
+from kumquatport.connection.quic import invariants
+from kumquatport.helpers import tags
+
+Candidates = abc.Callable[[int, int], tuple[header.Endpoint, ...]]
+
+
+class Known(typing.NamedTuple):
+    """Failure domains by tag, as the document in force names them.
+
+    Attributes:
+        inside: Tags of the failure domains that take packets.
+        out: Tags of the failure domains that operators have taken out.
+    """
+
+    inside: frozenset[int]
+    out: frozenset[int]
+
+
+class Decision(typing.NamedTuple):
+    """What to do with a packet.
+
+    Attributes:
+        endpoint: Agent that gets the packet; nothing if it is dropped.
+        reason: Why it is dropped, or which way it was routed.
+        is_lost: Whether the caller must be told that its flow is lost.
+    """
+
+    endpoint: header.Endpoint | None
+    reason: str
+    is_lost: bool = False
+
+
+_SHORT = Decision(None, 'dropped.not_quic')
+_SMALL = Decision(None, 'dropped.short_opening')
+_FOREIGN = Decision(None, 'dropped.foreign_connection')
+_NO_AGENT = Decision(None, 'dropped.no_agent')
+_OUT = Decision(None, 'dropped.domain_out', is_lost=True)
+
+Route = abc.Callable[[memoryview, header.Endpoint], Decision]
+
+
+def flow_hash(caller: header.Endpoint, service_tag: int) -> int:
+    """Return the 64-bit hash by which a flow's opening packets are placed."""
+    text = f'{caller[0]}:{caller[1]}'
+    return xxhash.xxh64_intdigest(text.encode(), seed=service_tag)
+
+
+def make_known(domains: abc.Iterable[tuple[str, bool]]) -> Known:
+    """Sort failure domains, given as name and whether out, by their tags."""
+    named = [(tags.failure_domain_tag(name), out) for name, out in domains]
+    return Known(
+        inside=frozenset(tag for tag, out in named if not out),
+        out=frozenset(tag for tag, out in named if out),
+    )
+
+
+def make_route(
+    service_tag: int,
+    decode: codec.Decode,
+    known: abc.Callable[[], Known],
+    candidates: Candidates,
+) -> Route:
+    """Return the function that decides for the packets of one service.
+
+    Args:
+        service_tag: Tag of the service.
+        decode: Reads connection IDs.
+        known: Failure domains of the document in force.
+        candidates: Agents for a flow hash, best first, at most so many.
+
+    Returns:
+        A function of packet and caller.
+    """
+    established = _make_established(known)
+    opening = _make_opening(service_tag, candidates)
+
+    def route(packet: memoryview, caller: header.Endpoint) -> Decision:
+        target = invariants.destination(packet)
+        if not target.connection_id:
+            return _SHORT
+        try:
+            holder = decode(target.connection_id)
+        except exceptions.ConnectionIdError:
+            holder = codec.NOBODY
+        if holder.service_tag == service_tag:
+            return established(holder)
+        return opening(packet, caller) if target.is_long else _FOREIGN
+
+    return route
+
+
+def _make_established(
+    known: abc.Callable[[], Known],
+) -> abc.Callable[[codec.Holder], Decision]:
+    endpoint_of = _make_endpoints()
+
+    def established(holder: codec.Holder) -> Decision:
+        domains = known()
+        if holder.domain_tag in domains.inside:
+            endpoint = endpoint_of(holder.packed_address, holder.port)
+            return Decision(endpoint, 'established')
+        if holder.domain_tag in domains.out:
+            return _OUT
+        return _FOREIGN
+
+    return established
+
+
+def _make_opening(
+    service_tag: int,
+    candidates: Candidates,
+) -> abc.Callable[[memoryview, header.Endpoint], Decision]:
+    def opening(packet: memoryview, caller: header.Endpoint) -> Decision:
+        if len(packet) < quic_const.MIN_OPENING_BYTES:
+            return _SMALL
+        found = candidates(flow_hash(caller, service_tag), 1)
+        if not found:
+            return _NO_AGENT
+        return Decision(found[0], 'opening')
+
+    return opening
+
+
+def _make_endpoints() -> abc.Callable[[bytes, int], header.Endpoint]:
+    """Return a function that turns packed addresses into endpoints.
+
+    It remembers one endpoint for each agent, not for each flow.
+    """
+    known: dict[tuple[bytes, int], header.Endpoint] = {}
+
+    def endpoint_of(packed_address: bytes, port: int) -> header.Endpoint:
+        endpoint = known.get((packed_address, port))
+        if endpoint is None:
+            endpoint = ('.'.join(map(str, packed_address)), port)
+            known[packed_address, port] = endpoint
+        return endpoint
+
+    return endpoint_of
