--- /dev/null
+++ b/tests/unit/connection/test_listener.py
@@ -0,0 +1,108 @@
+"""Tests of an agent's listener against packets of any content."""
+
+import asyncio
+import secrets
+import unittest
+from unittest import mock
+
+from aioquic.quic import configuration
+
+from kumquatport.connection.connection_id import codec
+from kumquatport.connection.forward import const, header
+from kumquatport.connection.quic import const as quic_const
+from kumquatport.connection.quic import held, listener
+from tests.builders import certificates
+
+KEY = bytes(range(32))
+CALLER = ('127.0.0.1', 9)
+PLACE = listener.Place('127.0.0.1', 0, 11, 22)
+
+
+PAIR = certificates.self_signed()
+
+
+def opening_packet():
+    """Return an Initial of random content, which no key opens."""
+    head = b'\xc0\x00\x00\x00\x01\x08' + secrets.token_bytes(8)
+    # No source connection ID, no token, then the length of the rest.
+    return head + b'\x00\x00\x44\xc0' + secrets.token_bytes(0x4C0)
+
+
+async def handle(_head, _exchange):
+    """Answer nothing."""
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """Nothing that arrives raises or leaves state behind."""
+
+    async def asyncSetUp(self):
+        self.counts = {}
+        self.may_open = True
+        self.listener = listener.Listener(
+            PLACE,
+            KEY,
+            configuration.QuicConfiguration(
+                is_client=False,
+                certificate=PAIR.certificate,
+                private_key=PAIR.private_key,
+            ),
+            listener.Hooks(
+                may_open=lambda: self.may_open,
+                pass_on=lambda forward: False,
+                handle=handle,
+                count_event=self.count_event,
+                watchers=held.Watchers(lambda: None, lambda: None),
+            ),
+        )
+        self.answers = []
+        self.listener.sendto = lambda packet, _caller: self.answers.append(
+            packet,
+        )
+
+    def count_event(self, name):
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def take(self, payload, tag=11):
+        buffer = bytearray(const.PREFIX_BYTES) + payload
+        header.make_writer(KEY)(buffer, 1, tag, CALLER)
+        self.listener._take(bytes(buffer))
+
+    async def test_random_packets_leave_nothing(self):
+        for size in (1, 5, 18, 60, 1200, 1400):
+            for _ in range(50):
+                self.take(secrets.token_bytes(size))
+        self.assertEqual(len(self.listener.sessions), 0)
+        self.assertTrue(self.counts)
+
+    async def test_other_service_is_refused(self):
+        self.take(bytes(1200), tag=12)
+        self.assertEqual(self.counts, {'forward_refused.service': 1})
+
+    async def test_lost_flow_is_told_and_displaced_one_never(self):
+        own = codec.make_issuer(KEY, (PLACE.address, 0), 11, 22)()
+        self.take(b'\x40' + own + bytes(40))
+        self.assertEqual(self.counts.pop('flow_lost'), 1)
+        token = codec.make_reset_token(KEY)(own)
+        self.assertEqual(self.answers.pop()[-16:], token)
+        other = codec.make_issuer(KEY, ('127.0.0.2', 0), 11, 22)()
+        self.take(b'\x40' + other + bytes(40))
+        self.assertEqual(self.counts, {'misdelivered': 1})
+        self.assertEqual(self.answers, [])
+
+    async def test_silent_callers_are_dropped_and_then_validated(self):
+        with mock.patch.object(quic_const, 'HANDSHAKE_TIMEOUT_S', 0.05):
+            for _ in range(100):
+                self.take(opening_packet())
+            held_before = len(self.listener.sessions)
+            await asyncio.sleep(0.2)
+        # The rest were asked to prove their address, which keeps no state.
+        self.assertEqual(held_before, 64)
+        self.assertEqual(self.counts['address_validation'], 36)
+        self.assertEqual(len(self.listener.sessions), 0)
+
+    async def test_full_agent_refuses_at_once(self):
+        self.may_open = False
+        self.take(opening_packet())
+        self.assertEqual(self.counts, {'opening_refused.full': 1})
+        self.assertEqual(len(self.answers), 1)
+        self.assertEqual(len(self.listener.sessions), 0)
