--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the subsystems, each printed as JSON lines."""
--- /dev/null
+++ b/kumquatport/version/members/const.py
@@ -0,0 +1,26 @@
+"""Constants of the instance records and their registry."""
+
+import typing
+
+KIND_AGENT: typing.Final = 'agent'
+KIND_BALANCER: typing.Final = 'balancer'
+
+STATE_STARTING: typing.Final = 'starting'
+STATE_READY: typing.Final = 'ready'
+STATE_LEAVING: typing.Final = 'leaving'
+STATE_GONE: typing.Final = 'gone'
+STATE_LAPSED: typing.Final = 'lapsed'
+
+DEPARTED_STATES: typing.Final = frozenset((STATE_GONE, STATE_LAPSED))
+STATES: typing.Final = frozenset(
+    (
+        STATE_STARTING,
+        STATE_READY,
+        STATE_LEAVING,
+        STATE_GONE,
+        STATE_LAPSED,
+    )
+)
+
+TOMBSTONE_S: typing.Final = 300.0
+DIGEST_BUCKETS: typing.Final = 256
--- /dev/null
+++ b/kumquatport/version/members/registry.py
@@ -0,0 +1,196 @@
+"""The registry: the highest record of each instance."""
+
+import time
+import typing
+from collections import abc
+
+import msgspec
+import xxhash
+
+from kumquatport.helpers import listeners
+from kumquatport.version.members import const
+from kumquatport.version.members import record as records
+
+Listener = abc.Callable[
+    [records.InstanceRecord, records.InstanceRecord | None],
+    None,
+]
+
+
+class _Entry(typing.NamedTuple):
+    record: records.InstanceRecord
+    fingerprint: int
+    departed_at: float
+
+
+class Registry:
+    """Records merged by precedence; merging commutes and is idempotent."""
+
+    def __init__(
+        self,
+        clock: abc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start empty.
+
+        Args:
+            clock: Monotonic seconds, by which tombstones are dropped.
+        """
+        self._clock = clock
+        self._entries: dict[str, _Entry] = {}
+        self._services: dict[str, set[str]] = {}
+        self._service_digests: dict[str, int] = {}
+        self._balancers: set[str] = set()
+        self._tombstones: set[str] = set()
+        self._buckets: list[dict[str, None]] = [
+            {} for _ in range(const.DIGEST_BUCKETS)
+        ]
+        self._digests = [0 for _ in range(const.DIGEST_BUCKETS)]
+        self._listeners: listeners.Listeners[Listener] = listeners.Listeners()
+
+    def __len__(self) -> int:
+        """Return how many records are held, tombstones included."""
+        return len(self._entries)
+
+    def get(self, instance: str) -> records.InstanceRecord | None:
+        """Return the record of an instance, also a departed one."""
+        entry = self._entries.get(instance)
+        return entry.record if entry else None
+
+    def all_records(self) -> tuple[records.InstanceRecord, ...]:
+        """Return every record, tombstones included."""
+        return tuple(entry.record for entry in self._entries.values())
+
+    def agents(self, service: str) -> tuple[records.InstanceRecord, ...]:
+        """Return the agents of a service that have not departed, by name."""
+        return self._sorted(self._services.get(service, ()))
+
+    def balancers(self) -> tuple[records.InstanceRecord, ...]:
+        """Return the balancers that have not departed, by name."""
+        return self._sorted(self._balancers)
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have an agent."""
+        return tuple(self._services)
+
+    def service_digest(self, service: str) -> int:
+        """Return a 64-bit digest of the live agents of a service."""
+        return self._service_digests.get(service, 0)
+
+    def digests(self) -> tuple[int, ...]:
+        """Return a 64-bit digest of the live records of each bucket."""
+        return tuple(self._digests)
+
+    def bucket(self, number: int) -> tuple[records.InstanceRecord, ...]:
+        """Return the records of one digest bucket, tombstones included."""
+        return tuple(
+            self._entries[instance].record for instance in self._buckets[number]
+        )
+
+    def merge(self, record: records.InstanceRecord) -> bool:
+        """Keep a record if it outranks the one held.
+
+        A departed record of an instance that is not known adds nothing and
+        is not kept: else two registries would renew each other's tombstones
+        for ever.
+
+        Args:
+            record: From its owner, an observer or another registry.
+
+        Returns:
+            Whether the record held has changed.
+        """
+        if not records.is_valid(record):
+            return False
+        held = self._entries.get(record.instance)
+        if held is None and records.is_departed(record):
+            return False
+        if held is not None and not _outranks(record, held.record):
+            return False
+        self._replace(held, record)
+        self._listeners.notify(record, held.record if held else None)
+        return True
+
+    def expire(self) -> int:
+        """Drop the tombstones that are due; return how many."""
+        limit = self._clock() - const.TOMBSTONE_S
+        due = [
+            self._entries[instance]
+            for instance in self._tombstones
+            if self._entries[instance].departed_at <= limit
+        ]
+        for entry in due:
+            self._remove(entry)
+        return len(due)
+
+    def subscribe(self, callback: Listener) -> abc.Callable[[], None]:
+        """Call back with each new record and the one that it replaces.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        return self._listeners.subscribe(callback)
+
+    def _sorted(
+        self,
+        instances: abc.Iterable[str],
+    ) -> tuple[records.InstanceRecord, ...]:
+        return tuple(self._entries[name].record for name in sorted(instances))
+
+    def _replace(
+        self,
+        held: _Entry | None,
+        record: records.InstanceRecord,
+    ) -> None:
+        if held is not None:
+            self._remove(held)
+        entry = _Entry(record, _fingerprint(record), self._clock())
+        self._entries[record.instance] = entry
+        self._buckets[bucket_of(record.instance)][record.instance] = None
+        if records.is_departed(record):
+            self._tombstones.add(record.instance)
+            return
+        self._toggle_digests(entry)
+        if record.kind == const.KIND_BALANCER:
+            self._balancers.add(record.instance)
+        else:
+            names = self._services.setdefault(record.service, set())
+            names.add(record.instance)
+
+    def _remove(self, entry: _Entry) -> None:
+        record = entry.record
+        self._entries.pop(record.instance)
+        self._buckets[bucket_of(record.instance)].pop(record.instance)
+        if records.is_departed(record):
+            self._tombstones.discard(record.instance)
+            return
+        self._toggle_digests(entry)
+        self._balancers.discard(record.instance)
+        names = self._services.get(record.service, set())
+        names.discard(record.instance)
+        if not names:
+            self._services.pop(record.service, None)
+            self._service_digests.pop(record.service, None)
+
+    def _toggle_digests(self, entry: _Entry) -> None:
+        # Exclusive or: the same step puts a record in and takes it out.
+        record = entry.record
+        self._digests[bucket_of(record.instance)] ^= entry.fingerprint
+        if record.kind == const.KIND_AGENT:
+            before = self._service_digests.get(record.service, 0)
+            self._service_digests[record.service] = before ^ entry.fingerprint
+
+
+def bucket_of(instance: str) -> int:
+    """Return the digest bucket of an instance."""
+    return xxhash.xxh64_intdigest(instance.encode()) % const.DIGEST_BUCKETS
+
+
+def _outranks(
+    record: records.InstanceRecord,
+    held: records.InstanceRecord,
+) -> bool:
+    return records.precedence(record) > records.precedence(held)
+
+
+def _fingerprint(record: records.InstanceRecord) -> int:
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(record))
--- /dev/null
+++ b/kumquatport/version/table/cache.py
@@ -0,0 +1,80 @@
+"""The tables in use, each built when it is first asked for."""
+
+import typing
+from collections import abc
+
+from kumquatport.version.members import record as records
+from kumquatport.version.members import registry as registries
+from kumquatport.version.table import candidates, rendezvous
+
+
+class _Rules(typing.NamedTuple):
+    out: frozenset[str]
+    shares: dict[str, dict[str, float]]
+
+
+class TableCache:
+    """Tables by service; a change drops just the tables that it touches."""
+
+    def __init__(self, registry: registries.Registry) -> None:
+        """Follow the registry until ``close`` is called.
+
+        Args:
+            registry: Source of the agents' records.
+        """
+        self._registry = registry
+        self._tables: dict[str, rendezvous.Table] = {}
+        self._rules = _Rules(frozenset(), {})
+        self._unsubscribe = registry.subscribe(self._forget)
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Return the names of the failure domains that are taken out."""
+        return self._rules.out
+
+    def table(self, service: str) -> rendezvous.Table:
+        """Return the table of a service; empty if it has no candidate."""
+        found = self._tables.get(service)
+        if found is None:
+            found = self._build(service)
+            self._tables[service] = found
+        return found
+
+    def apply(self, document: abc.Mapping[str, typing.Any]) -> None:
+        """Take failure domains and rules from a document.
+
+        Args:
+            document: A valid document, as in ``kumquatport.version.document``.
+        """
+        out = frozenset(
+            domain['name']
+            for domain in document['failure_domains']
+            if domain['out']
+        )
+        shares: dict[str, dict[str, float]] = {}
+        for rule in document.get('rules', ()):
+            by_domain = shares.setdefault(rule['service'], {})
+            by_domain[rule['failure_domain']] = rule['weight']
+        self._rules = _Rules(out, shares)
+        self._tables.clear()
+
+    def close(self) -> None:
+        """Stop following the registry."""
+        self._unsubscribe()
+
+    def _build(self, service: str) -> rendezvous.Table:
+        chosen = candidates.select(
+            self._registry.agents(service),
+            self._rules.out,
+            self._rules.shares.get(service, {}),
+        )
+        return rendezvous.build(service, chosen)
+
+    def _forget(
+        self,
+        record: records.InstanceRecord,
+        previous: records.InstanceRecord | None,
+    ) -> None:
+        self._tables.pop(record.service, None)
+        if previous is not None:
+            self._tables.pop(previous.service, None)
--- /dev/null
+++ b/tests/unit/version/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of what lives for one version."""
