Settings, logs, metrics, status and the main function that programs share

Cause: every program needs the same ground: one YAML file checked as a whole, log lines with instance and failure domain, counters that cost a dictionary increment, a status answer and a graceful stop with stable exit codes.

Ruled out: mode.Worker, which sets up logging and signals of its own and exits by exceptions; a statsd send for each event, which would cost a system call on the data path; YAML aliases, which expand without bound.

--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -1,8 +1,19 @@
 """Errors with stable codes, one root for all of them."""
 
+import enum
 import typing
 
 
+class TlsReason(enum.StrEnum):
+    """Why a certificate or key cannot be used."""
+
+    UNREADABLE = 'unreadable'
+    MALFORMED = 'malformed'
+    MISMATCH = 'mismatch'
+    NOT_YET_VALID = 'not-yet-valid'
+    EXPIRED = 'expired'
+
+
 class Fault(typing.NamedTuple):
     """One thing that is wrong in an input.
 
@@ -26,12 +37,40 @@
 
     code = 'KQ-1001'
 
+    def __init__(self, file: str, line: int, key: str, expected: str) -> None:
+        """Name the fault and its place.
+
+        Args:
+            file: Path of the settings file.
+            line: Line from 1; 0 where the fault has no line.
+            key: Dotted key, for example ``tls.key``; may be empty.
+            expected: What was expected there.
+        """
+        place = f'{file}:{line}' if line else file
+        where = f'{place}: {key}' if key else place
+        super().__init__(f'{where}: {expected}')
+        self.file = file
+        self.line = line
+        self.key = key
+        self.expected = expected
+
 
 class TlsMaterialError(KumquatportError):
     """A certificate or key cannot be read or does not fit the other."""
 
     code = 'KQ-1002'
 
+    def __init__(self, reason: TlsReason, source: str) -> None:
+        """Name the fault without any part of the material.
+
+        Args:
+            reason: What is wrong.
+            source: The path or ``platform:KEY`` it came from.
+        """
+        super().__init__(f'{source}: {reason}')
+        self.reason = reason
+        self.source = source
+
 
 class StartError(KumquatportError):
     """A process cannot take what it needs at start, such as a port."""
--- /dev/null
+++ b/kumquatport/helpers/yaml.py
@@ -0,0 +1,122 @@
+"""YAML reader that remembers the line of every key."""
+
+import typing
+
+import yaml
+
+from kumquatport import exceptions
+
+KeyPath: typing.TypeAlias = tuple[str | int, ...]
+
+
+class Parsed(typing.NamedTuple):
+    """A YAML text and where its parts stand.
+
+    Attributes:
+        content: Plain mappings, lists and scalars.
+        lines: Line, from 1, of each path of keys and list positions.
+    """
+
+    content: object
+    lines: dict[KeyPath, int]
+
+
+class _Reader(yaml.SafeLoader):
+    """Safe loader that refuses aliases and duplicate keys.
+
+    Aliases are refused because a few lines of them expand without bound.
+    """
+
+    def compose_node(
+        self, parent: yaml.Node | None, index: object
+    ) -> yaml.Node | None:
+        if self.check_event(yaml.AliasEvent):
+            raise yaml.MarkedYAMLError(
+                problem='expected no alias (*)',
+                problem_mark=self.peek_event().start_mark,
+            )
+        return super().compose_node(parent, index)  # type: ignore[arg-type]
+
+    def flatten_mapping(self, node: yaml.MappingNode) -> None:
+        _refuse_duplicates(node)
+        super().flatten_mapping(node)
+
+
+def parse(text: str | bytes, file: str) -> Parsed:
+    """Parse one YAML document.
+
+    Args:
+        text: The file's text; bytes are decoded as UTF-8 or UTF-16.
+        file: Name for error messages.
+
+    Returns:
+        The plain content and the line of each part.
+
+    Raises:
+        SettingsError: The text is not one plain YAML document.
+    """
+    try:
+        return _parse(text)
+    except yaml.MarkedYAMLError as err:
+        mark = err.problem_mark or err.context_mark
+        line = mark.line + 1 if mark else 0
+        problem = err.problem or 'expected valid YAML'
+        raise exceptions.SettingsError(file, line, '', problem) from err
+    except (yaml.YAMLError, ValueError) as err:
+        reason = 'expected readable YAML text'
+        raise exceptions.SettingsError(file, 0, '', reason) from err
+    except RecursionError as err:
+        reason = 'expected less deeply nested YAML'
+        raise exceptions.SettingsError(file, 0, '', reason) from err
+
+
+def line_of(lines: dict[KeyPath, int], path: KeyPath) -> int:
+    """Return the line of a path, or of its nearest parent that has one."""
+    for length in range(len(path), -1, -1):
+        line = lines.get(path[:length])
+        if line is not None:
+            return line
+    return 0
+
+
+def _parse(text: str | bytes) -> Parsed:
+    reader = _Reader(text)
+    try:
+        return _construct(reader)
+    finally:
+        reader.dispose()
+
+
+def _construct(reader: _Reader) -> Parsed:
+    node = reader.get_single_node()
+    lines: dict[KeyPath, int] = {}
+    if node is None:
+        return Parsed({}, lines)
+    _note_lines(node, (), lines)
+    return Parsed(reader.construct_document(node), lines)
+
+
+def _note_lines(
+    node: yaml.Node, path: KeyPath, lines: dict[KeyPath, int]
+) -> None:
+    lines.setdefault(path, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        for key, child in node.value:
+            child_path = (*path, str(key.value))
+            lines[child_path] = key.start_mark.line + 1
+            _note_lines(child, child_path, lines)
+    elif isinstance(node, yaml.SequenceNode):
+        for position, child in enumerate(node.value):
+            _note_lines(child, (*path, position), lines)
+
+
+def _refuse_duplicates(node: yaml.MappingNode) -> None:
+    seen: set[str] = set()
+    for key, _ in node.value:
+        name = str(key.value)
+        if name in seen:
+            raise yaml.MarkedYAMLError(
+                problem=f'duplicate key {name!r}, expected it once',
+                problem_mark=key.start_mark,
+            )
+        seen.add(name)
--- /dev/null
+++ b/kumquatport/process/logs/const.py
@@ -0,0 +1,16 @@
+"""Names of the log's fields and its limits."""
+
+import typing
+
+ATTR_CODE: typing.Final = 'code'
+ATTR_ERROR: typing.Final = 'error'
+ATTR_FAILURE_DOMAIN: typing.Final = 'failure_domain'
+ATTR_INSTANCE: typing.Final = 'instance'
+
+FORMAT_JSON: typing.Final = 'json'
+LEVEL_DEBUG: typing.Final = 'debug'
+
+# Libraries that tell of each start and stop at level info.
+CHATTY_LOGGERS: typing.Final = ('mode', 'aiohttp.access', 'quic', 'asyncio')
+
+MAX_FAULT_KEYS: typing.Final = 1024
--- /dev/null
+++ b/kumquatport/process/logs/processors.py
@@ -0,0 +1,56 @@
+"""Steps that each log line goes through."""
+
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.process.logs import const
+
+
+def shared() -> list[structlog.typing.Processor]:
+    """Return the steps before rendering."""
+    return [
+        structlog.contextvars.merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt='iso', utc=True),
+        typed_error,
+        structlog.processors.format_exc_info,
+    ]
+
+
+def renderer(form: str) -> structlog.typing.Processor:
+    """Return the last step, which makes text of a line's fields.
+
+    Args:
+        form: ``json`` or ``console``.
+    """
+    if form == const.FORMAT_JSON:
+        return structlog.processors.JSONRenderer(default=repr)
+    return structlog.dev.ConsoleRenderer(colors=False)
+
+
+def typed_error(
+    _logger: object, _method: str, event_dict: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    """Render an expected error as its code and text, without a traceback.
+
+    Expected are the project's own errors and those of the operating
+    system; any other error keeps its traceback.
+    """
+    error = _error_of(event_dict)
+    if isinstance(error, exceptions.KumquatportError):
+        event_dict[const.ATTR_CODE] = error.code
+    elif not isinstance(error, OSError):
+        return event_dict
+    event_dict.pop('exc_info', None)
+    event_dict[const.ATTR_ERROR] = str(error) or repr(error)
+    return event_dict
+
+
+def _error_of(event_dict: structlog.typing.EventDict) -> object:
+    error = event_dict.get(const.ATTR_ERROR)
+    if error is not None:
+        return error
+    info = event_dict.get('exc_info')
+    if isinstance(info, tuple):
+        return info[1]
+    return info
--- /dev/null
+++ b/kumquatport/process/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a process: counters, gauges and histograms, sent by statsd."""
--- /dev/null
+++ b/kumquatport/process/metrics/const.py
@@ -0,0 +1,40 @@
+"""Names, limits and periods of the metrics."""
+
+import typing
+
+# Counters of flows and packets.
+COUNT_FLOWS_OPENED: typing.Final = 'flows.opened'
+COUNT_FLOWS_CLOSED: typing.Final = 'flows.closed'
+COUNT_FORWARDED: typing.Final = 'forwarded'
+COUNT_HOPS: typing.Final = 'hops'
+COUNT_REQUESTS: typing.Final = 'requests'
+
+# Counters with a reason after the dot.
+COUNT_REFUSED_PREFIX: typing.Final = 'refused.'
+COUNT_DROPPED_PREFIX: typing.Final = 'dropped.'
+
+# Counters of control messages.
+COUNT_CONTROL_BYTES_SENT: typing.Final = 'control.bytes_sent'
+COUNT_CONTROL_BYTES_RECEIVED: typing.Final = 'control.bytes_received'
+
+GAUGE_CONTROL_CPU_S: typing.Final = 'control.cpu_s'
+GAUGE_CPU_S: typing.Final = 'cpu_s'
+GAUGE_FLOWS_OPEN: typing.Final = 'flows.open'
+GAUGE_RESIDENT_BYTES: typing.Final = 'resident_bytes'
+
+OTHER_LABEL: typing.Final = 'other'
+
+FLUSH_S: typing.Final = 1.0
+MAX_UDP_BYTES: typing.Final = 1400
+MAX_HISTOGRAMS: typing.Final = 64
+
+LOWEST_US: typing.Final = 1
+HIGHEST_US: typing.Final = 3_600_000_000
+SIGNIFICANT_FIGURES: typing.Final = 2
+
+PERCENTILES: typing.Final = (
+    ('p50', 50.0),
+    ('p90', 90.0),
+    ('p99', 99.0),
+    ('p999', 99.9),
+)
--- /dev/null
+++ b/kumquatport/process/metrics/histograms.py
@@ -0,0 +1,92 @@
+"""Latency histograms for each tenant and class."""
+
+import typing
+
+from hdrh import histogram
+
+from kumquatport import const
+from kumquatport.process.metrics import const as metrics_const
+
+
+class Label(typing.NamedTuple):
+    """What a histogram is about; ``kind`` is the class of request."""
+
+    tenant: str
+    kind: str
+
+
+class Summary(typing.TypedDict):
+    """A histogram in numbers; latencies in microseconds."""
+
+    tenant: str
+    kind: str
+    count: int
+    mean_us: float
+    max_us: int
+    percentiles_us: dict[str, int]
+
+
+class Histograms:
+    """Histograms by label, a bounded number of them.
+
+    Labels beyond the bound share the label ``other``.
+    """
+
+    def __init__(self, limit: int = metrics_const.MAX_HISTOGRAMS) -> None:
+        """Start empty.
+
+        Args:
+            limit: Most labels kept apart.
+        """
+        self._limit = limit
+        self._by_label: dict[Label, histogram.HdrHistogram] = {}
+
+    def record(self, tenant: str, kind: str, seconds: float) -> None:
+        """Add one latency; beyond an hour it counts as an hour."""
+        held = self._get(Label(tenant, kind))
+        micros = int(seconds * const.MICROSECONDS_PER_SECOND)
+        highest = metrics_const.HIGHEST_US
+        held.record_value(min(max(micros, metrics_const.LOWEST_US), highest))
+
+    def summaries(self) -> list[Summary]:
+        """Return each histogram in numbers."""
+        return [
+            _summary(label, held)
+            for label, held in sorted(self._by_label.items())
+            if held.get_total_count()
+        ]
+
+    def reset(self) -> None:
+        """Empty each histogram and keep its label."""
+        for held in self._by_label.values():
+            held.reset()
+
+    def _get(self, label: Label) -> histogram.HdrHistogram:
+        held = self._by_label.get(label)
+        if held is not None:
+            return held
+        if len(self._by_label) >= self._limit:
+            label = Label(metrics_const.OTHER_LABEL, metrics_const.OTHER_LABEL)
+        return self._by_label.setdefault(label, _make())
+
+
+def _make() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(
+        metrics_const.LOWEST_US,
+        metrics_const.HIGHEST_US,
+        metrics_const.SIGNIFICANT_FIGURES,
+    )
+
+
+def _summary(label: Label, held: histogram.HdrHistogram) -> Summary:
+    return {
+        'tenant': label.tenant,
+        'kind': label.kind,
+        'count': held.get_total_count(),
+        'mean_us': held.get_mean_value(),
+        'max_us': held.get_max_value(),
+        'percentiles_us': {
+            name: held.get_value_at_percentile(percentile)
+            for name, percentile in metrics_const.PERCENTILES
+        },
+    }
--- /dev/null
+++ b/kumquatport/process/settings/__init__.py
@@ -0,0 +1,123 @@
+"""Settings of the programs: one YAML file for each process."""
+
+import pathlib
+import typing
+from collections import abc
+
+import voluptuous as vol
+
+from kumquatport import exceptions
+from kumquatport.helpers import yaml
+from kumquatport.process.settings import const, models, schema
+
+_Checked: typing.TypeAlias = dict[str, typing.Any]
+_SchemaBuilder: typing.TypeAlias = abc.Callable[[pathlib.Path], vol.Schema]
+
+
+def load_balancer(path: str | pathlib.Path) -> models.BalancerSettings:
+    """Load the settings of a balancer.
+
+    Raises:
+        SettingsError: The file is missing, malformed or does not fit.
+    """
+    checked = _load(path, schema.balancer)
+    return models.BalancerSettings(common=_common(checked))
+
+
+def load_agent(path: str | pathlib.Path) -> models.AgentSettings:
+    """Load the settings of an agent.
+
+    Raises:
+        SettingsError: The file is missing, malformed or does not fit.
+    """
+    checked = _load(path, schema.agent)
+    return models.AgentSettings(
+        common=_common(checked),
+        service=checked[const.CONF_SERVICE],
+        data_port=checked[const.CONF_DATA_PORT],
+        backend_server=models.Endpoint(**checked[const.CONF_BACKEND_SERVER]),
+        tls=models.TlsSettings(**checked[const.CONF_TLS]),
+    )
+
+
+def load_console(path: str | pathlib.Path) -> models.ConsoleSettings:
+    """Load the settings of a console.
+
+    Raises:
+        SettingsError: The file is missing, malformed or does not fit.
+    """
+    checked = _load(path, schema.console)
+    tls = checked.get(const.CONF_TLS)
+    return models.ConsoleSettings(
+        common=_common(checked),
+        listen=models.Endpoint(**checked[const.CONF_LISTEN]),
+        operators=tuple(
+            models.OperatorSettings(**entry)
+            for entry in checked[const.CONF_OPERATORS]
+        ),
+        session_key=checked[const.CONF_SESSION_KEY_FILE],
+        tls=models.TlsSettings(**tls) if tls else None,
+    )
+
+
+def _load(path: str | pathlib.Path, build: _SchemaBuilder) -> _Checked:
+    file = pathlib.Path(path)
+    parsed = yaml.parse(_read(file), str(file))
+    try:
+        return build(file.absolute().parent)(parsed.content)
+    except vol.MultipleInvalid as err:
+        raise _settings_error(str(file), parsed.lines, err) from None
+
+
+def _read(file: pathlib.Path) -> bytes:
+    try:
+        with file.open('rb') as stream:
+            text = stream.read(const.MAX_SETTINGS_BYTES + 1)
+    except (OSError, ValueError) as err:
+        reason = 'expected a readable file'
+        raise exceptions.SettingsError(str(file), 0, '', reason) from err
+    if len(text) > const.MAX_SETTINGS_BYTES:
+        reason = f'expected at most {const.MAX_SETTINGS_BYTES} bytes'
+        raise exceptions.SettingsError(str(file), 0, '', reason)
+    return text
+
+
+def _settings_error(
+    file: str, lines: dict[yaml.KeyPath, int], err: vol.MultipleInvalid
+) -> exceptions.SettingsError:
+    first = min(err.errors, key=lambda fault: yaml.line_of(lines, _path(fault)))
+    path = _path(first)
+    key = '.'.join(str(part) for part in path)
+    line = yaml.line_of(lines, path)
+    expected = _expected(first.error_message)
+    return exceptions.SettingsError(file, line, key, expected)
+
+
+def _path(fault: vol.Invalid) -> yaml.KeyPath:
+    return tuple(
+        part if isinstance(part, int) else str(part) for part in fault.path
+    )
+
+
+def _expected(message: str) -> str:
+    if message == 'extra keys not allowed':
+        return 'unknown key, expected none of this name'
+    if message == 'required key not provided':
+        return 'missing, expected this key'
+    return message
+
+
+def _common(checked: _Checked) -> models.CommonSettings:
+    return models.CommonSettings(
+        instance=checked[const.CONF_INSTANCE],
+        failure_domain=checked[const.CONF_FAILURE_DOMAIN],
+        region=checked[const.CONF_REGION],
+        address=checked[const.CONF_ADDRESS],
+        control_port=checked[const.CONF_CONTROL_PORT],
+        status_port=checked[const.CONF_STATUS_PORT],
+        platform=models.PlatformSettings(**checked[const.CONF_PLATFORM]),
+        seeds=tuple(checked[const.CONF_SEEDS]),
+        shared_key=checked[const.CONF_SHARED_KEY_FILE],
+        statsd=models.StatsdSettings(**checked[const.CONF_STATSD]),
+        log=models.LogSettings(**checked[const.CONF_LOG]),
+    )
--- /dev/null
+++ b/kumquatport/process/settings/fields.py
@@ -0,0 +1,141 @@
+"""Validators of single settings; each names what it expected."""
+
+import ipaddress
+import math
+import re
+import typing
+from collections import abc
+from urllib import parse as urllib_parse
+
+import voluptuous as vol
+
+from kumquatport import const
+from kumquatport.process.settings import models
+
+_NAME = re.compile('[a-z0-9][a-z0-9._-]*')
+_PREFIX = re.compile('[A-Za-z0-9_.-]+')
+_NOT_PLAIN = re.compile(r'[\s\x00-\x1f]')
+
+Validator: typing.TypeAlias = abc.Callable[[object], typing.Any]
+
+
+def name(candidate: object) -> str:
+    """Check the name of an instance, failure domain, service or operator."""
+    if not isinstance(candidate, str):
+        raise vol.Invalid('expected a name in quotes or letters')
+    if len(candidate) > const.MAX_NAME_CHARACTERS:
+        raise vol.Invalid(
+            f'expected at most {const.MAX_NAME_CHARACTERS} characters'
+        )
+    if _NAME.fullmatch(candidate) is None:
+        raise vol.Invalid(
+            'expected a name of a-z, 0-9, dot, dash and underscore'
+        )
+    return candidate
+
+
+def text(candidate: object) -> str:
+    """Check a text that is not empty."""
+    if not isinstance(candidate, str) or not candidate:
+        raise vol.Invalid('expected a text that is not empty')
+    if '\0' in candidate:
+        raise vol.Invalid('expected a text without NUL')
+    return candidate
+
+
+def metric_prefix(candidate: object) -> str:
+    """Check the prefix of the metrics' names."""
+    if isinstance(candidate, str) and _PREFIX.fullmatch(candidate):
+        return candidate
+    raise vol.Invalid('expected letters, digits, dots, dashes, underscores')
+
+
+def address(candidate: object) -> str:
+    """Check an IPv4 address."""
+    if not isinstance(candidate, str):
+        raise vol.Invalid('expected an IPv4 address')
+    try:
+        return str(ipaddress.IPv4Address(candidate))
+    except ValueError as err:
+        raise vol.Invalid('expected an IPv4 address') from err
+
+
+def port(candidate: object) -> int:
+    """Check a port from 1 to 65535."""
+    if isinstance(candidate, bool) or not isinstance(candidate, int):
+        raise vol.Invalid(f'expected a port from 1 to {const.MAX_PORT}')
+    if not 0 < candidate <= const.MAX_PORT:
+        raise vol.Invalid(f'expected a port from 1 to {const.MAX_PORT}')
+    return candidate
+
+
+def optional_port(candidate: object) -> int:
+    """Check a port, or 0 for none."""
+    if candidate == 0 and not isinstance(candidate, bool):
+        return 0
+    return port(candidate)
+
+
+def seconds(limit: float) -> Validator:
+    """Build a check for a duration above 0 and up to a limit.
+
+    Args:
+        limit: Longest duration allowed, in seconds.
+    """
+
+    def check(candidate: object) -> float:
+        reason = f'expected seconds above 0 and up to {limit:g}'
+        if isinstance(candidate, bool):
+            raise vol.Invalid(reason)
+        if not isinstance(candidate, int | float):
+            raise vol.Invalid(reason)
+        if not math.isfinite(candidate) or not 0 < candidate <= limit:
+            raise vol.Invalid(reason)
+        return float(candidate)
+
+    return check
+
+
+def endpoint(candidate: object) -> models.Endpoint:
+    """Check ``ADDRESS:PORT``."""
+    if not isinstance(candidate, str):
+        raise vol.Invalid('expected ADDRESS:PORT')
+    host, colon, digits = candidate.rpartition(':')
+    if not colon or not digits.isascii() or not digits.isdecimal():
+        raise vol.Invalid('expected ADDRESS:PORT')
+    if len(digits) > len(str(const.MAX_PORT)):
+        raise vol.Invalid('expected ADDRESS:PORT')
+    return models.Endpoint(address(host), port(int(digits)))
+
+
+def url(candidate: object) -> str:
+    """Check an http or https URL and drop its trailing slash."""
+    reason = 'expected a URL such as http://127.0.0.1:9000'
+    if not isinstance(candidate, str) or _NOT_PLAIN.search(candidate):
+        raise vol.Invalid(reason)
+    try:
+        parts = urllib_parse.urlsplit(candidate)
+        parts.port  # noqa: B018, WPS428 - reading it checks the port
+    except ValueError as err:
+        raise vol.Invalid(reason) from err
+    if parts.scheme not in {'http', 'https'} or not parts.hostname:
+        raise vol.Invalid(reason)
+    return candidate.rstrip('/')
+
+
+def one_of(choices: tuple[str, ...]) -> Validator:
+    """Build a check for one of several words."""
+
+    def check(candidate: object) -> str:
+        if isinstance(candidate, str) and candidate in choices:
+            return candidate
+        raise vol.Invalid(f'expected one of {", ".join(choices)}')
+
+    return check
+
+
+def password_hash(candidate: object) -> str:
+    """Check an encoded argon2 hash."""
+    if isinstance(candidate, str) and candidate.startswith('$argon2'):
+        return candidate
+    raise vol.Invalid('expected an argon2 hash that starts with $argon2')
--- /dev/null
+++ b/kumquatport/process/settings/files.py
@@ -0,0 +1,56 @@
+"""Settings that name other files, relative to the settings file."""
+
+import pathlib
+import typing
+
+import voluptuous as vol
+
+from kumquatport import const
+from kumquatport.process.settings import const as settings_const
+from kumquatport.process.settings import fields, models
+
+_KEY_DIGITS: typing.Final = settings_const.KEY_BYTES * 2
+
+
+def reference(folder: pathlib.Path) -> fields.Validator:
+    """Build a check for a path or ``platform:KEY``.
+
+    Args:
+        folder: Folder of the settings file.
+    """
+
+    def check(candidate: object) -> str:
+        source = fields.text(candidate)
+        if not source.startswith(const.PLATFORM_REFERENCE_PREFIX):
+            return str(folder / source)
+        if source == const.PLATFORM_REFERENCE_PREFIX:
+            raise vol.Invalid('expected a path or platform:KEY')
+        return source
+
+    return check
+
+
+def secret(folder: pathlib.Path) -> fields.Validator:
+    """Build a reader for a file of 64 hex digits.
+
+    The file's content never appears in an error.
+
+    Args:
+        folder: Folder of the settings file.
+    """
+
+    def read(candidate: object) -> models.Secret:
+        path = folder / fields.text(candidate)
+        reason = f'expected {path} to hold {_KEY_DIGITS} hex digits'
+        try:
+            digits = path.read_bytes()[: _KEY_DIGITS * 2].strip()
+        except (OSError, ValueError) as err:
+            raise vol.Invalid(f'expected {path} to be readable') from err
+        if len(digits) != _KEY_DIGITS:
+            raise vol.Invalid(reason)
+        try:
+            return models.Secret(bytes.fromhex(digits.decode('ascii')))
+        except ValueError:
+            raise vol.Invalid(reason) from None
+
+    return read
--- /dev/null
+++ b/kumquatport/process/settings/schema.py
@@ -0,0 +1,134 @@
+"""Schemas of the settings files, one for each program."""
+
+import pathlib
+import typing
+
+import voluptuous as vol
+
+from kumquatport.process.settings import const, fields, files
+
+_Keys: typing.TypeAlias = dict[vol.Marker, typing.Any]
+
+
+def balancer(folder: pathlib.Path) -> vol.Schema:
+    """Build the schema of a balancer's settings.
+
+    Args:
+        folder: Folder of the settings file.
+    """
+    return vol.Schema(_common(folder) | _control(required=True))
+
+
+def agent(folder: pathlib.Path) -> vol.Schema:
+    """Build the schema of an agent's settings.
+
+    Args:
+        folder: Folder of the settings file.
+    """
+    keys: _Keys = {
+        vol.Required(const.CONF_SERVICE): fields.name,
+        vol.Required(const.CONF_DATA_PORT): fields.port,
+        vol.Required(const.CONF_BACKEND_SERVER): _listener(),
+        vol.Required(const.CONF_TLS): _tls(folder),
+    }
+    return vol.Schema(_common(folder) | _control(required=True) | keys)
+
+
+def console(folder: pathlib.Path) -> vol.Schema:
+    """Build the schema of a console's settings.
+
+    Args:
+        folder: Folder of the settings file.
+    """
+    operator: _Keys = {
+        vol.Required(const.CONF_NAME): fields.name,
+        vol.Required(const.CONF_PASSWORD_HASH): fields.password_hash,
+    }
+    keys: _Keys = {
+        vol.Required(const.CONF_LISTEN): _listener(),
+        vol.Required(const.CONF_OPERATORS): vol.All([operator], _operators),
+        vol.Required(const.CONF_SESSION_KEY_FILE): files.secret(folder),
+        vol.Optional(const.CONF_TLS): _tls(folder),
+    }
+    return vol.Schema(_common(folder) | _control(required=False) | keys)
+
+
+def _common(folder: pathlib.Path) -> _Keys:
+    return {
+        vol.Required(const.CONF_INSTANCE): fields.name,
+        vol.Required(const.CONF_FAILURE_DOMAIN): fields.name,
+        vol.Required(const.CONF_REGION): fields.name,
+        vol.Required(const.CONF_ADDRESS): fields.address,
+        vol.Required(const.CONF_STATUS_PORT): fields.port,
+        vol.Required(const.CONF_PLATFORM): _platform(),
+        vol.Required(const.CONF_SHARED_KEY_FILE): files.secret(folder),
+        vol.Optional(const.CONF_SEEDS, default=list): vol.All(
+            [fields.endpoint],
+            vol.Length(
+                max=const.MAX_SEEDS,
+                msg=f'expected at most {const.MAX_SEEDS} seeds',
+            ),
+        ),
+        vol.Optional(const.CONF_STATSD, default=dict): _statsd(),
+        vol.Optional(const.CONF_LOG, default=dict): _log(),
+    }
+
+
+def _control(*, required: bool) -> _Keys:
+    if required:
+        return {vol.Required(const.CONF_CONTROL_PORT): fields.port}
+    marker = vol.Optional(const.CONF_CONTROL_PORT, default=0)
+    return {marker: fields.optional_port}
+
+
+def _platform() -> _Keys:
+    timeout = vol.Optional(
+        const.CONF_TIMEOUT_S, default=const.DEFAULT_PLATFORM_TIMEOUT_S
+    )
+    return {
+        vol.Required(const.CONF_URL): fields.url,
+        timeout: fields.seconds(const.MAX_PLATFORM_TIMEOUT_S),
+    }
+
+
+def _statsd() -> _Keys:
+    host = vol.Optional(const.CONF_HOST, default=const.DEFAULT_STATSD_HOST)
+    port = vol.Optional(const.CONF_PORT, default=const.DEFAULT_STATSD_PORT)
+    prefix = vol.Optional(
+        const.CONF_PREFIX, default=const.DEFAULT_STATSD_PREFIX
+    )
+    return {
+        host: fields.address,
+        port: fields.port,
+        prefix: fields.metric_prefix,
+    }
+
+
+def _log() -> _Keys:
+    form = vol.Optional(const.CONF_FORMAT, default=const.DEFAULT_LOG_FORMAT)
+    level = vol.Optional(const.CONF_LEVEL, default=const.DEFAULT_LOG_LEVEL)
+    return {
+        form: fields.one_of(const.LOG_FORMATS),
+        level: fields.one_of(const.LOG_LEVELS),
+    }
+
+
+def _listener() -> _Keys:
+    return {
+        vol.Required(const.CONF_ADDRESS): fields.address,
+        vol.Required(const.CONF_PORT): fields.port,
+    }
+
+
+def _tls(folder: pathlib.Path) -> _Keys:
+    return {
+        vol.Required(const.CONF_CERTIFICATE): files.reference(folder),
+        vol.Required(const.CONF_KEY): files.reference(folder),
+    }
+
+
+def _operators(entries: list[dict[str, str]]) -> list[dict[str, str]]:
+    names = {entry[const.CONF_NAME] for entry in entries}
+    if not entries or len(names) != len(entries):
+        raise vol.Invalid('expected at least one operator, each name once')
+    return entries
--- /dev/null
+++ b/kumquatport/process/status/__init__.py
@@ -0,0 +1,1 @@
+"""Local status of a process over HTTP."""
