--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests: stand-ins, builders, deployments, features."""
--- a/tests/unit/__init__.py
+++ b/tests/unit/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Unit tests."""
