--- a/kumquatport/version/document/difference.py
+++ b/kumquatport/version/document/difference.py
@@ -17,6 +17,8 @@
     const.CONF_PREDECESSORS,
 )
 
+_ABSENT: typing.Final = object()
+
 
 class Change(typing.NamedTuple):
     """One difference.
@@ -126,7 +128,8 @@
 
 def _shown_under(values: abc.Mapping[str, typing.Any], key: str) -> str:
     """Return the value under a key as JSON, empty when there is none."""
-    return _shown(values[key]) if key in values else ''
+    found = values.get(key, _ABSENT)
+    return '' if found is _ABSENT else _shown(found)
 
 
 def _shown(value: typing.Any) -> str:
