--- a/kumquatport/version/document/difference.py
+++ b/kumquatport/version/document/difference.py
@@ -103,11 +103,12 @@
     """Yield the differences under each key of either side."""
     for key in sorted({*before, *after}):
         under = form.format(path=path, key=key).lstrip('.')
-        if key in before and key in after:
-            yield from _compare(under, before[key], after[key])
+        old = before.get(key, _ABSENT)
+        new = after.get(key, _ABSENT)
+        if old is _ABSENT or new is _ABSENT:
+            yield Change(under, _shown(old), _shown(new))
         else:
-            old, new = _shown_under(before, key), _shown_under(after, key)
-            yield Change(under, old, new)
+            yield from _compare(under, old, new)
 
 
 def _has_named_rows(value: typing.Any) -> bool:
@@ -126,12 +127,8 @@
     return f'{service}, {domain}'
 
 
-def _shown_under(values: abc.Mapping[str, typing.Any], key: str) -> str:
-    """Return the value under a key as JSON, empty when there is none."""
-    found = values.get(key, _ABSENT)
-    return '' if found is _ABSENT else _shown(found)
-
-
 def _shown(value: typing.Any) -> str:
-    """Return the value as JSON."""
+    """Return the value as JSON, or nothing when it is absent."""
+    if value is _ABSENT:
+        return ''
     return msgspec.json.encode(value, order='sorted').decode()
