--- a/kumquatport/version/document/difference.py
+++ b/kumquatport/version/document/difference.py
@@ -120,8 +120,9 @@
 
 def _name(row: abc.Mapping[str, typing.Any]) -> str:
     """Return what sets a row apart from the others of its list."""
-    if const.CONF_NAME in row:
-        return str(row[const.CONF_NAME])
+    name = row.get(const.CONF_NAME)
+    if name is not None:
+        return str(name)
     service = row[const.CONF_SERVICE]
     domain = row[const.CONF_FAILURE_DOMAIN]
     return f'{service}, {domain}'
