Control messages: frames, server and pooled client over pynng

Nodes need one exchange that is authenticated, bounded and survives dead peers. The reply's MAC covers its request's MAC, because a replayed old heartbeat answer could otherwise confirm an old document version.

--- /dev/null
+++ b/kumquatport/connection/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control messages between the system's processes, over pynng."""
--- /dev/null
+++ b/kumquatport/connection/control/client.py
@@ -0,0 +1,166 @@
+"""The side that asks."""
+
+import asyncio
+import collections
+import contextlib
+import typing
+from collections import abc
+
+import mode
+import pynng
+
+from kumquatport import exceptions
+from kumquatport.connection.control import (
+    const,
+    frame,
+    messages,
+    threads,
+    traffic,
+)
+
+
+class _Peer:
+    """A socket to one endpoint and the number of asks under way on it."""
+
+    def __init__(self, endpoint: str) -> None:
+        self.asks = 0
+        self.retired = False
+        self.socket = pynng.Req0(
+            recv_max_size=const.MAX_FRAME_BYTES,
+            reconnect_time_min=const.RECONNECT_MIN_MS,
+            reconnect_time_max=const.RECONNECT_MAX_MS,
+        )
+        self.socket.dial(f'tcp://{endpoint}', block=False)
+
+
+class ControlClient(mode.Service):
+    """Asks peers, over a bounded pool of sockets kept by endpoint."""
+
+    def __init__(self, key: bytes, counts: traffic.Traffic) -> None:
+        """Set up a client without sockets.
+
+        Args:
+            key: From ``frame.control_key``.
+            counts: Where its traffic is counted.
+        """
+        super().__init__()
+        self._key = key
+        self._counts = counts
+        self._peers: collections.OrderedDict[str, _Peer] = (
+            collections.OrderedDict()
+        )
+        self._slots = asyncio.Semaphore(const.MAX_ASKS)
+
+    @property
+    def open_sockets(self) -> int:
+        """Return how many endpoints have a socket."""
+        return len(self._peers)
+
+    async def on_start(self) -> None:
+        """Keep nng from starting more threads than it needs."""
+        threads.limit()
+
+    async def on_stop(self) -> None:
+        """Close all sockets; asks under way fail."""
+        while self._peers:
+            self._peers.popitem()[1].socket.close()
+
+    async def async_ask(
+        self,
+        endpoint: str,
+        message: frame.Message,
+        timeout: float,
+    ) -> typing.Any:
+        """Send a message and wait for its reply.
+
+        Args:
+            endpoint: ``address:port`` of the peer.
+            message: Of a registered type; it may arrive more than once.
+            timeout: Longest wait, in seconds.
+
+        Returns:
+            The reply, never an ``ErrorReply``.
+
+        Raises:
+            PeerRefusedError: The peer answered with an error.
+            PeerUnavailableError: There was no valid answer in time.
+        """
+        encoded = frame.encode(message, self._key)
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await self._async_exchange(endpoint, encoded, message)
+        except (TimeoutError, pynng.NNGException) as error:
+            self._counts.faults[exceptions.PeerUnavailableError.code] += 1
+            raise exceptions.PeerUnavailableError(
+                f'{endpoint}: {error!r}',
+            ) from error
+        return self._open(endpoint, answer, frame.tag(encoded))
+
+    async def _async_exchange(
+        self,
+        endpoint: str,
+        encoded: bytes,
+        message: frame.Message,
+    ) -> bytes:
+        async with self._slots:
+            with self._borrow(endpoint) as peer:
+                with peer.socket.new_context() as context:
+                    self._counts.sent(message, len(encoded))
+                    await context.asend(encoded)
+                    return typing.cast(bytes, await context.arecv())
+
+    def _open(
+        self, endpoint: str, answer: bytes, bound_to: bytes
+    ) -> typing.Any:
+        try:
+            reply = frame.decode(answer, self._key, bound_to)
+        except exceptions.FrameError as error:
+            self._counts.faults[error.code] += 1
+            raise exceptions.PeerUnavailableError(
+                f'{endpoint}: {error}',
+            ) from error
+        self._counts.received(reply, len(answer))
+        if isinstance(reply, messages.ErrorReply):
+            raise exceptions.PeerRefusedError(endpoint, *reply)
+        return reply
+
+    @contextlib.contextmanager
+    def _borrow(self, endpoint: str) -> abc.Iterator[_Peer]:
+        peer = self._take(endpoint)
+        peer.asks += 1
+        try:
+            yield peer
+        except BaseException:
+            # A socket to a dead peer would go on dialling for ever.
+            self._retire(endpoint, peer)
+            raise
+        finally:
+            self._give_back(peer)
+
+    def _give_back(self, peer: _Peer) -> None:
+        peer.asks -= 1
+        if peer.retired and not peer.asks:
+            peer.socket.close()
+
+    def _take(self, endpoint: str) -> _Peer:
+        if self.should_stop:
+            raise exceptions.PeerUnavailableError(f'{endpoint}: stopping')
+        peer = self._peers.get(endpoint)
+        if peer is None:
+            peer = _Peer(endpoint)
+            self._peers[endpoint] = peer
+            self._trim()
+        self._peers.move_to_end(endpoint)
+        return peer
+
+    def _trim(self) -> None:
+        while len(self._peers) > const.MAX_SOCKETS:
+            endpoint, oldest = next(iter(self._peers.items()))
+            self._retire(endpoint, oldest)
+            if not oldest.asks:
+                oldest.socket.close()
+
+    def _retire(self, endpoint: str, peer: _Peer) -> None:
+        peer.retired = True
+        if self._peers.get(endpoint) is peer:
+            self._peers.pop(endpoint)
--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -136,12 +136,63 @@
     code = 'KQ-4001'
 
 
+class FrameTooLongError(FrameError):
+    """A control message is longer, or shorter, than any can be."""
+
+    code = 'KQ-4011'
+
+
+class FrameVersionError(FrameError):
+    """A control message is of a protocol version not spoken here."""
+
+    code = 'KQ-4012'
+
+
+class FrameKindError(FrameError):
+    """A control message is of a kind not known here."""
+
+    code = 'KQ-4013'
+
+
+class FrameMacError(FrameError):
+    """A control message was not made under the shared key."""
+
+    code = 'KQ-4014'
+
+
+class FramePayloadError(FrameError):
+    """The payload of a control message is not what its kind says."""
+
+    code = 'KQ-4015'
+
+
 class PeerUnavailableError(KumquatportError):
     """Another instance did not answer a control message in time."""
 
     code = 'KQ-4002'
 
 
+class PeerRefusedError(PeerUnavailableError):
+    """Another instance answered a control message with an error.
+
+    Attributes:
+        peer_code: Stable code of the error at the peer.
+    """
+
+    code = 'KQ-4004'
+
+    def __init__(self, endpoint: str, peer_code: str, reason: str) -> None:
+        """Keep the peer's code.
+
+        Args:
+            endpoint: ``address:port`` of the peer.
+            peer_code: Code in its answer.
+            reason: Text in its answer.
+        """
+        super().__init__(f'{endpoint}: {peer_code} {reason}')
+        self.peer_code = peer_code
+
+
 class ConnectionIdError(KumquatportError):
     """A connection ID was not issued under the shared key."""
 
--- /dev/null
+++ b/tests/unit/connection/control/test_exchange.py
@@ -0,0 +1,146 @@
+"""Asking and answering over real sockets."""
+
+import asyncio
+import threading
+import typing
+import unittest
+
+import pynng
+
+from kumquatport import exceptions
+from kumquatport.connection.control import (
+    client,
+    const,
+    frame,
+    messages,
+    server,
+    traffic,
+)
+
+KEY = frame.control_key(b'k' * 32)
+ADDRESS = '127.40.2.1'
+PORT = 7000
+ENDPOINT = f'{ADDRESS}:{PORT}'
+NOBODY = '127.40.2.9:7000'
+
+
+class _Echo(typing.NamedTuple):
+    number: int
+
+
+class _Unhandled(typing.NamedTuple):
+    number: int
+
+
+frame.register(250, _Echo)
+frame.register(251, _Unhandled)
+
+
+async def _async_echo(message):
+    if message.number < 0:
+        raise exceptions.VersionConflictError('negative')
+    if message.number == 1000:
+        await asyncio.sleep(1)
+    return message
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """One server, one client."""
+
+    async def asyncSetUp(self):
+        self.server_counts = traffic.Traffic()
+        self.counts = traffic.Traffic()
+        self.server = server.ControlServer(
+            ADDRESS, PORT, KEY, self.server_counts
+        )
+        self.server.handle(_Echo, _async_echo)
+        self.client = client.ControlClient(KEY, self.counts)
+        await self.server.start()
+        await self.client.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.addAsyncCleanup(self.client.stop)
+
+    async def test_many_asks_at_once(self):
+        replies = await asyncio.gather(
+            *(
+                self.client.async_ask(ENDPOINT, _Echo(number), 2)
+                for number in range(40)
+            ),
+        )
+        self.assertEqual([reply.number for reply in replies], list(range(40)))
+        self.assertEqual(self.client.open_sockets, 1)
+        self.assertEqual(self.counts.totals.messages_sent, 40)
+        self.assertEqual(
+            self.counts.totals.bytes_sent,
+            self.server_counts.totals.bytes_received,
+        )
+
+    async def test_error_keeps_its_code(self):
+        with self.assertRaises(exceptions.PeerRefusedError) as caught:
+            await self.client.async_ask(ENDPOINT, _Echo(-1), 2)
+        self.assertEqual(caught.exception.peer_code, 'KQ-2002')
+
+    async def test_kind_without_handler_is_refused(self):
+        with self.assertRaises(exceptions.PeerRefusedError):
+            await self.client.async_ask(ENDPOINT, _Unhandled(1), 2)
+        self.assertEqual(self.server_counts.faults['KQ-4013'], 1)
+
+    async def test_dead_peers_hold_no_socket(self):
+        for _ in range(5):
+            with self.assertRaises(exceptions.PeerUnavailableError):
+                await self.client.async_ask(NOBODY, _Echo(1), 0.05)
+        self.assertEqual(self.client.open_sockets, 0)
+
+    async def test_slow_answer_does_not_fail_others(self):
+        slow = asyncio.create_task(
+            self.client.async_ask(ENDPOINT, _Echo(1000), 0.2),
+        )
+        other = asyncio.create_task(
+            self.client.async_ask(ENDPOINT, _Echo(1000), 3),
+        )
+        await asyncio.sleep(0.3)
+        self.assertEqual(
+            await self.client.async_ask(ENDPOINT, _Echo(2), 2), _Echo(2)
+        )
+        with self.assertRaises(exceptions.PeerUnavailableError):
+            await slow
+        self.assertEqual(await other, _Echo(1000))
+
+    async def test_peer_that_restarts_is_asked_again(self):
+        await self.client.async_ask(ENDPOINT, _Echo(1), 2)
+        await self.server.stop()
+        with self.assertRaises(exceptions.PeerUnavailableError):
+            await self.client.async_ask(ENDPOINT, _Echo(1), 0.2)
+        again = server.ControlServer(ADDRESS, PORT, KEY, self.server_counts)
+        again.handle(_Echo, _async_echo)
+        await again.start()
+        self.addAsyncCleanup(again.stop)
+        await self.client.async_ask(ENDPOINT, _Echo(1), 2)
+
+    async def test_forged_frame_is_answered_and_counted(self):
+        with pynng.Req0(dial=f'tcp://{ENDPOINT}', recv_timeout=2000) as socket:
+            await socket.asend(b'\x01\x01forged frame of some length')
+            answer = await socket.arecv()
+        self.assertTrue(answer)
+        self.assertEqual(self.server_counts.faults['KQ-4014'], 1)
+
+    async def test_pool_is_bounded(self):
+        for number in range(const.MAX_SOCKETS + 5):
+            with self.assertRaises(exceptions.PeerUnavailableError):
+                await self.client.async_ask(f'127.40.3.{number}:1', _Echo(1), 0)
+        self.assertLessEqual(self.client.open_sockets, const.MAX_SOCKETS)
+
+    async def test_taken_port_is_a_start_error(self):
+        second = server.ControlServer(ADDRESS, PORT, KEY, self.server_counts)
+        with self.assertRaises(exceptions.StartError):
+            await second.start()
+
+    async def test_type_of_error_reply_is_known(self):
+        encoded = frame.encode(messages.ErrorReply('a', 'b'), KEY)
+        self.assertIsInstance(frame.decode(encoded, KEY), messages.ErrorReply)
+
+    async def test_few_threads(self):
+        await self.client.async_ask(ENDPOINT, _Echo(1), 2)
+        with open('/proc/self/status', encoding='ascii') as status:
+            (line,) = [row for row in status if row.startswith('Threads')]
+        self.assertLess(int(line.split()[1]) - threading.active_count(), 10)
