TLS material: loading, checks at start, replacement; backoff and clocks

Cause: an agent's certificate is replaced while connections are open, and a half-written pair of files must not take the present one away.

Ruled out: polling the platform as often as files (every agent of the fleet would make that read); temporary files for the ssl module, which reads paths only: the material goes through pipes and touches no disk.

--- /dev/null
+++ b/kumquatport/helpers/backoff.py
@@ -0,0 +1,39 @@
+"""Waits between retries: exponential, with jitter."""
+
+import itertools
+import random
+import typing
+from collections import abc
+
+# Part of a period by which it varies either way.
+JITTER_SHARE: typing.Final = 0.1
+GROWTH: typing.Final = 2.0
+
+
+def jittered(period_s: float) -> float:
+    """Return a period varied a little, so that instances do not align.
+
+    Args:
+        period_s: Mean period, in seconds.
+    """
+    spread = random.uniform(-JITTER_SHARE, JITTER_SHARE)  # noqa: S311
+    return period_s * (1 + spread)
+
+
+def delays(first_s: float, limit_s: float) -> abc.Iterator[float]:
+    """Yield waits without end, each random up to a bound that doubles.
+
+    The whole wait is random (full jitter), which spreads the retries of many
+    instances evenly.
+
+    Args:
+        first_s: Bound of the first wait, in seconds.
+        limit_s: Bound that later waits do not exceed, in seconds.
+    """
+    bounds = itertools.accumulate(
+        itertools.repeat(GROWTH),
+        lambda bound_s, growth: min(bound_s * growth, limit_s),
+        initial=min(first_s, limit_s),
+    )
+    for bound_s in bounds:
+        yield random.uniform(0, bound_s)  # noqa: S311
--- /dev/null
+++ b/kumquatport/process/tls/__init__.py
@@ -0,0 +1,1 @@
+"""TLS certificates and keys: loading, checking and replacement."""
--- /dev/null
+++ b/kumquatport/process/tls/context.py
@@ -0,0 +1,50 @@
+"""Server contexts of the ssl module from TLS material."""
+
+import contextlib
+import os
+import ssl
+from collections import abc
+
+from cryptography.hazmat.primitives import serialization
+
+from kumquatport.process.tls import material
+
+
+def make(loaded: material.Material) -> ssl.SSLContext:
+    """Build a server context that shows a certificate."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    replace(context, loaded)
+    return context
+
+
+def replace(context: ssl.SSLContext, loaded: material.Material) -> None:
+    """Show another certificate on new connections; open ones go on.
+
+    The ssl module reads files only, so the material goes to it through
+    pipes; the key touches no disk.
+    """
+    certificates = (loaded.certificate, *loaded.chain)
+    encoding = serialization.Encoding.PEM
+    chain = b''.join(
+        certificate.public_bytes(encoding) for certificate in certificates
+    )
+    key = loaded.private_key.private_bytes(
+        encoding,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    with _piped(chain) as chain_path, _piped(key) as key_path:
+        context.load_cert_chain(chain_path, key_path)
+
+
+@contextlib.contextmanager
+def _piped(text: bytes) -> abc.Iterator[str]:
+    """Hold a text in a pipe and yield the path to read it from."""
+    reader, writer = os.pipe()
+    try:
+        with os.fdopen(writer, 'wb') as stream:
+            stream.write(text)
+        yield f'/proc/self/fd/{reader}'
+    finally:
+        os.close(reader)
--- /dev/null
+++ b/kumquatport/process/tls/source.py
@@ -0,0 +1,93 @@
+"""Read certificates and keys from files or from the platform."""
+
+import asyncio
+import datetime
+import pathlib
+from collections import abc
+
+from kumquatport import const, exceptions
+from kumquatport.process.settings import models
+from kumquatport.process.tls import const as tls_const
+from kumquatport.process.tls import material
+
+ReadObject = abc.Callable[[str], abc.Awaitable[bytes]]
+
+
+def on_platform(settings: models.TlsSettings) -> bool:
+    """Tell whether any part is an object of the platform."""
+    return any(
+        source.startswith(const.PLATFORM_REFERENCE_PREFIX)
+        for source in settings
+    )
+
+
+def load_files(settings: models.TlsSettings) -> material.Material | None:
+    """Load and check material that is in files, for ``--check``.
+
+    Returns:
+        The material; None if some of it is on the platform.
+
+    Raises:
+        TlsMaterialError: The files cannot be used.
+    """
+    if on_platform(settings):
+        return None
+    pem = material.Pem(
+        certificate=_read_file(settings.certificate),
+        key=models.Secret(_read_file(settings.key)),
+    )
+    return material.check(pem, settings, _now())
+
+
+async def async_load(
+    settings: models.TlsSettings, read_object: ReadObject | None
+) -> material.Material:
+    """Load and check material.
+
+    Args:
+        settings: Where the material is.
+        read_object: Reads an object of the platform; None if there is none.
+
+    Raises:
+        TlsMaterialError: The material cannot be used.
+        PlatformUnavailableError: The platform did not answer.
+    """
+    pem = await async_read(settings, read_object)
+    return material.check(pem, settings, _now())
+
+
+async def async_read(
+    settings: models.TlsSettings, read_object: ReadObject | None
+) -> material.Pem:
+    """Read material without checking it; raises like ``async_load``."""
+    certificate = await _async_read(settings.certificate, read_object)
+    key = await _async_read(settings.key, read_object)
+    return material.Pem(certificate, models.Secret(key))
+
+
+async def _async_read(source: str, read_object: ReadObject | None) -> bytes:
+    prefix = const.PLATFORM_REFERENCE_PREFIX
+    if not source.startswith(prefix):
+        return await asyncio.to_thread(_read_file, source)
+    if read_object is None:
+        raise _unreadable(source)
+    try:
+        return await read_object(source.removeprefix(prefix))
+    except exceptions.ObjectMissingError as err:
+        raise _unreadable(source) from err
+
+
+def _read_file(source: str) -> bytes:
+    try:
+        with pathlib.Path(source).open('rb') as stream:
+            return stream.read(tls_const.MAX_PEM_BYTES)
+    except (OSError, ValueError) as err:
+        raise _unreadable(source) from err
+
+
+def _unreadable(source: str) -> exceptions.TlsMaterialError:
+    return exceptions.TlsMaterialError(exceptions.TlsReason.UNREADABLE, source)
+
+
+def _now() -> datetime.datetime:
+    return datetime.datetime.now(tz=datetime.UTC)
--- /dev/null
+++ b/kumquatport/process/tls/watcher.py
@@ -0,0 +1,99 @@
+"""Watch for the replacement of a certificate and its key."""
+
+import datetime
+import typing
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.helpers import backoff
+from kumquatport.process.logs import faults
+from kumquatport.process.settings import models
+from kumquatport.process.tls import const, material, source
+
+_LOGGER = structlog.get_logger(__name__)
+
+OnReplaced = abc.Callable[[material.Material], None]
+
+
+class Watcher(mode.Service):
+    """Loads TLS material at start and tells when it was replaced.
+
+    Material that cannot be used is logged once and the present one stays in
+    use, so a half-written pair of files does no harm.
+    """
+
+    def __init__(
+        self,
+        settings: models.TlsSettings,
+        on_replaced: OnReplaced,
+        *,
+        read_object: source.ReadObject | None = None,
+        poll_s: float | None = None,
+    ) -> None:
+        """Prepare to watch.
+
+        Args:
+            settings: Where the material is.
+            on_replaced: Called with the first and with each new material.
+            read_object: Reads an object of the platform.
+            poll_s: Seconds between looks; None picks files' or platform's.
+        """
+        super().__init__()
+        self._settings = settings
+        self._on_replaced = on_replaced
+        self._read_object = read_object
+        self._poll_s = poll_s or _default_poll_s(settings)
+        self._pem: material.Pem | None = None
+        self._report = faults.reporter(
+            _LOGGER, 'TLS material refused', 'TLS material accepted again'
+        )
+
+    async def on_start(self) -> None:
+        """Load the first material.
+
+        Raises:
+            TlsMaterialError: It cannot be used.
+            PlatformUnavailableError: It is on the platform, which is down.
+        """
+        await self._async_look()
+
+    @mode.Service.task
+    async def _async_watch(self) -> None:
+        while not self.should_stop:
+            await self.sleep(backoff.jittered(self._poll_s))
+            try:
+                await self._async_look()
+            except exceptions.KumquatportError as err:
+                self._report(err)
+            else:
+                self._report(None)
+
+    async def _async_look(self) -> None:
+        pem = await source.async_read(self._settings, self._read_object)
+        if pem == self._pem:
+            return
+        now = datetime.datetime.now(tz=datetime.UTC)
+        loaded = material.check(pem, self._settings, now)
+        self._pem = pem
+        _log_loaded(loaded, now)
+        self._on_replaced(loaded)
+
+
+def _default_poll_s(settings: models.TlsSettings) -> float:
+    if source.on_platform(settings):
+        return const.PLATFORM_POLL_S
+    return const.FILE_POLL_S
+
+
+def _log_loaded(loaded: material.Material, now: datetime.datetime) -> None:
+    fields: dict[str, typing.Any] = {
+        'fingerprint': loaded.fingerprint,
+        'expires': loaded.expires.isoformat(),
+    }
+    if material.expires_soon(loaded, now):
+        _LOGGER.warning('TLS certificate expires soon', **fields)
+        return
+    _LOGGER.info('TLS material loaded', **fields)
