--- /dev/null
+++ b/script/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the project's upkeep."""
--- /dev/null
+++ b/script/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Run all tests and add up what passed and failed."""
--- /dev/null
+++ b/script/testing/__main__.py
@@ -0,0 +1,124 @@
+"""Run unit tests and features, and close with how many passed and failed."""
+
+import argparse
+import os
+import pathlib
+import sys
+import time
+import typing
+from collections import abc
+from concurrent import futures
+
+from script.testing import features, known_red, outcome, unit
+
+FOLDER: typing.Final = pathlib.Path('var/test')
+SUMMARY: typing.Final = pathlib.Path('var/test-summary.txt')
+JOBS_VARIABLE: typing.Final = 'KUMQUATPORT_TEST_JOBS'
+DEFAULT_JOBS: typing.Final = 3
+
+
+def main() -> int:
+    """Run what the command line asks for; 0 if all of it passed."""
+    options = _parse()
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    listed = known_red.load()
+    started = time.monotonic()
+    ends = list(_run(options))
+    seconds = time.monotonic() - started
+    red = [end for end in ends if end.test in listed and not end.passed]
+    failed = [end for end in ends if not end.passed and end.test not in listed]
+    failed += _stale(listed, ends, options)
+    _print_failed(failed)
+    _print_red(red, listed)
+    passed = sum(end.passed for end in ends)
+    _say(f'took {seconds:.0f} s')
+    summary = f'{passed} passed, {len(failed)} failed'
+    SUMMARY.write_text(f'{summary}\n')
+    _say(summary)
+    return 1 if failed else 0
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='script/test', description=__doc__)
+    parser.add_argument(
+        'features',
+        nargs='*',
+        type=pathlib.Path,
+        help='feature files; without any, all tests are run',
+    )
+    parser.add_argument(
+        '--unit', action='store_true', help='run the unit tests only'
+    )
+    parser.add_argument(
+        '--jobs',
+        type=int,
+        default=int(os.environ.get(JOBS_VARIABLE, DEFAULT_JOBS)),
+        help=f'features at a time (default {DEFAULT_JOBS})',
+    )
+    return parser.parse_args()
+
+
+def _run(options: argparse.Namespace) -> abc.Iterator[outcome.Outcome]:
+    if not options.features:
+        yield from unit.run(FOLDER / 'unit.json')
+    if options.unit:
+        return
+    chosen = options.features or features.find()
+    with futures.ThreadPoolExecutor(options.jobs) as pool:
+        running = [
+            pool.submit(features.run, feature, number, FOLDER)
+            for number, feature in enumerate(chosen)
+        ]
+        for done in futures.as_completed(running):
+            report = done.result()
+            _print_report(report)
+            yield from report.outcomes
+
+
+def _print_report(report: features.Report) -> None:
+    passed = sum(end.passed for end in report.outcomes)
+    failed = len(report.outcomes) - passed
+    _say(
+        f'{report.feature}: {passed} passed, {failed} not, '
+        f'{report.seconds:.1f} s'
+    )
+
+
+def _stale(
+    listed: abc.Mapping[str, known_red.Entry],
+    ends: abc.Sequence[outcome.Outcome],
+    options: argparse.Namespace,
+) -> list[outcome.Outcome]:
+    """Return a failure for each listed test that does not exist."""
+    if options.features or options.unit:
+        return []
+    names = {end.test for end in ends}
+    return [
+        outcome.failure(test, f'listed in {known_red.FILE}, was not found')
+        for test in listed
+        if test not in names
+    ]
+
+
+def _print_failed(failed: abc.Iterable[outcome.Outcome]) -> None:
+    for end in failed:
+        _say(f'FAILED {end.test}')
+        _say(end.detail)
+
+
+def _print_red(
+    red: abc.Iterable[outcome.Outcome],
+    listed: abc.Mapping[str, known_red.Entry],
+) -> None:
+    for end in red:
+        entry = listed[end.test]
+        _say(f'known red: {entry.test} | {entry.seen} | {entry.issue}')
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/script/testing/features.py
@@ -0,0 +1,116 @@
+"""Run the behave features, a few at a time, each in a process of its own."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+from script.testing import outcome
+
+FOLDER: typing.Final = pathlib.Path('tests/features')
+TIMEOUT_S: typing.Final = 420
+JSON_FORMAT: typing.Final = 'json'
+STATUS_PASSED: typing.Final = 'passed'
+
+# Each feature has a loopback block of its own, 127.101 and up.
+BLOCK_VARIABLE: typing.Final = 'KUMQUATPORT_TEST_BLOCK'
+FIRST_BLOCK: typing.Final = 101
+
+
+class Report(typing.NamedTuple):
+    """The outcomes of one feature file."""
+
+    feature: str
+    outcomes: list[outcome.Outcome]
+    seconds: float
+
+
+def find() -> list[pathlib.Path]:
+    """Return the feature files, in order of their names."""
+    return sorted(FOLDER.glob('**/*.feature'))
+
+
+def run(feature: pathlib.Path, number: int, folder: pathlib.Path) -> Report:
+    """Run one feature file.
+
+    Args:
+        feature: The file.
+        number: Its place in the run, which picks its loopback block.
+        folder: Folder for results and output.
+    """
+    results = folder / f'{feature.stem}.json'
+    results.unlink(missing_ok=True)
+    started = time.monotonic()
+    code = _behave(feature, number, results)
+    outcomes = _outcomes(feature, results)
+    if code and all(end.passed for end in outcomes):
+        detail = f'behave ended with code {code}; see {_log(results)}'
+        outcomes.append(outcome.failure(str(feature), detail))
+    return Report(str(feature), outcomes, time.monotonic() - started)
+
+
+def _log(results: pathlib.Path) -> pathlib.Path:
+    return results.with_suffix('.log')
+
+
+def _behave(feature: pathlib.Path, number: int, results: pathlib.Path) -> int:
+    command = [sys.executable, '-m', 'behave', '--format', JSON_FORMAT]
+    command += ['--outfile', str(results), str(feature)]
+    block = {BLOCK_VARIABLE: f'127.{FIRST_BLOCK + number}'}
+    with _log(results).open('wb') as log:
+        process = subprocess.Popen(
+            command,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            env=os.environ | block,
+            start_new_session=True,
+        )
+    try:
+        return process.wait(TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        # The session is the feature's own: behave and what it started.
+        os.killpg(process.pid, signal.SIGKILL)
+        return process.wait()
+
+
+def _outcomes(
+    feature: pathlib.Path, results: pathlib.Path
+) -> list[outcome.Outcome]:
+    try:
+        found = json.loads(results.read_text())
+    except (OSError, ValueError):
+        detail = f'ended without outcomes; see {_log(results)}'
+        return [outcome.failure(str(feature), detail)]
+    return [
+        _scenario(feature, element)
+        for part in found
+        for element in part['elements']
+        if element['type'] == 'scenario'
+    ]
+
+
+def _scenario(
+    feature: pathlib.Path, element: dict[str, typing.Any]
+) -> outcome.Outcome:
+    test = f'{feature}: {element["name"].strip()}'
+    if element['status'] == STATUS_PASSED:
+        return outcome.Outcome(test, passed=True, detail='')
+    return outcome.failure(test, _detail(element))
+
+
+def _detail(element: dict[str, typing.Any]) -> str:
+    lines = [f'{element["location"]}: {element["status"]}']
+    for step in element['steps']:
+        result = step.get('result', {})
+        if result.get('status') not in {STATUS_PASSED, None}:
+            lines.append(f'{step["keyword"]} {step["name"]}')
+            lines.extend(_lines(result.get('error_message', '')))
+    return '\n'.join(lines)
+
+
+def _lines(message: str | list[str]) -> list[str]:
+    return message.splitlines() if isinstance(message, str) else message
