Stand-ins: platform, backend server, fabric, statsd, caller; deployments

The thin path needs outsiders to talk to: nothing of them existed. Platform with versions, conditions and watches; backend server with slots, cold start and collapse; fabric that sprays each datagram; HTTP/3 caller that notices GOAWAY, rejected streams and stateless resets, which aioquic skips.

Seen on the way: the aiohttp client sends PUT a second time by itself when an answer is lost, so a platform client has to turn that off or read a conflict on its own write as unknown.

Not run yet: a deployment with our own programs, which do not exist yet.

--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: stand-ins, builders, deployments, features."""
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,157 @@
+"""Real processes of a test: start, freeze, end by pid, logs."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+from collections import abc
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+END_TIMEOUT_S = 10.0
+POLL_S = 0.05
+
+
+class NotReadyError(Exception):
+    """A process did not become ready in time, or ended."""
+
+
+class Process:
+    """One process that a test may stop, freeze and start again."""
+
+    def __init__(
+        self, name: str, module: str, options: list[str], log: pathlib.Path
+    ) -> None:
+        """Keep what is needed to start.
+
+        Args:
+            name: Name of the instance.
+            module: Run as ``python -m MODULE``.
+            options: Command line after the module.
+            log: File that gets its output.
+        """
+        self.name = name
+        self.module = module
+        self.options = options
+        self.log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def pid(self) -> int:
+        if self._popen is None:
+            raise NotReadyError(self.name)
+        return self._popen.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        return None if self._popen is None else self._popen.poll()
+
+    def start(self) -> None:
+        if self.running:
+            return
+        with self.log.open('ab') as output:
+            self._popen = subprocess.Popen(
+                [sys.executable, '-m', self.module, *self.options],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            )
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        self.wait()
+
+    def term(self) -> None:
+        """Ask for a graceful stop, without waiting for it."""
+        self.signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def signal(self, signum: int) -> None:
+        if self._popen is not None and self.running:
+            self._popen.send_signal(signum)
+
+    def wait(self, timeout_s: float = END_TIMEOUT_S) -> int | None:
+        """Wait for the end; return the exit code, None if it goes on."""
+        if self._popen is None:
+            return None
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def log_text(self) -> str:
+        if not self.log.exists():
+            return ''
+        return self.log.read_text(errors='replace')
+
+
+def end_all(processes: abc.Iterable[Process], timeout_s: float) -> list[str]:
+    """End all, gracefully if they can; return who had to be killed."""
+    ending = [process for process in processes if process.running]
+    for process in ending:
+        process.thaw()
+        process.term()
+    until = time.monotonic() + timeout_s
+    killed = []
+    for process in ending:
+        if process.wait(max(0.0, until - time.monotonic())) is None:
+            process.kill()
+            killed.append(process.name)
+    return killed
+
+
+def get_json(url: str, timeout_s: float = 2.0) -> dict[str, typing.Any]:
+    """Read JSON over HTTP."""
+    with urllib.request.urlopen(url, timeout=timeout_s) as answer:
+        return json.load(answer)
+
+
+def post_json(url: str, order: object) -> dict[str, typing.Any]:
+    """Send JSON and read JSON over HTTP."""
+    request = urllib.request.Request(
+        url,
+        json.dumps(order).encode(),
+        {'Content-Type': 'application/json'},
+    )
+    with urllib.request.urlopen(request, timeout=5.0) as answer:
+        return json.load(answer)
+
+
+def wait_ready(
+    process: Process,
+    url: str,
+    timeout_s: float,
+    ready: abc.Callable[[dict], bool] = lambda status: True,
+) -> dict[str, typing.Any]:
+    """Poll a URL until its JSON answer satisfies ``ready``."""
+    until = time.monotonic() + timeout_s
+    status: dict[str, typing.Any] = {}
+    while time.monotonic() < until:
+        if not process.running:
+            break
+        try:
+            status = get_json(url)
+        except (OSError, ValueError):
+            time.sleep(POLL_S)
+            continue
+        if ready(status):
+            return status
+        time.sleep(POLL_S)
+    tail = process.log_text()[-2000:]
+    raise NotReadyError(f'{process.name}: {status} {tail}')
--- /dev/null
+++ b/tests/standins/caller.py
@@ -0,0 +1,424 @@
+"""HTTP/3 caller for tests, a library and a command line."""
+
+import argparse
+import asyncio
+import contextlib
+import hashlib
+import json
+import pathlib
+import socket
+import ssl
+import time
+from collections import abc
+
+from aioquic.asyncio import protocol as quic_protocol
+from aioquic.h3 import connection as h3_connection
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration, events
+from aioquic.quic import connection as quic_connection
+
+from tests.standins import caller_errors as errors
+from tests.standins import runner
+
+HANDSHAKE_TIMEOUT_S = 5.0
+ANSWER_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 60.0
+RESET_TOKEN_BYTES = 16
+MIN_RESET_BYTES = 21
+LONG_HEADER_BIT = 0x80
+BUFFER_BYTES = 1 << 20
+
+Headers = abc.Mapping[str, str]
+
+
+class _H3(h3_connection.H3Connection):
+    """Notes GOAWAY, which aioquic skips."""
+
+    goaway = False
+
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
+        if frame_type == h3_connection.FrameType.GOAWAY:
+            self.goaway = True
+
+
+class Exchange:
+    """One request on its stream and the answer as it arrives."""
+
+    def __init__(self, connection: 'Connection', stream_id: int) -> None:
+        self.stream_id = stream_id
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.started = time.monotonic()
+        self._connection = connection
+        self._events: asyncio.Queue[h3_events.H3Event | Exception] = (
+            asyncio.Queue()
+        )
+        self._ended = False
+
+    def feed(self, event: h3_events.H3Event | Exception) -> None:
+        """Take an event of this stream, or what ended it."""
+        self._events.put_nowait(event)
+
+    async def async_headers(self, timeout_s: float = ANSWER_TIMEOUT_S) -> int:
+        """Wait for the header fields; return the status."""
+        while not self.status:
+            event = await self._async_next(timeout_s)
+            if isinstance(event, h3_events.HeadersReceived):
+                self._take_headers(event)
+        return self.status
+
+    async def async_chunks(
+        self, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> abc.AsyncIterator[bytes]:
+        """Yield pieces of the body; ``timeout_s`` holds for each."""
+        await self.async_headers(timeout_s)
+        while not self._ended:
+            event = await self._async_next(timeout_s)
+            if isinstance(event, h3_events.DataReceived):
+                self._ended = event.stream_ended
+                if event.data:
+                    yield event.data
+            elif isinstance(event, h3_events.HeadersReceived):
+                self._ended = event.stream_ended
+
+    async def async_lines(
+        self, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> abc.AsyncIterator[str]:
+        """Yield the body line by line."""
+        rest = b''
+        async for chunk in self.async_chunks(timeout_s):
+            *lines, rest = (rest + chunk).split(b'\n')
+            for line in lines:
+                yield line.decode()
+
+    async def async_answer(
+        self, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> errors.Answered:
+        """Wait for the whole answer, ``timeout_s`` for all of it."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._async_whole()
+        except TimeoutError as fault:
+            raise errors.ResponseTimeoutError(timeout_s) from fault
+
+    def cancel(self) -> None:
+        """Give the request up: both directions of its stream end."""
+        self._connection.cancel(self.stream_id)
+
+    async def _async_whole(self) -> errors.Answered:
+        await self.async_headers()
+        first_s = time.monotonic() - self.started
+        body = b''.join([chunk async for chunk in self.async_chunks()])
+        seconds = time.monotonic() - self.started
+        return errors.Answered(
+            self.status, self.headers, body, first_s, seconds
+        )
+
+    async def _async_next(self, timeout_s: float) -> h3_events.H3Event:
+        try:
+            async with asyncio.timeout(timeout_s):
+                event = await self._events.get()
+        except TimeoutError as fault:
+            raise errors.ResponseTimeoutError(timeout_s) from fault
+        if isinstance(event, Exception):
+            self._events.put_nowait(event)
+            raise event
+        return event
+
+    def _take_headers(self, event: h3_events.HeadersReceived) -> None:
+        fields = {
+            name.decode(): value.decode() for name, value in event.headers
+        }
+        self.status = int(fields.pop(':status'))
+        self.headers = fields
+        self._ended = event.stream_ended
+
+
+class Connection(quic_protocol.QuicConnectionProtocol):
+    """One HTTP/3 connection to a service address."""
+
+    def __init__(self, quic: quic_connection.QuicConnection, name: str) -> None:
+        super().__init__(quic)
+        self.lost: errors.CallerError | None = None
+        self.ready = asyncio.Event()
+        self._name = name
+        self._h3 = _H3(quic)
+        self._exchanges: dict[int, Exchange] = {}
+
+    @property
+    def goaway(self) -> bool:
+        """Whether the other end asked for no new requests."""
+        return self._h3.goaway
+
+    @property
+    def local_endpoint(self) -> runner.Endpoint:
+        return self._transport.get_extra_info('sockname')
+
+    def start(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b'',
+    ) -> Exchange:
+        """Send a request; its answer comes through the exchange."""
+        if self.lost is not None:
+            raise self.lost
+        if self.goaway:
+            raise errors.GoawayError
+        stream_id = self._quic.get_next_available_stream_id()
+        exchange = Exchange(self, stream_id)
+        self._exchanges[stream_id] = exchange
+        fields = {
+            ':method': method,
+            ':scheme': 'https',
+            ':authority': self._name,
+            ':path': path,
+            **(headers or {}),
+        }
+        self._h3.send_headers(
+            stream_id,
+            [(key.encode(), value.encode()) for key, value in fields.items()],
+            end_stream=not body,
+        )
+        if body:
+            self._h3.send_data(stream_id, body, end_stream=True)
+        self.transmit()
+        return exchange
+
+    async def async_request(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b'',
+        timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> errors.Answered:
+        """Send a request and wait for its whole answer."""
+        exchange = self.start(method, path, headers, body)
+        return await exchange.async_answer(timeout_s)
+
+    async def async_pull(
+        self,
+        name: str,
+        size: int,
+        headers: Headers | None = None,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> errors.Answered:
+        """Pull a body; raise ``ChecksumError`` when a 200 isn't whole."""
+        answer = await self.async_request(
+            'GET', f'/pull/{name}?bytes={size}', headers, b'', timeout_s
+        )
+        digest = hashlib.sha256(answer.body).hexdigest()
+        whole = len(answer.body) == size
+        if answer.status == 200 and not (
+            whole and digest == answer.headers.get('x-checksum')
+        ):
+            raise errors.ChecksumError(len(answer.body))
+        return answer
+
+    async def async_ping(self, timeout_s: float = ANSWER_TIMEOUT_S) -> None:
+        """Have the other end acknowledge one packet."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.ping()
+        except TimeoutError as fault:
+            raise errors.ResponseTimeoutError(timeout_s) from fault
+        except ConnectionError as fault:
+            raise self.lost or fault from fault
+
+    def cancel(self, stream_id: int) -> None:
+        """Reset a request's stream and ask the other end to stop."""
+        code = errors.H3_REQUEST_CANCELLED
+        with contextlib.suppress(AssertionError, ValueError):
+            self._quic.stop_stream(stream_id, code)
+        with contextlib.suppress(AssertionError, ValueError):
+            self._quic.reset_stream(stream_id, code)
+        self.transmit()
+
+    async def async_close(self) -> None:
+        """Close the connection and its socket."""
+        self.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await self.wait_closed()
+        self._end(errors.ConnectionLostError(0, 'closed here'))
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Drop the socket without a word, as a dead caller does."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: runner.Endpoint) -> None:
+        if self._is_reset(data):
+            self._end(errors.StatelessResetError())
+            return
+        super().datagram_received(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Leave socket errors to QUIC's own timers."""
+
+    def transmit(self) -> None:
+        if not self._transport.is_closing():
+            super().transmit()
+
+    def quic_event_received(self, event: events.QuicEvent) -> None:
+        if isinstance(event, events.HandshakeCompleted):
+            self.ready.set()
+        elif isinstance(event, events.ConnectionTerminated):
+            self._end(
+                errors.ConnectionLostError(
+                    event.error_code, event.reason_phrase
+                )
+            )
+        elif isinstance(event, events.StreamReset):
+            self._feed(
+                event.stream_id, errors.StreamResetError(event.error_code)
+            )
+        for h3_event in self._h3.handle_event(event):
+            self._feed(h3_event.stream_id, h3_event)
+
+    def _feed(
+        self, stream_id: int, event: h3_events.H3Event | Exception
+    ) -> None:
+        exchange = self._exchanges.get(stream_id)
+        if exchange is None:
+            return
+        exchange.feed(event)
+        ended = isinstance(event, Exception) or event.stream_ended
+        if ended:
+            del self._exchanges[stream_id]
+
+    def _end(self, error: errors.CallerError) -> None:
+        if self.lost is not None:
+            return
+        self.lost = error
+        self.ready.set()
+        for stream_id in tuple(self._exchanges):
+            self._feed(stream_id, error)
+
+    def _is_reset(self, data: bytes) -> bool:
+        if len(data) < MIN_RESET_BYTES or data[0] & LONG_HEADER_BIT:
+            return False
+        known = [self._quic._peer_cid, *self._quic._peer_cid_available]
+        token = bytes(data[-RESET_TOKEN_BYTES:])
+        return any(token == peer.stateless_reset_token for peer in known)
+
+
+async def async_connect(
+    endpoint: runner.Endpoint,
+    ca: pathlib.Path | None,
+    name: str = 'localhost',
+    *,
+    local: runner.Endpoint = ('127.0.0.1', 0),
+    timeout_s: float = HANDSHAKE_TIMEOUT_S,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+) -> Connection:
+    """Open a connection to a service address.
+
+    Args:
+        endpoint: The service address.
+        ca: Certificate to trust; without one, nothing is verified.
+        name: Server name that the certificate must bear.
+        local: Address and port of the caller; port 0 means any.
+        timeout_s: For the handshake; then ``HandshakeTimeoutError``.
+        idle_timeout_s: QUIC idle timeout offered.
+    """
+    settings = configuration.QuicConfiguration(
+        is_client=True,
+        alpn_protocols=h3_connection.H3_ALPN,
+        server_name=name,
+        idle_timeout=idle_timeout_s,
+    )
+    if ca is None:
+        settings.verify_mode = ssl.CERT_NONE
+    else:
+        settings.load_verify_locations(str(ca))
+    quic = quic_connection.QuicConnection(configuration=settings)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    sock.setblocking(False)
+    sock.bind(local)
+    _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: Connection(quic, name), sock=sock
+    )
+    connection.connect(endpoint)
+    await _async_handshake(connection, timeout_s)
+    return connection
+
+
+async def _async_handshake(connection: Connection, timeout_s: float) -> None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await connection.ready.wait()
+    except TimeoutError as fault:
+        connection.abandon()
+        raise errors.HandshakeTimeoutError(timeout_s) from fault
+    except asyncio.CancelledError:
+        connection.abandon()
+        raise
+    if connection.lost is not None:
+        connection.abandon()
+        raise connection.lost
+
+
+@contextlib.asynccontextmanager
+async def connected(
+    endpoint: runner.Endpoint,
+    ca: pathlib.Path | None,
+    name: str = 'localhost',
+    **options: object,
+) -> abc.AsyncIterator[Connection]:
+    """Hold a connection open for a block; options of ``async_connect``."""
+    connection = await async_connect(endpoint, ca, name, **options)
+    try:
+        yield connection
+    finally:
+        await connection.async_close()
+
+
+async def _async_main(options: argparse.Namespace) -> None:
+    headers = dict(pair.split('=', 1) for pair in options.header)
+    async with connected(options.to, options.ca, options.name) as connection:
+        exchanges = [
+            connection.start(
+                options.method, options.path, headers, options.body.encode()
+            )
+            for _ in range(options.count)
+        ]
+        for exchange in exchanges:
+            answer = await exchange.async_answer()
+            print(
+                json.dumps(
+                    {
+                        'status': answer.status,
+                        'bytes': len(answer.body),
+                        'seconds': round(answer.seconds, 4),
+                        'body': answer.body[:200].decode(errors='replace'),
+                    }
+                )
+            )
+
+
+def main() -> None:
+    """Run the caller from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--to', type=runner.parse_endpoint, required=True)
+    parser.add_argument('--ca', type=pathlib.Path)
+    parser.add_argument('--name', default='localhost')
+    parser.add_argument('--method', default='GET')
+    parser.add_argument('--path', default='/')
+    parser.add_argument('--body', default='')
+    parser.add_argument(
+        '--header', action='append', default=[], metavar='NAME=VALUE'
+    )
+    parser.add_argument('--count', type=int, default=1, help='requests at once')
+    asyncio.run(_async_main(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/capacity.py
@@ -0,0 +1,160 @@
+"""What a backend server can bear: slots, cold start and collapse."""
+
+import asyncio
+import contextlib
+import math
+import random
+import time
+import typing
+from collections import abc
+
+MAX_SLOWDOWN = 4.0
+COLLAPSE_SLOWDOWN = 20.0
+
+
+class Profile(typing.NamedTuple):
+    """How a backend server behaves.
+
+    Attributes:
+        slots: Requests worked on at once.
+        backlog: Requests that may wait for a slot; more are shed.
+        service_s: Median time of a request in its slot, warm.
+        spread: Sigma of the log-normal distribution of that time.
+        cold_s: Seconds until a cold server is warm by time alone.
+        cold_requests: Served requests until it is warm by work alone.
+        cold_share: Share of full work that a fully cold server bears.
+        grace_s: How long a cold server stands more than it bears.
+        collapse_s: How long a collapse lasts.
+    """
+
+    slots: int = 5
+    backlog: int = 8
+    service_s: float = 0.01
+    spread: float = 0.3
+    cold_s: float = 10.0
+    cold_requests: int = 500
+    cold_share: float = 0.2
+    grace_s: float = 0.3
+    collapse_s: float = 3.0
+
+
+class Shed(Exception):
+    """The backend server refuses the request without starting it."""
+
+
+class Capacity:
+    """Slots of one backend server, and its warmth."""
+
+    def __init__(self, profile: Profile, seed: int) -> None:
+        self.profile = profile
+        self.running = 0
+        self.waiting = 0
+        self.peak_running = 0
+        self.peak_waiting = 0
+        self.collapses = 0
+        self.started = 0
+        self._random = random.Random(seed)
+        self._slots = asyncio.Semaphore(profile.slots)
+        self._cold_since: float | None = None
+        self._cold_served = 0
+        self._over_since: float | None = None
+        self._collapsed_until = 0.0
+
+    @property
+    def work(self) -> int:
+        """Requests in a slot or waiting for one."""
+        return self.running + self.waiting
+
+    @property
+    def load(self) -> float:
+        return min(1.0, self.work / self.profile.slots)
+
+    @property
+    def cold(self) -> bool:
+        return self.factor < 1
+
+    @property
+    def collapsed(self) -> bool:
+        return time.monotonic() < self._collapsed_until
+
+    @property
+    def factor(self) -> float:
+        """Share of full work borne now, from ``cold_share`` to 1."""
+        if self._cold_since is None:
+            return 1.0
+        profile = self.profile
+        warmth = max(
+            (time.monotonic() - self._cold_since) / profile.cold_s,
+            self._cold_served / profile.cold_requests,
+        )
+        if warmth >= 1:
+            self._cold_since = None
+            self._over_since = None
+            return 1.0
+        return profile.cold_share + (1 - profile.cold_share) * warmth
+
+    @property
+    def threshold(self) -> int:
+        """Requests borne at once now."""
+        if not self.cold:
+            return self.profile.slots + self.profile.backlog
+        return max(1, math.ceil(self.profile.slots * self.factor))
+
+    def chill(self) -> None:
+        """Turn cold."""
+        self._cold_since = time.monotonic()
+        self._cold_served = 0
+        self._over_since = None
+
+    @contextlib.asynccontextmanager
+    async def slot(self) -> abc.AsyncIterator[None]:
+        """Hold a slot; raise ``Shed`` when there is no room to wait."""
+        self._watch_overload()
+        full = self.waiting >= self.profile.backlog
+        if full or (self.collapsed and self._random.random() < 0.5):
+            raise Shed
+        self.waiting += 1
+        self.peak_waiting = max(self.peak_waiting, self.waiting)
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            self._begin()
+            yield
+        finally:
+            self.running -= 1
+            self._cold_served += 1
+            self._watch_overload()
+            self._slots.release()
+
+    async def work_out(self) -> None:
+        """Spend the time that one request takes now."""
+        median = self.profile.service_s
+        spread = self._random.lognormvariate(0, self.profile.spread)
+        await asyncio.sleep(median * spread * self._slowdown())
+
+    def _begin(self) -> None:
+        self.started += 1
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+
+    def _slowdown(self) -> float:
+        if self.collapsed:
+            return COLLAPSE_SLOWDOWN
+        over = max(1.0, self.work / self.threshold) if self.cold else 1.0
+        return min(MAX_SLOWDOWN, over / self.factor)
+
+    def _watch_overload(self) -> None:
+        now = time.monotonic()
+        if not self.cold or self.collapsed or self.work <= self.threshold:
+            self._over_since = None
+            return
+        if self._over_since is None:
+            self._over_since = now
+            return
+        if now - self._over_since < self.profile.grace_s:
+            return
+        self.collapses += 1
+        self._collapsed_until = now + self.profile.collapse_s
+        self.chill()
--- /dev/null
+++ b/tests/standins/health.py
@@ -0,0 +1,60 @@
+"""Health reports of a backend server: true, late, frozen or inverted."""
+
+import collections
+import time
+import typing
+from collections import abc
+
+MODES = ('true', 'late', 'frozen', 'inverted')
+HISTORY = 10000
+
+
+class Report(typing.NamedTuple):
+    """What ``GET /health`` says."""
+
+    state: str
+    load: float
+
+
+class Reporter:
+    """Tells the state and load of a backend server, or something else."""
+
+    def __init__(self, current: abc.Callable[[], Report]) -> None:
+        self._current = current
+        self._mode = 'true'
+        self._delay_s = 0.0
+        self._frozen = current()
+        self._history: collections.deque[tuple[float, Report]] = (
+            collections.deque(maxlen=HISTORY)
+        )
+
+    def set_mode(self, mode: str, delay_s: float) -> None:
+        if mode not in MODES:
+            raise ValueError(mode)
+        self._mode = mode
+        self._delay_s = delay_s
+        self._frozen = self._current()
+
+    def sample(self) -> None:
+        """Remember the present state; called a few times a second."""
+        self._history.append((time.monotonic(), self._current()))
+
+    def report(self) -> Report:
+        if self._mode == 'frozen':
+            return self._frozen
+        if self._mode == 'late':
+            return self._late()
+        report = self._current()
+        if self._mode == 'inverted':
+            state = {'cold': 'ready', 'ready': 'cold'}.get(report.state)
+            return Report(state or report.state, 1 - report.load)
+        return report
+
+    def _late(self) -> Report:
+        horizon = time.monotonic() - self._delay_s
+        found = self._history[0][1] if self._history else self._current()
+        for moment, report in self._history:
+            if moment > horizon:
+                break
+            found = report
+        return found
--- /dev/null
+++ b/tests/standins/runner.py
@@ -0,0 +1,90 @@
+"""Run one stand-in as a process until it is told to stop."""
+
+import asyncio
+import contextlib
+import json
+import resource
+import signal
+from collections import abc
+
+from aiohttp import web
+
+Main = abc.Callable[[], contextlib.AbstractAsyncContextManager[None]]
+Endpoint = tuple[str, int]
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Split ``ADDRESS:PORT``."""
+    address, _, port = text.rpartition(':')
+    return address, int(port)
+
+
+def raise_file_limit() -> None:
+    """Allow as many open sockets as the machine lets this process have."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
+def run(main: Main) -> None:
+    """Hold the context open until SIGTERM or SIGINT."""
+    raise_file_limit()
+    asyncio.run(_async_run(main))
+
+
+async def _async_run(main: Main) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    async with main():
+        await stop.wait()
+
+
+@contextlib.asynccontextmanager
+async def async_serve(
+    app: web.Application,
+    endpoint: Endpoint,
+    **options: object,
+) -> abc.AsyncIterator[web.AppRunner]:
+    """Serve an aiohttp application on one endpoint."""
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=1.0, **options
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, *endpoint, backlog=1024, reuse_address=True)
+    await site.start()
+    try:
+        yield runner
+    finally:
+        await runner.cleanup()
+
+
+def control_app(
+    apply: abc.Callable[[dict], None],
+    counts: abc.Callable[[], dict],
+) -> web.Application:
+    """Build an application with ``/control`` and ``/control/counts``."""
+    app = web.Application()
+    add_control(app, apply, counts)
+    return app
+
+
+def add_control(
+    app: web.Application,
+    apply: abc.Callable[[dict], None],
+    counts: abc.Callable[[], dict],
+) -> None:
+    """Add the control routes of a stand-in to its application."""
+
+    async def _async_apply(request: web.Request) -> web.Response:
+        try:
+            apply(json.loads(await request.read()))
+        except (KeyError, TypeError, ValueError) as fault:
+            return web.json_response({'fault': repr(fault)}, status=400)
+        return web.json_response(counts())
+
+    async def _async_counts(request: web.Request) -> web.Response:
+        return web.json_response(counts())
+
+    app.router.add_post('/control', _async_apply)
+    app.router.add_get('/control/counts', _async_counts)
--- /dev/null
+++ b/tests/unit/test_standins.py
@@ -0,0 +1,171 @@
+"""The platform and backend server stand-ins, in process."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from tests.standins import backend_server, capacity, platform, pull, runner
+
+PLATFORM = ('127.10.252.1', 9000)
+SERVER = ('127.10.252.2', 8000)
+QUICK = capacity.Profile(service_s=0.02, spread=0.0)
+
+
+class StandInTest(unittest.IsolatedAsyncioTestCase):
+    """Serves one application and opens a client for it."""
+
+    endpoint = PLATFORM
+
+    async def async_serve(self, app):
+        served = runner.async_serve(
+            app, self.endpoint, handler_cancellation=True
+        )
+        app_runner = await self.enterAsyncContext(served)
+        address, port = self.endpoint
+        session = aiohttp.ClientSession(f'http://{address}:{port}')
+        self.client = await self.enterAsyncContext(session)
+        # aiohttp sends idempotent methods a second time by itself.
+        self.client._retry_connection = False
+        return app_runner
+
+
+class PlatformTest(StandInTest):
+    """The object API."""
+
+    async def asyncSetUp(self):
+        self.platform = platform.Platform()
+        await self.async_serve(self.platform.application())
+
+    async def put(self, value, **headers):
+        fields = {key.replace('_', '-'): val for key, val in headers.items()}
+        async with self.client.put(
+            '/v1/objects/a/b', data=value, headers=fields
+        ) as answer:
+            return answer.status, answer.headers.get('X-Object-Version')
+
+    async def test_versions_and_conditions(self):
+        self.assertEqual(await self.put(b'1', If_None_Match='*'), (200, '1'))
+        self.assertEqual((await self.put(b'2', If_None_Match='*'))[0], 412)
+        self.assertEqual(await self.put(b'2', If_Match='1'), (200, '2'))
+        self.assertEqual((await self.put(b'3', If_Match='1'))[0], 412)
+        async with self.client.delete('/v1/objects/a/b') as answer:
+            self.assertEqual(answer.status, 200)
+        async with self.client.get('/v1/objects/a/b') as answer:
+            self.assertEqual(answer.status, 404)
+        self.assertEqual(await self.put(b'4', If_None_Match='*'), (200, '4'))
+        self.assertEqual((await self.put(b'x' * ((1 << 20) + 1)))[0], 413)
+
+    async def test_watch_waits_for_the_next_write(self):
+        watch = asyncio.create_task(self.watch(since=0, timeout=5))
+        await asyncio.sleep(0.05)
+        await self.put(b'new')
+        listing = await watch
+        self.assertEqual(listing['revision'], 1)
+        self.assertEqual(listing['objects'][0]['value'], 'bmV3')
+        empty = await self.watch(since=1, timeout=0.05)
+        self.assertEqual(empty, {'revision': 1, 'objects': []})
+        self.assertEqual(self.platform.counts['watch'], 2)
+
+    async def watch(self, **query):
+        params = {'prefix': 'a/', **query}
+        async with self.client.get('/v1/watch', params=params) as answer:
+            return await answer.json()
+
+    async def test_lost_answer_has_taken_effect(self):
+        self.platform.control({'lose_answers': 1})
+        with self.assertRaises(aiohttp.ClientError):
+            await self.put(b'1')
+        self.assertEqual(self.platform.store.live('a/b').value, b'1')
+        self.assertEqual(await self.put(b'2'), (200, '2'))
+
+    async def test_down_drops_waiting_watches(self):
+        watch = asyncio.create_task(self.watch(since=0, timeout=5))
+        await asyncio.sleep(0.05)
+        self.platform.control({'mode': 'down'})
+        with self.assertRaises(aiohttp.ClientError):
+            await watch
+        with self.assertRaises(aiohttp.ClientError):
+            await self.put(b'1')
+        self.platform.control({'mode': 'up'})
+        self.assertEqual(await self.put(b'1'), (200, '1'))
+
+
+class BackendServerTest(StandInTest):
+    """Slots, cold start, cancellation, reports."""
+
+    endpoint = SERVER
+
+    async def asyncSetUp(self):
+        self.server = backend_server.BackendServer(
+            backend_server.Identity('server-1', 'storefront'), QUICK
+        )
+        app = self.server.application()
+        self.server.runner = await self.async_serve(app)
+
+    async def get(self, path, **headers):
+        async with self.client.get(path, headers=headers) as answer:
+            return answer.status, await answer.read()
+
+    async def test_orders_are_counted_by_key(self):
+        for _ in range(2):
+            async with self.client.post(
+                '/orders', headers={'Idempotency-Key': 'k1'}
+            ) as answer:
+                receipt = await answer.json()
+        self.assertEqual(receipt, {'key': 'k1', 'run': 2, 'server': 'server-1'})
+        self.assertEqual(self.server.report()['runs'], {'k1': 2})
+
+    async def test_pull_bears_its_checksum(self):
+        async with self.client.get('/pull/map?bytes=200000') as answer:
+            body = await answer.read()
+            self.assertEqual(
+                answer.headers['X-Checksum'], pull.checksum('map', 200000)
+            )
+        self.assertEqual(body, b''.join(pull.chunks('map', 200000)))
+
+    async def test_slots_and_shedding(self):
+        answers = await asyncio.gather(*[self.get('/x') for _ in range(30)])
+        shed = [status for status, _ in answers if status == 503]
+        self.assertEqual(len(shed), 30 - QUICK.slots - QUICK.backlog)
+        self.assertEqual(self.server.report()['peak_concurrency'], 5)
+
+    async def test_wrong_service_is_counted(self):
+        headers = {'X-Kumquatport-Service': 'manuals'}
+        status, _ = await self.get('/x', **headers)
+        self.assertEqual(
+            (status, self.server.counts['wrong_service']), (421, 1)
+        )
+
+    async def test_cancel_and_deadline_free_the_slot(self):
+        self.server.control({'service_s': 5.0})
+        status, _ = await self.get('/x', **{'X-Deadline': '0.05'})
+        self.assertEqual(status, 504)
+        request = asyncio.create_task(self.get('/x'))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.server.capacity.running, 1)
+        request.cancel()
+        await asyncio.sleep(0.05)
+        report = self.server.report()
+        self.assertEqual((report['running'], report['cancelled']), (0, 1))
+
+    async def test_cold_server_collapses_under_full_load(self):
+        self.server.control({'cold': True})
+        self.assertEqual(self.server.report()['state'], 'ready')
+        await asyncio.gather(*[self.flood() for _ in range(8)])
+        self.assertGreaterEqual(self.server.capacity.collapses, 1)
+
+    async def test_cold_server_bears_a_little(self):
+        self.server.control({'cold': True, 'announced': True})
+        self.assertEqual(self.server.report()['state'], 'cold')
+        await self.flood()
+        self.assertEqual(self.server.capacity.collapses, 0)
+
+    async def flood(self):
+        for _ in range(10):
+            await self.get('/x')
+
+    async def test_reports_may_mislead(self):
+        self.server.control({'report': 'inverted'})
+        _, body = await self.get('/health')
+        self.assertEqual(body, b'{"state": "cold", "load": 1.0}')
