--- a/kumquatport/version/members/record.py
+++ b/kumquatport/version/members/record.py
@@ -3,6 +3,9 @@
 import math
 import typing
 
+import msgspec
+import xxhash
+
 from kumquatport.version.members import const
 
 
@@ -64,3 +67,8 @@
     """
     lapsed = record.state == const.STATE_LAPSED
     return (record.incarnation, record.sequence, lapsed, tuple(record))
+
+
+def fingerprint(record: InstanceRecord) -> int:
+    """Return a 64-bit hash of all fields, the same in every process."""
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(record))
--- a/kumquatport/version/members/registry.py
+++ b/kumquatport/version/members/registry.py
@@ -4,7 +4,6 @@
 import typing
 from collections import abc
 
-import msgspec
 import xxhash
 
 from kumquatport.helpers import listeners
@@ -45,6 +44,7 @@
             {} for _ in range(const.DIGEST_BUCKETS)
         ]
         self._digests = [0 for _ in range(const.DIGEST_BUCKETS)]
+        self._total = 0
         self._listeners: listeners.Listeners[Listener] = listeners.Listeners()
 
     def __len__(self) -> int:
@@ -64,6 +64,10 @@
         """Return the agents of a service that have not departed, by name."""
         return self._sorted(self._services.get(service, ()))
 
+    def agent_count(self, service: str) -> int:
+        """Return how many agents of a service have not departed."""
+        return len(self._services.get(service, ()))
+
     def balancers(self) -> tuple[records.InstanceRecord, ...]:
         """Return the balancers that have not departed, by name."""
         return self._sorted(self._balancers)
@@ -110,6 +114,24 @@
         self._listeners.notify(record, held.record if held else None)
         return True
 
+    def departed(self, service: str) -> tuple[records.InstanceRecord, ...]:
+        """Return the tombstones of the agents of a service."""
+        return tuple(
+            record
+            for record in self._sorted(self._tombstones)
+            if record.service == service
+        )
+
+    def forget(self, instance: str) -> None:
+        """Drop an instance without a tombstone, as if never heard of."""
+        entry = self._entries.get(instance)
+        if entry is not None:
+            self._remove(entry)
+
+    def total_digest(self) -> int:
+        """Return a 64-bit digest of all live records."""
+        return self._total
+
     def expire(self) -> int:
         """Drop the tombstones that are due; return how many."""
         limit = self._clock() - const.TOMBSTONE_S
@@ -143,7 +165,7 @@
     ) -> None:
         if held is not None:
             self._remove(held)
-        entry = _Entry(record, _fingerprint(record), self._clock())
+        entry = _Entry(record, records.fingerprint(record), self._clock())
         self._entries[record.instance] = entry
         self._buckets[bucket_of(record.instance)][record.instance] = None
         if records.is_departed(record):
@@ -175,6 +197,7 @@
         # Exclusive or: the same step puts a record in and takes it out.
         record = entry.record
         self._digests[bucket_of(record.instance)] ^= entry.fingerprint
+        self._total ^= entry.fingerprint
         if record.kind == const.KIND_AGENT:
             before = self._service_digests.get(record.service, 0)
             self._service_digests[record.service] = before ^ entry.fingerprint
@@ -190,7 +213,3 @@
     held: records.InstanceRecord,
 ) -> bool:
     return records.precedence(record) > records.precedence(held)
-
-
-def _fingerprint(record: records.InstanceRecord) -> int:
-    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(record))
--- /dev/null
+++ b/kumquatport/version/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Spread of records and documents between the processes."""
--- /dev/null
+++ b/kumquatport/version/spread/announcer.py
@@ -0,0 +1,247 @@
+"""The instance's own record, and the heartbeats that carry it."""
+
+import asyncio
+import typing
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.helpers import clock
+from kumquatport.version import members
+from kumquatport.version.members import const as members_const
+from kumquatport.version.spread import (
+    const,
+    documents,
+    messages,
+    peers,
+    shared,
+    slices,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Announcer(mode.Service):
+    """Owns this instance's record and reports it to its observers.
+
+    Attributes:
+        superseded: Whether another process runs under the same name and
+            started later; then nothing more is announced.
+    """
+
+    def __init__(
+        self,
+        own: members.InstanceRecord,
+        state: shared.Shared,
+        known: peers.Peers,
+        fetcher: documents.Documents,
+    ) -> None:
+        """Set up, without telling anybody yet.
+
+        Args:
+            own: First record of this process.
+            state: Of this process.
+            known: Chooses the observers.
+            fetcher: Fetches newer documents.
+        """
+        super().__init__()
+        self.superseded = False
+        self._own = own
+        self._state = state
+        self._peers = known
+        self._documents = fetcher
+        self._told: dict[str, int] = {}
+        self._listing_due: float = 0
+        self._changed = asyncio.Event()
+        self._confirmed = False
+        state.registry.merge(own)
+        state.registry.subscribe(self._on_record)
+
+    @property
+    def own(self) -> members.InstanceRecord:
+        """Return the present record."""
+        return self._own
+
+    def update(
+        self,
+        state: str | None = None,
+        weight: float | None = None,
+    ) -> None:
+        """Change state or weight; the observers are told at once.
+
+        Args:
+            state: One of ``members.const.STATES``, unchanged if ``None``.
+            weight: 0 to 1, unchanged if ``None``.
+        """
+        changed = self._own._replace(
+            state=self._own.state if state is None else state,
+            weight=self._own.weight if weight is None else weight,
+        )
+        if changed != self._own:
+            self._publish(changed._replace(sequence=self._own.sequence + 1))
+
+    async def async_announce(self) -> int:
+        """Tell the observers now.
+
+        Returns:
+            How many answered.
+        """
+        targets = self._peers.observers()
+        failed = await self._async_round(targets)
+        if failed:
+            instead = self._peers.in_stead(failed)[: len(failed)]
+            failed_again = await self._async_round(instead)
+            targets = [*targets, *instead]
+            failed |= failed_again
+        return len({target.endpoint for target in targets} - failed)
+
+    async def on_start(self) -> None:
+        """Begin with the heartbeats."""
+        self.add_future(self._async_run())
+
+    async def on_stop(self) -> None:
+        """Tell the observers that this instance is gone."""
+        if not self.superseded:
+            self.update(state=members_const.STATE_GONE)
+            await self.async_announce()
+
+    async def _async_run(self) -> None:
+        while not (self.should_stop or self.superseded):
+            self._changed.clear()
+            started = clock.now()
+            await self.async_announce()
+            self._peers.prune()
+            await self._async_pause(const.HEARTBEAT_S - clock.now() + started)
+
+    async def _async_pause(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self._changed.wait(), max(seconds, 0))
+        except TimeoutError:
+            return
+
+    async def _async_round(self, targets: list[peers.Target]) -> set[str]:
+        """Report to each; return the endpoints that did not answer."""
+        answered = await asyncio.gather(
+            *(self._async_report(target) for target in targets),
+        )
+        now = clock.now()
+        if any(answered) and now >= self._listing_due:
+            self._listing_due = now + const.LISTING_S
+        return {
+            target.endpoint
+            for target, success in zip(targets, answered)
+            if not success
+        }
+
+    async def _async_report(self, target: peers.Target) -> bool:
+        try:
+            held_there = await self._async_beat(target)
+            if not held_there:
+                await self._async_beat(target)
+        except exceptions.PeerUnavailableError as error:
+            _LOGGER.debug('heartbeat not answered', error=str(error))
+            self._told.pop(target.endpoint, None)
+            self._peers.avoid(target.endpoint)
+            return False
+        self._peers.answered(target)
+        return True
+
+    async def _async_beat(self, target: peers.Target) -> bool:
+        """Send a heartbeat; tell whether the observer holds the record."""
+        own = self._own
+        asked_at = self._state.freshness.tick()
+        answer = await self._state.client.async_ask(
+            target.endpoint,
+            self._heartbeat(target),
+            const.HEARTBEAT_TIMEOUT_S,
+        )
+        self._told[target.endpoint] = own.sequence
+        await self._async_take(answer, target, asked_at)
+        if not answer.known:
+            self._told.pop(target.endpoint, None)
+        return own is self._own and answer.known
+
+    def _heartbeat(self, target: peers.Target) -> messages.Heartbeat:
+        own = self._own
+        told = self._told.get(target.endpoint) == own.sequence
+        return messages.Heartbeat(
+            instance=own.instance,
+            incarnation=own.incarnation,
+            sequence=own.sequence,
+            version=self._state.current.version,
+            fresh=self._state.freshness.is_fresh(),
+            digest=slices.digest(
+                self._state.registry, own.service, own.instance
+            ),
+            wants_peers=self._wants_peers(target),
+            record=None if told else own,
+        )
+
+    def _wants_peers(self, target: peers.Target) -> bool:
+        return not target.name or clock.now() >= self._listing_due
+
+    async def _async_take(
+        self,
+        answer: messages.HeartbeatAnswer,
+        target: peers.Target,
+        asked_at: float,
+    ) -> None:
+        self._confirmed = self._confirmed or answer.known
+        if answer.held is not None:
+            self._state.registry.merge(answer.held)
+        for record in answer.agents:
+            self._state.registry.merge(record)
+        self._peers.list_balancers(answer.balancers)
+        if self._documents.wants(answer.version):
+            await self._documents.async_fetch(target.endpoint)
+        if answer.fresh and not self._documents.wants(answer.version):
+            self._state.freshness.prolong(asked_at)
+
+    def _on_record(
+        self,
+        record: members.InstanceRecord,
+        _previous: members.InstanceRecord | None,
+    ) -> None:
+        """Answer what others hold of this instance and it did not say."""
+        if record.instance != self._own.instance or record == self._own:
+            return
+        if record.incarnation > self._own.incarnation and self._confirmed:
+            self._give_way(record)
+            return
+        # A lapse, or records of an earlier process whose clock was ahead.
+        self._publish(
+            self._own._replace(
+                incarnation=record.incarnation,
+                sequence=record.sequence + 1,
+            ),
+        )
+
+    def _give_way(self, record: members.InstanceRecord) -> None:
+        self.superseded = True
+        _LOGGER.error(
+            'another process runs under this name',
+            instance=record.instance,
+            endpoint=record.endpoint,
+        )
+
+    def _publish(self, record: members.InstanceRecord) -> None:
+        self._own = record
+        self._state.registry.merge(record)
+        self._changed.set()
+
+
+def first_record(**fields: typing.Any) -> members.InstanceRecord:
+    """Return the first record of a process.
+
+    Args:
+        **fields: Those of ``InstanceRecord`` but for state, weight,
+            incarnation and sequence.
+    """
+    return members.InstanceRecord(
+        state=members_const.STATE_STARTING,
+        weight=1.0,
+        incarnation=clock.unix_ms(),
+        sequence=1,
+        **fields,
+    )
--- /dev/null
+++ b/kumquatport/version/spread/const.py
@@ -0,0 +1,73 @@
+"""Constants of the spread of records and documents."""
+
+import typing
+
+KIND_HEARTBEAT: typing.Final = 2
+KIND_HEARTBEAT_ANSWER: typing.Final = 3
+KIND_DOCUMENT_FETCH: typing.Final = 4
+KIND_DOCUMENT_ANSWER: typing.Final = 5
+KIND_DOCUMENT_PUSH: typing.Final = 6
+KIND_KNOWN_VERSION: typing.Final = 7
+KIND_RECORDS_PUSH: typing.Final = 8
+KIND_COMPARE: typing.Final = 9
+KIND_COMPARE_ANSWER: typing.Final = 10
+KIND_EXCHANGE: typing.Final = 11
+KIND_EXCHANGE_ANSWER: typing.Final = 12
+KIND_SEEN_QUERY: typing.Final = 13
+KIND_SEEN_ANSWER: typing.Final = 14
+
+HEARTBEAT_S: typing.Final = 1.0
+HEARTBEAT_TIMEOUT_S: typing.Final = 0.6
+OBSERVERS: typing.Final = 3
+SPARE_OBSERVERS: typing.Final = 2
+AVOID_S: typing.Final = 10.0
+LISTING_S: typing.Final = 10.0
+LISTED_S: typing.Final = 60.0
+MAX_SLICE_RECORDS: typing.Final = 64
+
+LEASE_S: typing.Final = 3.0
+LEASE_TICK_S: typing.Final = 0.25
+SEEN_TIMEOUT_S: typing.Final = 0.5
+SEEN_RANDOM_PEERS: typing.Final = 2
+MAX_SUSPICIONS: typing.Final = 32
+DUTY_SCAN_S: typing.Final = 5.0
+DUTY_MARGIN: typing.Final = 4.0
+
+FANOUT: typing.Final = 4
+BATCH_S: typing.Final = 0.1
+MAX_BATCH_RECORDS: typing.Final = 500
+PUSH_TIMEOUT_S: typing.Final = 0.6
+INTRODUCE_WAIT_S: typing.Final = 0.3
+FETCH_TIMEOUT_S: typing.Final = 1.0
+KEPT_VERSIONS: typing.Final = 8
+KEPT_RELAYS: typing.Final = 256
+
+REPAIR_S: typing.Final = 1.0
+REPAIR_TIMEOUT_S: typing.Final = 0.6
+MAX_EXCHANGE_BUCKETS: typing.Final = 16
+MAX_EXCHANGES: typing.Final = 16
+
+TICK_S: typing.Final = 0.1
+PAUSE_S: typing.Final = 1.0
+FRESH_S: typing.Final = 3.0
+CONFIRM_S: typing.Final = 0.2
+CONFIRM_TIMEOUT_S: typing.Final = 0.5
+CONFIRM_BALANCERS: typing.Final = 4
+CONFIRM_AGENTS: typing.Final = 2
+CONFIRM_PLATFORM_READERS: typing.Final = 20
+FALLBACK_S: typing.Final = 2.0
+
+KEY_DOCUMENT: typing.Final = 'config/document'
+WATCHERS: typing.Final = 3
+WATCH_S: typing.Final = 10.0
+WATCH_RETRY_S: typing.Final = 0.5
+
+KEY_MEMBERS: typing.Final = 'members'
+KEY_LEASES: typing.Final = 'leases'
+LEASE_DURATION_S: typing.Final = 15.0
+LEASE_RENEW_S: typing.Final = 5.0
+SNAPSHOT_S: typing.Final = 10.0
+RECORDS_PER_SHARD: typing.Final = 500
+HINTS_AFTER_S: typing.Final = 1.0
+MAX_HINTS_RETRY_S: typing.Final = 60.0
+MAX_HINTS: typing.Final = 16
--- /dev/null
+++ b/kumquatport/version/spread/documents.py
@@ -0,0 +1,237 @@
+"""Documents: pushed down trees, fetched from whoever has a newer one."""
+
+import asyncio
+import collections
+import typing
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.control import server
+from kumquatport.version import current as currents
+from kumquatport.version.spread import const, delta, messages, order, shared
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Documents(mode.Service):
+    """Passes documents on and answers those who ask for one."""
+
+    def __init__(
+        self,
+        state: shared.Shared,
+        control: server.ControlServer,
+    ) -> None:
+        """Answer pushes and fetches.
+
+        Args:
+            state: Of this process.
+            control: Where the handlers are added.
+        """
+        super().__init__()
+        self._state = state
+        self._kept: collections.OrderedDict[int, bytes] = (
+            collections.OrderedDict()
+        )
+        self._updates: dict[int, delta.Update] = {}
+        self._relayed: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+        self._fetching: set[str] = set()
+        self._rejected = 0
+        self._coming = (0, b'')
+        state.current.subscribe(self._keep)
+        control.handle(messages.DocumentFetch, self._async_on_fetch)
+        control.handle(messages.DocumentPush, self._async_on_push)
+
+    async def async_introduce(self, version: int, encoded: bytes) -> None:
+        """Bring in a document that came from the platform.
+
+        It is passed on before it comes into force here, so that no process
+        ever holds a version that dies with it.
+
+        Args:
+            version: Version of the platform's object.
+            encoded: The object's bytes.
+        """
+        held = self._state.current.held
+        if version <= max(held.version, self._rejected):
+            return
+        update = delta.whole(version, encoded)
+        if held.version:
+            update = delta.between(held.version, held.encoded, version, encoded)
+        self._coming = (version, encoded)
+        passed = self._relay(self._state.instance, update)
+        if passed:
+            await asyncio.wait(passed, timeout=const.INTRODUCE_WAIT_S)
+        self._offer(version, encoded)
+
+    async def async_fetch(self, endpoint: str) -> messages.DocumentAnswer:
+        """Ask a peer for its document and take it if it is newer.
+
+        Args:
+            endpoint: Control endpoint of the peer.
+
+        Returns:
+            The peer's answer, already applied.
+
+        Raises:
+            PeerUnavailableError: There was no answer.
+        """
+        answer = await self._async_ask_fetch(
+            endpoint, self._state.current.version
+        )
+        if answer.update is None or self._take(answer.update):
+            return answer
+        again = await self._async_ask_fetch(endpoint, 0)
+        if again.update is not None:
+            self._take(again.update)
+        return again
+
+    def fetch_soon(self, endpoint: str) -> None:
+        """Fetch from a peer in the background, once at a time."""
+        if endpoint in self._fetching or self.should_stop:
+            return
+        self._fetching.add(endpoint)
+        self.add_future(self._async_fetch_quietly(endpoint))
+
+    def wants(self, version: int) -> bool:
+        """Tell whether a version that a peer holds should be fetched."""
+        return version > max(self._state.current.version, self._rejected)
+
+    async def _async_ask_fetch(
+        self,
+        endpoint: str,
+        version: int,
+    ) -> messages.DocumentAnswer:
+        answer = await self._state.client.async_ask(
+            endpoint,
+            messages.DocumentFetch(version),
+            const.FETCH_TIMEOUT_S,
+        )
+        return typing.cast(messages.DocumentAnswer, answer)
+
+    async def _async_fetch_quietly(self, endpoint: str) -> None:
+        try:
+            await self.async_fetch(endpoint)
+        except exceptions.PeerUnavailableError as error:
+            _LOGGER.debug('document not fetched', error=str(error))
+        finally:
+            self._fetching.discard(endpoint)
+
+    async def _async_on_fetch(
+        self,
+        message: messages.DocumentFetch,
+    ) -> messages.DocumentAnswer:
+        held = self._state.current.held
+        version, encoded = max(self._coming, (held.version, held.encoded))
+        fresh = self._state.freshness.is_fresh()
+        update = None
+        if message.version < version:
+            update = self._update_from(message.version, version, encoded)
+        return messages.DocumentAnswer(version, fresh, update)
+
+    async def _async_on_push(
+        self,
+        message: messages.DocumentPush,
+    ) -> messages.KnownVersion:
+        self._relay(message.origin, message.update)
+        taken = self._take(message.update)
+        if not taken and message.sender and self.wants(message.update.version):
+            self.fetch_soon(message.sender)
+        return messages.KnownVersion(
+            self._state.current.version,
+            self._state.freshness.is_fresh(),
+        )
+
+    def _take(self, update: delta.Update) -> bool:
+        """Apply an update; tell whether its version is now held or refused."""
+        if not self.wants(update.version):
+            return True
+        base = self._state.current.held
+        if update.base not in (0, base.version):
+            return False
+        encoded = delta.apply(update, base.encoded)
+        if encoded is None:
+            return False
+        self._offer(update.version, encoded)
+        return True
+
+    def _offer(self, version: int, encoded: bytes) -> None:
+        try:
+            self._state.current.offer(version, encoded)
+        except exceptions.DocumentRejectedError as error:
+            self._rejected = version
+            _LOGGER.error(
+                'document refused here',
+                version=version,
+                code=error.code,
+                error=str(error),
+            )
+
+    def _keep(self, held: currents.Versioned) -> None:
+        self._updates.clear()
+        self._kept[held.version] = held.encoded
+        while len(self._kept) > const.KEPT_VERSIONS:
+            self._kept.popitem(last=False)
+
+    def _update_from(
+        self,
+        base: int,
+        version: int,
+        encoded: bytes,
+    ) -> delta.Update:
+        found = self._updates.get(base)
+        if found is not None and found.version == version:
+            return found
+        kept = self._kept.get(base)
+        if kept is None:
+            base = 0
+            found = delta.whole(version, encoded)
+        else:
+            found = delta.between(base, kept, version, encoded)
+        self._updates[base] = found
+        return found
+
+    def _relay(
+        self,
+        origin: str,
+        update: delta.Update,
+    ) -> list[asyncio.Future[None]]:
+        """Pass an update on down the tree of its origin, once."""
+        mark = (origin, update.version)
+        if mark in self._relayed or not self._state.is_balancer:
+            return []
+        self._relayed[mark] = None
+        while len(self._relayed) > const.KEPT_RELAYS:
+            self._relayed.popitem(last=False)
+        names = order.tree(origin, self._state.balancer_names())
+        place = names.index(self._state.instance)
+        message = messages.DocumentPush(origin, self._state.endpoint, update)
+        return [
+            self.add_future(self._async_push(child, names, message))
+            for child in order.children(names, place, const.FANOUT)
+        ]
+
+    async def _async_push(
+        self,
+        name: str,
+        names: list[str],
+        message: messages.DocumentPush,
+    ) -> None:
+        """Push to a node of the tree, or in its stead to those below it."""
+        endpoint = self._state.endpoint_of(name)
+        if endpoint is not None:
+            try:
+                await self._state.client.async_ask(
+                    endpoint, message, const.PUSH_TIMEOUT_S
+                )
+            except exceptions.PeerUnavailableError:
+                _LOGGER.debug('document push passes over', instance=name)
+            else:
+                return
+        below = order.children(names, names.index(name), const.FANOUT)
+        await asyncio.gather(
+            *(self._async_push(child, names, message) for child in below),
+        )
--- /dev/null
+++ b/kumquatport/version/spread/leases.py
@@ -0,0 +1,145 @@
+"""A lease kept in one object of the platform."""
+
+import typing
+
+import msgspec
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.helpers import clock
+from kumquatport.process.platform import client as platforms
+from kumquatport.process.platform import model
+from kumquatport.version.spread import const
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """What the lease's object says.
+
+    Attributes:
+        holder: Name of the instance that holds it.
+        incarnation: Of the holder's process.
+        renewals: Counts up; makes each write differ.
+    """
+
+    holder: str
+    incarnation: int
+    renewals: int
+
+
+class Lease:
+    """Held by whoever wrote the object last, for ``LEASE_DURATION_S``.
+
+    Only conditional updates are made, so two that reach for the lease at once
+    cannot both get it. Others take it over when the object did not change for
+    a whole duration by their own clock. That a holder was paused in between it
+    may notice late; what it writes under the lease is therefore conditional on
+    versions that its successor has changed.
+    """
+
+    def __init__(
+        self,
+        platform: platforms.PlatformClient,
+        name: str,
+        holder: str,
+        incarnation: int,
+    ) -> None:
+        """Set up without holding it.
+
+        Args:
+            platform: Client of the platform.
+            name: Last part of the object's key.
+            holder: Name of this instance.
+            incarnation: Of this process.
+        """
+        self._platform = platform
+        self._key = f'{const.KEY_LEASES}/{name}'
+        self._own = Holding(holder, incarnation, 0)
+        self._version = 0
+        self._valid_until: float = 0
+        self._seen: tuple[int, float] = (0, 0)
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether this process may take itself for the holder."""
+        return clock.now() < self._valid_until
+
+    async def async_hold(self) -> bool:
+        """Renew the lease or reach for it; tell whether it is held."""
+        asked_at = clock.now()
+        try:
+            if self.is_held:
+                await self._async_write(self._version, asked_at)
+            else:
+                await self._async_reach(asked_at)
+        except exceptions.VersionConflictError:
+            self.give_up()
+        except exceptions.OutcomeUnknownError:
+            await self._async_read_back(asked_at)
+        except exceptions.KumquatportError as error:
+            _LOGGER.debug('lease not renewed', key=self._key, error=str(error))
+        return self.is_held
+
+    def give_up(self) -> None:
+        """Stop taking this process for the holder."""
+        if self._valid_until:
+            _LOGGER.warning('lease lost', key=self._key)
+        self._valid_until = 0
+
+    async def _async_reach(self, asked_at: float) -> None:
+        try:
+            stored = await self._platform.async_get(self._key)
+        except exceptions.ObjectMissingError:
+            await self._async_write(0, asked_at)
+            return
+        if self._seen[0] != stored.version:
+            self._seen = (stored.version, asked_at)
+        idle = asked_at - self._seen[1]
+        if idle >= const.LEASE_DURATION_S or self._is_own(stored):
+            await self._async_write(stored.version, asked_at)
+
+    async def _async_write(self, expected: int, asked_at: float) -> None:
+        self._own = msgspec.structs.replace(
+            self._own,
+            renewals=self._own.renewals + 1,
+        )
+        value = msgspec.json.encode(self._own)
+        version = await self._platform.async_put(self._key, value, expected)
+        self._note_held(version, asked_at)
+
+    async def _async_read_back(self, asked_at: float) -> None:
+        """Settle a write whose answer was lost."""
+        try:
+            stored = await self._platform.async_get(self._key)
+        except exceptions.KumquatportError as error:
+            _LOGGER.debug('lease unsettled', key=self._key, error=str(error))
+            return
+        if _decode(stored) == self._own:
+            self._note_held(stored.version, asked_at)
+        elif not self._is_own(stored):
+            self.give_up()
+        else:
+            self._version = stored.version
+
+    def _note_held(self, version: int, asked_at: float) -> None:
+        if not self.is_held:
+            _LOGGER.info('lease taken', key=self._key, version=version)
+        self._version = version
+        self._valid_until = asked_at + const.LEASE_DURATION_S
+
+    def _is_own(self, stored: model.StoredObject) -> bool:
+        held = _decode(stored)
+        return held is not None and (held.holder, held.incarnation) == (
+            self._own.holder,
+            self._own.incarnation,
+        )
+
+
+def _decode(stored: model.StoredObject) -> Holding | None:
+    try:
+        return typing.cast(
+            Holding, msgspec.json.decode(stored.value, type=Holding)
+        )
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/kumquatport/version/spread/records.py
@@ -0,0 +1,146 @@
+"""Changed records, passed on in batches down the tree of their origin."""
+
+import asyncio
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.control import server
+from kumquatport.version import members
+from kumquatport.version.spread import const, messages, order, shared
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class RecordSpread(mode.Service):
+    """Tells the other balancers what changed in this one's registry."""
+
+    def __init__(
+        self,
+        state: shared.Shared,
+        control: server.ControlServer,
+    ) -> None:
+        """Follow the registry.
+
+        Args:
+            state: Of this process.
+            control: Where the handler is added.
+        """
+        super().__init__()
+        self._state = state
+        self._pending: dict[str, dict[str, members.InstanceRecord]] = {}
+        self._origin = state.instance
+        self._quiet = False
+        self._due = asyncio.Event()
+        state.registry.subscribe(self._on_record)
+        control.handle(messages.RecordsPush, self._async_on_push)
+
+    def merge_quietly(self, records: messages.Records) -> int:
+        """Merge records without passing them on; return how many changed."""
+        self._quiet = True
+        try:
+            return self._merge(records)
+        finally:
+            self._quiet = False
+
+    async def on_start(self) -> None:
+        """Begin to pass records on, in a balancer."""
+        if self._state.is_balancer:
+            self.add_future(self._async_run())
+
+    async def async_flush(self) -> None:
+        """Pass on what waits."""
+        pending = self._take_pending()
+        await asyncio.gather(
+            *(
+                self._async_pass_on(origin, tuple(changed.values()))
+                for origin, changed in pending.items()
+            ),
+        )
+
+    def _take_pending(self) -> dict[str, dict[str, members.InstanceRecord]]:
+        pending = self._pending
+        self._pending = {}
+        self._due.clear()
+        return pending
+
+    async def _async_run(self) -> None:
+        while not self.should_stop:
+            await self.wait_first(self._due.wait())
+            await self.sleep(const.BATCH_S)
+            for origin, changed in self._take_pending().items():
+                # A slow child of one batch must not hold up the next.
+                batch = tuple(changed.values())
+                self.add_future(self._async_pass_on(origin, batch))
+
+    async def _async_on_push(
+        self,
+        message: messages.RecordsPush,
+    ) -> messages.KnownVersion:
+        self._origin = message.origin
+        try:
+            self._merge(message.records)
+        finally:
+            self._origin = self._state.instance
+        return messages.KnownVersion(
+            self._state.current.version,
+            self._state.freshness.is_fresh(),
+        )
+
+    def _merge(self, records: messages.Records) -> int:
+        return sum(
+            self._state.registry.merge(record)
+            for record in records
+            if record.region == self._state.region
+        )
+
+    def _on_record(
+        self,
+        record: members.InstanceRecord,
+        _previous: members.InstanceRecord | None,
+    ) -> None:
+        if self._quiet or not self._state.is_balancer:
+            return
+        # A refutation comes up inside the merge of what it refutes.
+        own = record.instance == self._state.instance
+        origin = self._state.instance if own else self._origin
+        self._pending.setdefault(origin, {})[record.instance] = record
+        self._due.set()
+
+    async def _async_pass_on(
+        self,
+        origin: str,
+        changed: messages.Records,
+    ) -> None:
+        names = order.tree(origin, self._state.balancer_names())
+        place = names.index(self._state.instance)
+        below = order.children(names, place, const.FANOUT)
+        for first in range(0, len(changed), const.MAX_BATCH_RECORDS):
+            batch = changed[first : first + const.MAX_BATCH_RECORDS]
+            message = messages.RecordsPush(origin, batch)
+            await asyncio.gather(
+                *(self._async_push(name, names, message) for name in below),
+            )
+
+    async def _async_push(
+        self,
+        name: str,
+        names: list[str],
+        message: messages.RecordsPush,
+    ) -> None:
+        """Push to a node of the tree, or in its stead to those below it."""
+        endpoint = self._state.endpoint_of(name)
+        if endpoint is not None:
+            try:
+                await self._state.client.async_ask(
+                    endpoint, message, const.PUSH_TIMEOUT_S
+                )
+            except exceptions.PeerUnavailableError:
+                _LOGGER.debug('record push passes over', instance=name)
+            else:
+                return
+        below = order.children(names, names.index(name), const.FANOUT)
+        await asyncio.gather(
+            *(self._async_push(child, names, message) for child in below),
+        )
--- /dev/null
+++ b/kumquatport/version/spread/repair.py
@@ -0,0 +1,153 @@
+"""Comparison with a random peer, which mends what the trees missed."""
+
+import asyncio
+import random
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.control import server
+from kumquatport.version import members
+from kumquatport.version.spread import (
+    const,
+    documents,
+    messages,
+    records,
+    shared,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Repair(mode.Service):
+    """Compares digests and exchanges the records of buckets that differ.
+
+    Attributes:
+        compared: Set once a peer has been compared with in full.
+    """
+
+    def __init__(
+        self,
+        state: shared.Shared,
+        control: server.ControlServer,
+        fetcher: documents.Documents,
+        spread: records.RecordSpread,
+    ) -> None:
+        """Answer comparisons.
+
+        Args:
+            state: Of this process.
+            control: Where the handlers are added.
+            fetcher: Fetches newer documents.
+            spread: Merges what was repaired.
+        """
+        super().__init__()
+        self.compared = asyncio.Event()
+        self._state = state
+        self._documents = fetcher
+        self._spread = spread
+        control.handle(messages.Compare, self._async_on_compare)
+        control.handle(messages.Exchange, self._async_on_exchange)
+
+    async def on_start(self) -> None:
+        """Begin to compare, in a balancer."""
+        if self._state.is_balancer:
+            self.add_future(self._async_run())
+
+    async def _async_run(self) -> None:
+        while not self.should_stop:
+            self._state.registry.expire()
+            endpoint = self._pick()
+            if endpoint is not None:
+                await self._async_repair(endpoint)
+            await self.sleep(const.REPAIR_S)
+
+    def _pick(self) -> str | None:
+        others = self._state.other_balancers()
+        endpoints = [record.endpoint for record in others]
+        return random.choice(endpoints or self._state.seeds or (None,))
+
+    async def _async_repair(self, endpoint: str) -> None:
+        try:
+            for _ in range(const.MAX_EXCHANGES):
+                if not await self._async_compare(endpoint):
+                    self.compared.set()
+                    return
+        except exceptions.PeerUnavailableError as error:
+            _LOGGER.debug('comparison not answered', error=str(error))
+
+    async def _async_compare(self, endpoint: str) -> bool:
+        """Compare once; tell whether anything came to be the same."""
+        registry = self._state.registry
+        asked_at = self._state.freshness.tick()
+        answer = await self._state.client.async_ask(
+            endpoint,
+            messages.Compare(
+                self._state.endpoint,
+                self._state.current.version,
+                registry.total_digest(),
+            ),
+            const.REPAIR_TIMEOUT_S,
+        )
+        if self._documents.wants(answer.version):
+            await self._documents.async_fetch(endpoint)
+        elif answer.fresh:
+            self._state.freshness.prolong(asked_at)
+        if not answer.digests:
+            return False
+        return await self._async_exchange(endpoint, answer.digests)
+
+    async def _async_exchange(
+        self,
+        endpoint: str,
+        digests: tuple[int, ...],
+    ) -> bool:
+        own = self._state.registry.digests()
+        buckets = tuple(
+            number
+            for number, pair in enumerate(zip(own, digests))
+            if pair[0] != pair[1]
+        )[: const.MAX_EXCHANGE_BUCKETS]
+        if not buckets:
+            return False
+        answer = await self._state.client.async_ask(
+            endpoint,
+            messages.Exchange(buckets, self._held(buckets)),
+            const.REPAIR_TIMEOUT_S,
+        )
+        self._spread.merge_quietly(answer.records)
+        return True
+
+    def _held(self, buckets: tuple[int, ...]) -> messages.Records:
+        held: list[members.InstanceRecord] = []
+        for number in buckets:
+            held.extend(self._state.registry.bucket(number))
+        return tuple(held)
+
+    async def _async_on_compare(
+        self,
+        message: messages.Compare,
+    ) -> messages.CompareAnswer:
+        if self._documents.wants(message.version):
+            self._documents.fetch_soon(message.endpoint)
+        registry = self._state.registry
+        same = registry.total_digest() == message.digest
+        return messages.CompareAnswer(
+            self._state.current.version,
+            self._state.freshness.is_fresh(),
+            () if same else registry.digests(),
+        )
+
+    async def _async_on_exchange(
+        self,
+        message: messages.Exchange,
+    ) -> messages.ExchangeAnswer:
+        valid = [
+            number
+            for number in message.buckets
+            if 0 <= number < len(self._state.registry.digests())
+        ]
+        held = self._held(tuple(valid))
+        self._spread.merge_quietly(message.records)
+        return messages.ExchangeAnswer(held)
--- /dev/null
+++ b/kumquatport/version/spread/snapshots.py
@@ -0,0 +1,186 @@
+"""Snapshots of the members at the platform, by which peers are found."""
+
+import random
+
+import mode
+import msgspec
+import structlog
+import xxhash
+
+from kumquatport import exceptions
+from kumquatport.helpers import clock
+from kumquatport.process.platform import client as platforms
+from kumquatport.version import members
+from kumquatport.version.spread import const, leases, order, peers, shared
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """One shard: the live records whose names hash to it."""
+
+    records: tuple[members.InstanceRecord, ...]
+
+
+class Snapshots(mode.Service):
+    """Writes snapshots under a lease; reads them when no peer is known.
+
+    Each shard is written on condition of the version last seen. A new holder
+    writes all shards first, so whatever a paused predecessor still sends is
+    refused by the platform.
+    """
+
+    def __init__(
+        self,
+        state: shared.Shared,
+        incarnation: int,
+        platform: platforms.PlatformClient,
+        known: peers.Peers,
+    ) -> None:
+        """Set up.
+
+        Args:
+            state: Of this process.
+            incarnation: Of this process.
+            platform: Client of the platform.
+            known: Takes the endpoints found.
+        """
+        super().__init__()
+        self.lease = leases.Lease(
+            platform,
+            f'{const.KEY_MEMBERS}-{state.region}',
+            state.instance,
+            incarnation,
+        )
+        self._state = state
+        self._platform = platform
+        self._peers = known
+        self._prefix = f'{const.KEY_MEMBERS}/{state.region}/'
+        self._versions: dict[str, int] = {}
+        self._written: dict[str, bytes] = {}
+        self._fenced = False
+        self._due: float = 0
+
+    async def on_start(self) -> None:
+        """Begin to look for peers, and in a balancer to write."""
+        self.add_future(self._async_find_peers())
+        if self._state.is_balancer:
+            self.add_future(self._async_run())
+
+    async def async_write(self) -> int:
+        """Write the shards that changed, or all after taking the lease.
+
+        Returns:
+            How many objects were written.
+
+        Raises:
+            VersionConflictError: Another holder wrote; the lease is lost.
+            KumquatportError: The platform did not answer.
+        """
+        if not self._fenced:
+            await self._async_learn_versions()
+        shards = self._encode()
+        changed = {
+            key: value
+            for key, value in shards.items()
+            if not self._fenced or self._written.get(key) != value
+        }
+        for key, value in changed.items():
+            await self._async_put(key, value)
+        self._fenced = True
+        for key in set(self._versions) - set(shards):
+            await self._platform.async_delete(key, self._versions.pop(key))
+        return len(changed)
+
+    async def _async_run(self) -> None:
+        while not self.should_stop:
+            if self._is_candidate():
+                await self._async_turn()
+            await self.sleep(const.LEASE_RENEW_S)
+
+    def _is_candidate(self) -> bool:
+        names = order.ranked(self._prefix, self._state.balancer_names())
+        return self._state.instance in names[: const.WATCHERS]
+
+    async def _async_turn(self) -> None:
+        if not await self.lease.async_hold():
+            self._fenced = False
+            return
+        if clock.now() < self._due:
+            return
+        self._due = clock.now() + const.SNAPSHOT_S
+        try:
+            await self.async_write()
+        except exceptions.VersionConflictError:
+            self._fenced = False
+            self.lease.give_up()
+        except exceptions.KumquatportError as error:
+            # What took effect is not known: learn the versions again.
+            self._fenced = False
+            _LOGGER.debug('members not written', error=str(error))
+
+    async def _async_learn_versions(self) -> None:
+        listing = await self._platform.async_list(self._prefix)
+        self._versions = {
+            stored.key: stored.version for stored in listing.objects
+        }
+        self._written.clear()
+
+    async def _async_put(self, key: str, value: bytes) -> None:
+        expected = self._versions.get(key, 0)
+        version = await self._platform.async_put(key, value, expected)
+        self._versions[key] = version
+        self._written[key] = value
+
+    def _encode(self) -> dict[str, bytes]:
+        live = [
+            record
+            for record in self._state.registry.all_records()
+            if not members.is_departed(record)
+        ]
+        count = 1 << (len(live) // const.RECORDS_PER_SHARD).bit_length()
+        shards: list[list[members.InstanceRecord]] = [[] for _ in range(count)]
+        for record in sorted(live):
+            number = xxhash.xxh64_intdigest(record.instance.encode()) % count
+            shards[number].append(record)
+        return {
+            f'{self._prefix}{number}': msgspec.json.encode(
+                Snapshot(tuple(kept))
+            )
+            for number, kept in enumerate(shards)
+        }
+
+    async def _async_find_peers(self) -> None:
+        delay = const.HINTS_AFTER_S
+        while not self.should_stop:
+            await self.sleep(delay * random.uniform(1, 1.5))
+            if self._state.other_balancers():
+                delay = const.HINTS_AFTER_S
+                continue
+            await self._async_read_hints()
+            delay = min(delay * 2, const.MAX_HINTS_RETRY_S)
+
+    async def _async_read_hints(self) -> None:
+        try:
+            listing = await self._platform.async_list(self._prefix)
+        except exceptions.KumquatportError as error:
+            _LOGGER.debug('members not read', error=str(error))
+            return
+        endpoints: list[str] = []
+        for stored in listing.objects:
+            endpoints.extend(_balancer_endpoints(stored.value))
+        random.shuffle(endpoints)
+        self._peers.hint(endpoints)
+
+
+def _balancer_endpoints(value: bytes) -> list[str]:
+    try:
+        snapshot = msgspec.json.decode(value, type=Snapshot)
+    except msgspec.MsgspecError as error:
+        _LOGGER.error('members snapshot not understood', error=str(error))
+        return []
+    return [
+        record.endpoint
+        for record in snapshot.records
+        if record.kind == members.KIND_BALANCER
+    ]
--- /dev/null
+++ b/kumquatport/version/spread/source.py
@@ -0,0 +1,128 @@
+"""The platform's document, read and watched by a few balancers."""
+
+import asyncio
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.helpers import clock
+from kumquatport.process.platform import client as platforms
+from kumquatport.process.platform import model
+from kumquatport.version import members
+from kumquatport.version.spread import const, documents, order, shared
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class PlatformSource(mode.Service):
+    """Watches the platform while this balancer is one of its watchers.
+
+    Attributes:
+        confirmed_at: When the platform last answered, by the process's
+            monotonic clock; 0 for never.
+    """
+
+    def __init__(
+        self,
+        state: shared.Shared,
+        platform: platforms.PlatformClient,
+        fetcher: documents.Documents,
+    ) -> None:
+        """Set up.
+
+        Args:
+            state: Of this process.
+            platform: Client of the platform.
+            fetcher: Takes new documents and passes them on.
+        """
+        super().__init__()
+        self.confirmed_at: float = 0
+        self._state = state
+        self._platform = platform
+        self._documents = fetcher
+        self._rank_changed = asyncio.Event()
+        state.registry.subscribe(self._on_record)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Tell whether this balancer is one of those that watch."""
+        if not self._state.is_balancer:
+            return False
+        names = order.ranked(const.KEY_DOCUMENT, self._state.balancer_names())
+        return self._state.instance in names[: const.WATCHERS]
+
+    async def on_start(self) -> None:
+        """Begin to watch when it is this balancer's turn."""
+        if self._state.is_balancer:
+            self.add_future(self._async_run())
+
+    async def async_read(self, timeout: float) -> bool:
+        """Read the document once.
+
+        Args:
+            timeout: Longest wait, in seconds.
+
+        Returns:
+            Whether the platform answered.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                stored = await self._platform.async_get(const.KEY_DOCUMENT)
+        except exceptions.ObjectMissingError:
+            return True
+        except (exceptions.KumquatportError, TimeoutError):
+            return False
+        await self._async_take(stored)
+        return True
+
+    async def _async_run(self) -> None:
+        while not self.should_stop:
+            self._rank_changed.clear()
+            if self.is_watcher:
+                await self._async_watch()
+            else:
+                await self.wait_first(
+                    self._rank_changed.wait(),
+                    timeout=const.WATCH_S,
+                )
+
+    async def _async_watch(self) -> None:
+        """List, then watch until it fails or others are to watch."""
+        try:
+            listing = await self._platform.async_list(const.KEY_DOCUMENT)
+            await self._async_take_all(listing)
+            while self.is_watcher and not self.should_stop:
+                listing = await self._async_watch_once(listing.revision)
+        except exceptions.KumquatportError as error:
+            _LOGGER.debug('document not watched', error=str(error))
+            await self.sleep(const.WATCH_RETRY_S)
+
+    async def _async_watch_once(self, revision: int) -> model.Listing:
+        listing = await self._platform.async_watch(
+            const.KEY_DOCUMENT,
+            revision,
+            const.WATCH_S,
+        )
+        await self._async_take_all(listing)
+        return listing
+
+    async def _async_take_all(self, listing: model.Listing) -> None:
+        self.confirmed_at = clock.now()
+        for stored in listing.objects:
+            if stored.key == const.KEY_DOCUMENT:
+                await self._async_take(stored)
+
+    async def _async_take(self, stored: model.StoredObject) -> None:
+        if stored.deleted:
+            _LOGGER.error('document deleted at the platform, kept in force')
+            return
+        await self._documents.async_introduce(stored.version, stored.value)
+
+    def _on_record(
+        self,
+        record: members.InstanceRecord,
+        _previous: members.InstanceRecord | None,
+    ) -> None:
+        if record.kind == members.KIND_BALANCER:
+            self._rank_changed.set()
--- /dev/null
+++ b/tests/builders/memberships.py
@@ -0,0 +1,97 @@
+"""Memberships in this process, and an object API in memory."""
+
+import asyncio
+import json
+
+from kumquatport import exceptions
+from kumquatport.process.platform import model
+from kumquatport.version.spread import membership
+from tests.builders import members
+
+KEY = b'k' * 32
+
+
+class MemoryPlatform:
+    """The platform's adapter without a platform; may be switched off."""
+
+    def __init__(self):
+        self.down = False
+        self.revision = 0
+        self.objects = {}
+        self.calls = 0
+
+    async def async_get(self, key):
+        self._call()
+        if key not in self.objects:
+            raise exceptions.ObjectMissingError(key)
+        return self.objects[key]
+
+    async def async_put(self, key, value, expected):
+        self._call()
+        held = self.objects.get(key)
+        version = held.version if held else 0
+        if expected not in (None, version):
+            raise exceptions.VersionConflictError(key)
+        self.revision += 1
+        self.objects[key] = model.StoredObject(key, version + 1, value)
+        return version + 1
+
+    async def async_delete(self, key, expected):
+        self._call()
+        self.objects.pop(key, None)
+
+    async def async_list(self, prefix):
+        self._call()
+        found = [
+            stored
+            for key, stored in self.objects.items()
+            if key.startswith(prefix)
+        ]
+        return model.Listing(self.revision, tuple(found))
+
+    async def async_watch(self, prefix, since, timeout):
+        self._call()
+        waited = 0
+        while self.revision <= since and waited < timeout:
+            await asyncio.sleep(0.05)
+            waited += 0.05
+            self._check()
+        return await self.async_list(prefix)
+
+    def _call(self):
+        self.calls += 1
+        self._check()
+
+    def _check(self):
+        if self.down:
+            raise exceptions.PlatformUnavailableError('down')
+
+
+def document(number=0, out=()):
+    """Build the bytes of a small document as the memberships parse it."""
+    domains = [
+        {'name': name, 'region': 'accra', 'out': name in out}
+        for name in ('accra-a', 'accra-b', 'accra-c')
+    ]
+    content = {'number': number, 'failure_domains': domains, 'rules': []}
+    return json.dumps(content).encode()
+
+
+def balancer(number, platform, seeds=(), net='127.40.4'):
+    """Build a balancer's membership, not started."""
+    own = members.balancer(
+        instance=f'balancer-{number}',
+        address=f'{net}.{number}',
+        state='starting',
+    )
+    return membership.Membership(own, seeds, KEY, platform, json.loads)
+
+
+def agent(number, platform, seeds=(), net='127.40.5'):
+    """Build an agent's membership, not started."""
+    own = members.agent(
+        instance=f'agent-{number}',
+        address=f'{net}.{number}',
+        state='starting',
+    )
+    return membership.Membership(own, seeds, KEY, platform, json.loads)
--- /dev/null
+++ b/tests/unit/version/spread/test_membership.py
@@ -0,0 +1,173 @@
+"""Memberships of several processes, over real sockets in one process."""
+
+import asyncio
+import unittest
+
+from kumquatport.connection.control import client, frame, traffic
+from kumquatport.helpers import clock
+from kumquatport.version import members
+from kumquatport.version.spread import const, publish
+from tests.builders import memberships
+
+SEEDS = ('127.40.4.1:7000',)
+SERVICE = 'storefront'
+
+
+class MembershipTest(unittest.IsolatedAsyncioTestCase):
+    """Four balancers, three agents."""
+
+    async def asyncSetUp(self):
+        self.platform = memberships.MemoryPlatform()
+        await self.platform.async_put(
+            const.KEY_DOCUMENT, memberships.document(1), 0
+        )
+        self.balancers = [
+            memberships.balancer(number, self.platform, SEEDS)
+            for number in range(1, 5)
+        ]
+        self.agents = [
+            memberships.agent(number, self.platform, SEEDS)
+            for number in range(1, 4)
+        ]
+        for each in self.everyone():
+            await self.async_begin(each)
+        await self.async_until(self.settled, 8)
+
+    def everyone(self):
+        return [*self.balancers, *self.agents]
+
+    async def async_begin(self, each):
+        await each.start()
+        self.addAsyncCleanup(each.stop)
+        each.announcer.update(state='ready')
+
+    async def async_until(self, check, seconds):
+        """Wait for a condition; fail when it takes longer."""
+        deadline = clock.now() + seconds
+        while not check():
+            self.assertLess(clock.now(), deadline, 'took too long')
+            await asyncio.sleep(0.02)
+
+    def settled(self):
+        return all(
+            len(each.tables.table(SERVICE)) == len(self.agents)
+            and each.freshness.is_fresh()
+            and each.current.version
+            for each in self.everyone()
+        )
+
+    def states(self, instance):
+        held = [each.registry.get(instance) for each in self.balancers]
+        return {record and record.state for record in held}
+
+    async def async_crash(self, each):
+        """Stop without a word."""
+        each.announcer.superseded = True
+        await each.stop()
+
+    async def test_document_reaches_all_and_stays(self):
+        await self.platform.async_put(
+            const.KEY_DOCUMENT, memberships.document(2, ['accra-a']), 1
+        )
+        await self.async_until(
+            lambda: all(each.current.version == 2 for each in self.everyone()),
+            4,
+        )
+        for each in self.everyone():
+            self.assertEqual(len(each.tables.table(SERVICE)), 0)
+            self.assertFalse(each.current.offer(1, memberships.document(1)))
+
+    async def test_document_published_in_an_outage(self):
+        self.platform.down = True
+        key = frame.control_key(memberships.KEY)
+        asker = client.ControlClient(key, traffic.Traffic())
+        await asker.start()
+        self.addAsyncCleanup(asker.stop)
+        held = await publish.async_publish(
+            asker, SEEDS, 9, memberships.document(9)
+        )
+        self.assertEqual(held, 1)
+        await self.async_until(
+            lambda: all(each.current.version == 9 for each in self.everyone()),
+            4,
+        )
+
+    async def test_stop_is_told_at_once(self):
+        await self.agents[0].stop()
+        await self.async_until(lambda: self.states('agent-1') == {'gone'}, 1)
+
+    async def test_crash_lapses_and_return_refutes(self):
+        await self.async_crash(self.agents[0])
+        await self.async_until(lambda: self.states('agent-1') == {'lapsed'}, 6)
+        back = memberships.agent(1, self.platform, SEEDS)
+        await self.async_begin(back)
+        await self.async_until(lambda: self.states('agent-1') == {'ready'}, 3)
+        # Its clock gave the same incarnation: it went above what was held.
+        self.assertGreater(back.announcer.own.sequence, 1)
+
+    async def test_lapse_of_a_live_instance_is_refuted(self):
+        held = self.balancers[0].registry.get('agent-1')
+        self.balancers[0].registry.merge(held._replace(state='lapsed'))
+        await self.async_until(
+            lambda: all(
+                each.registry.get('agent-1').sequence > held.sequence
+                for each in self.balancers
+            ),
+            4,
+        )
+        self.assertEqual(self.states('agent-1'), {'ready'})
+
+    async def test_agent_with_its_observers_gone_too_lapses(self):
+        for each in (*self.balancers[:3], self.agents[0]):
+            await self.async_crash(each)
+        left = self.balancers[3].registry
+        await self.async_until(
+            lambda: left.get('agent-1').state == 'lapsed', 20
+        )
+        self.assertEqual(left.get('agent-2').state, 'ready')
+        self.assertEqual(
+            [one.instance for one in left.balancers()],
+            [
+                'balancer-4',
+            ],
+        )
+
+    async def test_restart_in_an_outage_asks_peers(self):
+        self.platform.down = True
+        await self.balancers[1].stop()
+        back = memberships.balancer(2, self.platform, SEEDS)
+        self.assertIsNone(back.shown_version)
+        await self.async_begin(back)
+        self.assertTrue(await back.async_wait_ready(4))
+        self.assertEqual(back.shown_version, 1)
+        self.assertEqual(len(back.registry.agents(SERVICE)), 3)
+
+    async def test_all_balancers_restart_in_an_outage(self):
+        self.platform.down = True
+        for each in self.balancers:
+            await self.async_crash(each)
+        self.balancers = [
+            memberships.balancer(number, self.platform, SEEDS)
+            for number in range(1, 5)
+        ]
+        for each in self.balancers:
+            await self.async_begin(each)
+        # Only the agents still hold the document.
+        await self.async_until(self.settled, 15)
+
+    async def test_comparison_mends_what_was_missed(self):
+        missed = members.InstanceRecord(
+            *self.agents[0].announcer.own[:-1], sequence=50
+        )._replace(instance='agent-9')
+        first = self.balancers[0]
+        first._records.merge_quietly((missed,))
+        await self.async_until(lambda: self.states('agent-9') == {'ready'}, 10)
+
+    async def test_younger_process_of_the_same_name_wins(self):
+        young = memberships.agent(1, self.platform, SEEDS, net='127.40.6')
+        own = young.announcer.own
+        young.announcer._publish(own._replace(incarnation=2))
+        await self.async_begin(young)
+        await self.async_until(lambda: self.agents[0].announcer.superseded, 4)
+        held = self.balancers[0].registry.get('agent-1')
+        self.assertEqual(held.address, '127.40.6.1')
