Platform client: a write leaves the process once

A lost answer to a conditional update came back as a version conflict: the HTTP library repeats a PUT or DELETE by itself when its connection drops before the answer, also on a connection that was new, so closing connections after each write did not rule it out. A middleware for each write now lets one request out; the repeat fails and the outcome is unknown, as it is.

--- a/kumquatport/process/platform/client.py
+++ b/kumquatport/process/platform/client.py
@@ -19,8 +19,8 @@
     """One process's access to the platform.
 
     Nothing is retried here: callers know which calls may be repeated and how
-    long they can wait. Writes never share a connection, because the HTTP
-    library silently repeats a PUT whose kept connection was dropped, and a
+    long they can wait. A write leaves this process once: the HTTP library
+    silently repeats a PUT whose connection was dropped, a new one too, and a
     repeated conditional update would conflict with itself.
 
     Attributes:
@@ -193,6 +193,7 @@
             headers=headers,
             data=body,
             timeout=limit,
+            middlewares=(_sent_once(),),
         )
         try:
             async with request as response:
@@ -250,3 +251,19 @@
     if expected == 0:
         return {const.HEADER_IF_NONE_MATCH: '*'}
     return {const.HEADER_IF_MATCH: str(expected)}
+
+
+def _sent_once() -> aiohttp.ClientMiddlewareType:
+    """Build a middleware that lets one request out and no second one."""
+    sent: list[aiohttp.ClientRequest] = []
+
+    async def middleware(
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if sent:
+            raise aiohttp.ClientError('connection dropped before the answer')
+        sent.append(request)
+        return await handler(request)
+
+    return middleware
--- /dev/null
+++ b/tests/unit/process/platform/test_client.py
@@ -0,0 +1,38 @@
+"""The platform client against the stand-in, with its faults."""
+
+import unittest
+
+from kumquatport import exceptions
+from kumquatport.process.platform import client
+from tests.standins import platform, runner
+
+ENDPOINT = ('127.10.253.1', 9000)
+
+
+class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A write whose answer was lost is unknown, never a conflict."""
+
+    async def asyncSetUp(self):
+        self.platform = platform.Platform()
+        app = self.platform.application()
+        await self.enterAsyncContext(
+            runner.async_serve(app, ENDPOINT, handler_cancellation=True)
+        )
+        self.client = client.PlatformClient('http://127.10.253.1:9000', 2.0)
+        await self.client.async_setup()
+        self.addAsyncCleanup(self.client.async_stop)
+
+    async def test_update(self):
+        version = await self.client.async_put('a', b'0', 0)
+        self.platform.control({'lose_answers': 1})
+        with self.assertRaises(exceptions.OutcomeUnknownError):
+            await self.client.async_put('a', b'1', version)
+        self.assertEqual(self.platform.counts['put'], 2)
+        self.assertEqual(self.platform.store.live('a').value, b'1')
+
+    async def test_delete(self):
+        await self.client.async_put('a', b'0', 0)
+        self.platform.control({'lose_answers': 1})
+        with self.assertRaises(exceptions.OutcomeUnknownError):
+            await self.client.async_delete('a', 1)
+        self.assertEqual(self.platform.counts['delete'], 1)
