--- /dev/null
+++ b/kumquatport/process/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""kumquatportctl: the operators' verbs from a shell."""
--- a/kumquatport/version/acceptance/accept.py
+++ b/kumquatport/version/acceptance/accept.py
@@ -18,7 +18,6 @@
 
 Edit = abc.Callable[[document.Document], document.Document]
 Check = abc.Callable[[model.InForce, document.Document], None]
-Recorder = abc.Callable[[model.InForce, model.InForce], abc.Awaitable[object]]
 
 
 def new_identifier() -> str:
@@ -29,16 +28,17 @@
 async def async_accept(
     client: platform.PlatformClient,
     submitted: document.Document,
-    record: Recorder,
     identifier: str = '',
 ) -> model.Accepted:
     """Put a document in force as a whole, or leave everything as it is.
 
+    The caller writes the audit with ``audit.async_record`` once it has told
+    its operator.
+
     Args:
         client: Access to the platform.
         submitted: The checked document; its ``base_version`` is the version
             that the operator started from.
-        record: Called once the document is in force, to write the audit.
         identifier: Of an attempt that may have been sent before; a fresh one
             otherwise.
 
@@ -49,9 +49,12 @@
         DocumentRejectedError: The document does not fit into one object.
     """
     if not identifier:
-        return await _async_attempt(client, submitted, record, new_identifier())
+        before = await store.async_in_force(client)
+        if before.version != submitted['base_version']:
+            raise model.AcceptanceConflictError(before, submitted)
+        return await _async_write(client, before, prepare(before, submitted))
     try:
-        return await _async_attempt(client, submitted, record, identifier)
+        return await _async_again(client, submitted, identifier)
     except exceptions.PlatformUnavailableError as error:
         # An earlier call with this identifier may have been sent.
         raise model.AcceptanceUnknownError(
@@ -63,7 +66,6 @@
     client: platform.PlatformClient,
     edit: Edit,
     check: Check,
-    record: Recorder,
 ) -> model.Accepted:
     """Apply one small change to whatever is in force, over conflicts.
 
@@ -73,7 +75,6 @@
         client: Access to the platform.
         edit: Returns the changed copy of a document.
         check: Raises when the change must not be made.
-        record: Called once the document is in force, to write the audit.
 
     Raises:
         AcceptanceConflictError: Others were faster each time.
@@ -90,7 +91,7 @@
         check(before, changed)
         try:
             return await _async_write(
-                client, before, prepare(before, changed), record
+                client, before, prepare(before, changed)
             )
         except model.AcceptanceConflictError as error:
             last = error
@@ -117,13 +118,12 @@
     return prepared
 
 
-async def _async_attempt(
+async def _async_again(
     client: platform.PlatformClient,
     submitted: document.Document,
-    record: Recorder,
     identifier: str,
 ) -> model.Accepted:
-    """Send a document, unless the version it was made on has passed."""
+    """Send a document that may have been sent, unless its base has passed."""
     before = await store.async_in_force(client)
     base_version = submitted['base_version']
     if before.version != base_version:
@@ -131,14 +131,13 @@
             client, identifier, base_version, submitted
         )
     prepared = prepare(before, submitted, identifier)
-    return await _async_write(client, before, prepared, record)
+    return await _async_write(client, before, prepared)
 
 
 async def _async_write(
     client: platform.PlatformClient,
     before: model.InForce,
     prepared: document.Document,
-    record: Recorder,
 ) -> model.Accepted:
     """Send a prepared document and settle a lost answer."""
     stored = document.encode(prepared)
@@ -155,5 +154,5 @@
         accepted = await settle.async_settle(client, prepared)
     else:
         accepted = model.Accepted(version, prepared['identifier'], version)
-    await record(before, model.InForce(accepted.version, prepared, stored))
-    return accepted
+    after = model.InForce(accepted.version, prepared, stored)
+    return accepted._replace(written=model.Written(before, after))
--- a/kumquatport/version/acceptance/audit.py
+++ b/kumquatport/version/acceptance/audit.py
@@ -18,8 +18,7 @@
 
 async def async_record(
     client: platform.PlatformClient,
-    before: model.InForce,
-    after: model.InForce,
+    accepted: model.Accepted,
 ) -> bool:
     """Write the entry of an acceptance, and the one before if it is missing.
 
@@ -28,12 +27,14 @@
 
     Args:
         client: Access to the platform.
-        before: What was in force before.
-        after: What was accepted.
+        accepted: What acceptance handed back.
 
     Returns:
         Whether the entry is written.
     """
+    if accepted.written is None:
+        return True
+    before, after = accepted.written
     changes = document.change_lines(
         document.compare(before.document, after.document)
     )
--- a/kumquatport/version/acceptance/model.py
+++ b/kumquatport/version/acceptance/model.py
@@ -20,6 +20,13 @@
     value: bytes
 
 
+class Written(typing.NamedTuple):
+    """One acceptance: what was in force before it and what is after it."""
+
+    before: InForce
+    after: InForce
+
+
 class Accepted(typing.NamedTuple):
     """A document that took effect.
 
@@ -28,11 +35,13 @@
         identifier: Of the attempt that took effect.
         latest_version: The version in force when this was learned; higher
             when others were accepted on top meanwhile.
+        written: For the audit; None when this call wrote nothing.
     """
 
     version: int
     identifier: str
     latest_version: int
+    written: Written | None = None
 
 
 class AuditEntry(typing.TypedDict):
