--- a/kumquatport/request/__init__.py
+++ b/kumquatport/request/__init__.py
@@ -1,1 +1,1 @@
-"""What lives for one request."""
+"""What an agent decides about one request, whatever carried it here."""
--- /dev/null
+++ b/kumquatport/request/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who may go to the backend server now, who waits, and who is refused."""
--- /dev/null
+++ b/kumquatport/request/admission/admission.py
@@ -0,0 +1,211 @@
+"""Admission: a slot now, a place in the queue, or a refusal at once."""
+
+import asyncio
+import functools
+import random
+from collections import abc
+
+from kumquatport.request import const as request_const
+from kumquatport.request import errors, policy
+from kumquatport.request.admission import const, costs
+from kumquatport.request.limit import limit
+from kumquatport.request.queue import fair, waiter
+
+
+class Slot:
+    """A slot that a request holds."""
+
+    def __init__(
+        self,
+        ticket: waiter.Ticket,
+        in_progress: int,
+        give_back: abc.Callable[[waiter.Ticket], None],
+    ) -> None:
+        """Take the slot.
+
+        Args:
+            ticket: Whose it is.
+            in_progress: Requests in progress now, itself included.
+            give_back: Called once when it is released.
+        """
+        self.in_progress = in_progress
+        self._ticket = ticket
+        self._give_back = give_back
+        self._held = True
+
+    def release(self) -> None:
+        """Give the slot back, at the first call."""
+        if self._held:
+            self._held = False
+            self._give_back(self._ticket)
+
+
+class Admission:
+    """Gives slots to requests, within the limit and in fair order."""
+
+    def __init__(
+        self,
+        learnt: limit.Limit,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        """Begin with nothing in progress.
+
+        Args:
+            learnt: The limit on requests in progress.
+            clock: Monotonic seconds.
+        """
+        self.costs = costs.Costs()
+        self._limit = learnt
+        self._clock = clock
+        self._queue = fair.FairQueue()
+        self._limits = policy.Limits()
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Slots in use."""
+        return self._in_progress
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    @property
+    def pressure(self) -> float:
+        """Expected wait of new work over the longest wait allowed."""
+        if not self.queued:
+            return 0
+        length_share = self.queued / self._limits.queue_length
+        queued_s = self._queue.queued_s / self._limit.value
+        return max(length_share, queued_s / self._limits.queue_s)
+
+    def configure(self, current: policy.Policy) -> None:
+        """Take the limits and shares of the current document."""
+        self._limits = current.limits
+        self._queue.configure(current.shares)
+        self._pump()
+
+    def ticket(
+        self,
+        tenant: str,
+        class_name: str,
+        deadline_at: float,
+    ) -> waiter.Ticket:
+        """Describe a request to the queue."""
+        cost_s = self.costs.expected_s(class_name)
+        return waiter.Ticket(tenant, class_name, cost_s, deadline_at)
+
+    async def async_acquire(self, ticket: waiter.Ticket) -> Slot:
+        """Return once the request holds a slot.
+
+        Raises:
+            errors.DeadlineUnmeetableError: Its deadline comes before its turn.
+            errors.QueueFullError: Too much waits already.
+            errors.QueueTimeoutError: It waited as long as it may.
+        """
+        now = self._clock()
+        longest_s = self._longest_wait_s(ticket, now)
+        if self._has_room():
+            self._in_progress += 1
+            self._queue.charge(ticket, ticket.cost_s)
+            return self._slot(ticket)
+        await self._async_wait(ticket, longest_s)
+        return self._slot(ticket)
+
+    def retry_after_s(self) -> float:
+        """Return when refused work may come back, spread at random."""
+        wait_s = self._queue.queued_s / self._limit.value
+        spread_s = random.uniform(0, const.RETRY_SPREAD)  # noqa: S311
+        return min(
+            max(wait_s, 1) + spread_s,
+            request_const.MAX_RETRY_AFTER_S,
+        )
+
+    def _slot(self, ticket: waiter.Ticket) -> Slot:
+        give_back = functools.partial(self._give_back, self._clock())
+        return Slot(ticket, self._in_progress, give_back)
+
+    def _give_back(self, granted_at: float, ticket: waiter.Ticket) -> None:
+        """Free a slot, and settle what it cost."""
+        used_s = self._clock() - granted_at
+        self._queue.charge(ticket, used_s - ticket.cost_s)
+        self.costs.learn(ticket.class_name, used_s)
+        self._in_progress -= 1
+        self._pump()
+
+    def _longest_wait_s(self, ticket: waiter.Ticket, now: float) -> float:
+        left_s = ticket.deadline_at - now - ticket.cost_s
+        if left_s <= 0:
+            raise errors.DeadlineUnmeetableError(
+                'the deadline leaves no time to run',
+                self.retry_after_s(),
+            )
+        return min(left_s, self._limits.queue_s)
+
+    def _has_room(self) -> bool:
+        return not self.queued and self._in_progress < int(self._limit.value)
+
+    async def _async_wait(
+        self,
+        ticket: waiter.Ticket,
+        longest_s: float,
+    ) -> None:
+        if self._queue.wait_s(ticket, self._limit.value) > longest_s:
+            raise errors.QueueFullError(
+                'the wait is longer than the request may wait',
+                self.retry_after_s(),
+            )
+        loop = asyncio.get_running_loop()
+        request = waiter.Waiter(ticket, loop.create_future())
+        self._queue.push(request)
+        self._bound_length()
+        timer = loop.call_later(longest_s, self._expire, request)
+        try:
+            await request.granted
+        except asyncio.CancelledError:
+            self._abandon(request)
+            raise
+        finally:
+            timer.cancel()
+
+    def _bound_length(self) -> None:
+        if self.queued <= self._limits.queue_length:
+            return
+        evicted = self._queue.evict()
+        if evicted is not None and not evicted.granted.done():
+            evicted.granted.set_exception(
+                errors.QueueFullError(
+                    'too many requests wait',
+                    self.retry_after_s(),
+                ),
+            )
+
+    def _expire(self, request: waiter.Waiter) -> None:
+        if request.granted.done():
+            return
+        self._queue.discard(request)
+        request.granted.set_exception(
+            errors.QueueTimeoutError(
+                'no slot came free in time',
+                self.retry_after_s(),
+            ),
+        )
+
+    def _abandon(self, request: waiter.Waiter) -> None:
+        """Drop a waiter whose task is cancelled, perhaps just granted."""
+        granted = request.granted
+        if granted.done() and not granted.cancelled():
+            if granted.exception() is None:
+                self._in_progress -= 1
+                self._pump()
+            return
+        self._queue.discard(request)
+
+    def _pump(self) -> None:
+        """Grant free slots to those whose turn it is."""
+        while self.queued and self._in_progress < int(self._limit.value):
+            request = self._queue.pop()
+            if not request.granted.done():
+                self._in_progress += 1
+                request.granted.set_result(None)
--- /dev/null
+++ b/kumquatport/request/admission/const.py
@@ -0,0 +1,9 @@
+"""Constants of admission."""
+
+# Slot time assumed for a class before its first answer.
+FIRST_COST_S = 0.01
+COST_WEIGHT = 0.1
+# Retry-After is spread so that refused callers don't come back together.
+RETRY_SPREAD = 1.0
+# Share of the longest wait above which new flows are passed on.
+FULL_SHARE = 0.5
--- /dev/null
+++ b/kumquatport/request/budget/__init__.py
@@ -0,0 +1,1 @@
+"""How many retries the agent may make."""
--- /dev/null
+++ b/kumquatport/request/handler.py
@@ -0,0 +1,246 @@
+"""Everything that an agent decides about requests."""
+
+import asyncio
+import typing
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport.connection.quic import stream
+from kumquatport.request import (
+    cancellation,
+    claims,
+    deadline,
+    errors,
+    messages,
+    openness,
+    policy,
+    refusal,
+    serving,
+)
+from kumquatport.request.admission import admission, feeds
+from kumquatport.request.budget import budget
+from kumquatport.request.health import hint
+from kumquatport.request.limit import gradient, limit, sample
+from kumquatport.request.proxy import body, carrier, client, headers, job
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Handler(mode.Service):
+    """Admits requests, takes them to the backend server, answers callers."""
+
+    def __init__(
+        self,
+        server: messages.BackendServer,
+        metrics: messages.Metrics,
+        clock: abc.Callable[[], float],
+        claim: claims.Claim = claims.async_grant,
+        step: sample.Step = gradient.step,
+        **options: typing.Any,
+    ) -> None:
+        """Begin with nothing configured.
+
+        Args:
+            server: Where the backend server listens.
+            metrics: Where counts, gauges and durations go.
+            clock: Monotonic seconds, the event loop's.
+            claim: Asked before a request that must not run twice.
+            step: How the limit on requests in progress moves.
+            options: For ``mode.Service``.
+        """
+        super().__init__(**options)
+        limits = policy.Limits()
+        self._metrics = metrics
+        self._clock = clock
+        self._policy: policy.Policy | None = None
+        self._client = client.BackendServerClient(server)
+        self._hint = hint.HealthHint(self._client, clock)
+        self._limit = limit.Limit(limit.bounds_of(limits), clock, step)
+        self._retries = budget.RetryBudget(limits.retry_budget)
+        self._gate = admission.Admission(self._limit, clock)
+        self._feeds = feeds.Feeds()
+        self._parts = serving.Parts(
+            gate=self._gate,
+            carrier=carrier.Carrier(
+                self._client, self._limit, self._retries, clock
+            ),
+            claim=claim,
+            answering=self._note_answering,
+        )
+        self._connections = 0
+        self._in_progress = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._draining = False
+
+    @property
+    def requests_in_progress(self) -> int:
+        """Requests that have come in and are not fully answered."""
+        return self._in_progress
+
+    @property
+    def connections(self) -> int:
+        """Callers' connections open now."""
+        return self._connections
+
+    @property
+    def current_limit(self) -> limit.Limit:
+        """The limit on requests in progress, for status."""
+        return self._limit
+
+    @property
+    def gate(self) -> admission.Admission:
+        """Slots and queue, for status."""
+        return self._gate
+
+    async def on_start(self) -> None:
+        """Make the client; start to poll health."""
+        await self._client.async_setup()
+        await self.add_runtime_dependency(self._hint)
+
+    async def on_stop(self) -> None:
+        """Close the connections to the backend server."""
+        await self._client.async_stop()
+
+    def configure(self, service: policy.Section) -> None:
+        """Take the service's entry of a new document."""
+        current = policy.build(service)
+        self._policy = current
+        self._limit.configure(limit.bounds_of(current.limits))
+        self._retries.configure(current.limits.retry_budget)
+        self._gate.configure(current)
+        self._feeds.configure(current.limits)
+
+    def connection_opened(self) -> None:
+        """Count a caller's connection."""
+        self._connections += 1
+
+    def connection_closed(self) -> None:
+        """Stop counting a caller's connection."""
+        self._connections -= 1
+
+    def openness(self) -> messages.Openness:
+        """Say whether a new flow may open here now."""
+        return openness.decide(
+            openness.View(
+                policy=self._policy,
+                leaving=self._draining or self._hint.leaving,
+                reachable=self._hint.reachable,
+                reported_cold=self._hint.cold,
+                connections=self._connections,
+                pressure=self._gate.pressure,
+                share=self._limit.share,
+            ),
+        )
+
+    async def async_drain(self) -> None:
+        """Return when no request is in progress; announce leaving."""
+        self._draining = True
+        await self._idle.wait()
+
+    async def async_handle(
+        self,
+        head: messages.RequestHead,
+        exchange: messages.Exchange,
+    ) -> None:
+        """Run a whole request; refusals are answered at once.
+
+        Args:
+            head: What is asked for.
+            exchange: The way back to the caller.
+        """
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            await self._async_answer(head, exchange)
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def _async_answer(
+        self,
+        head: messages.RequestHead,
+        exchange: messages.Exchange,
+    ) -> None:
+        self._metrics.increment(const.COUNT_REQUESTS, 1)
+        try:
+            whole = await cancellation.async_run(
+                self._async_serve(head, exchange),
+                exchange.cancelled,
+            )
+        except errors.AnswerBrokenError as broken:
+            self._count_error(const.COUNT_UNKNOWN_PREFIX, broken)
+            exchange.reset(const.H3_INTERNAL_ERROR)
+        except errors.RequestRefusedError as refused:
+            self._count_error(const.COUNT_REFUSED_PREFIX, refused)
+            await refusal.async_send(exchange, refused)
+        except errors.RequestLostError as lost:
+            self._count_error(const.COUNT_UNKNOWN_PREFIX, lost)
+            await refusal.async_send(exchange, lost)
+        else:
+            name = const.COUNT_ANSWERED if whole else const.COUNT_CANCELLED
+            self._metrics.increment(name, 1)
+
+    def _count_error(self, prefix: str, error: errors.RequestError) -> None:
+        self._metrics.increment(f'{prefix}{error.code}', 1)
+
+    async def _async_serve(
+        self,
+        head: messages.RequestHead,
+        exchange: messages.Exchange,
+    ) -> None:
+        asked = self._job(head, exchange)
+        with self._feeds.admitted(asked.request_class):
+            await self._async_prefetch(asked)
+            await serving.async_serve(asked, self._parts)
+        if asked.request_class.holds_slot:
+            self._record(asked)
+
+    def _job(
+        self,
+        head: messages.RequestHead,
+        exchange: messages.Exchange,
+    ) -> job.Job:
+        current = self._policy
+        if current is None:
+            raise errors.NotConfiguredError('no document names this service')
+        if self._hint.leaving:
+            raise errors.LeavingError('the backend server is leaving')
+        headers.check(head)
+        now = self._clock()
+        request_class = policy.classify(current, head)
+        return job.Job(
+            head=head,
+            exchange=exchange,
+            body=body.RequestBody(exchange),
+            request_class=request_class,
+            tenant=policy.tenant_of(current, head.headers),
+            service=current.service,
+            deadline_at=deadline.latest(head, request_class, now),
+            arrived_at=now,
+        )
+
+    async def _async_prefetch(self, asked: job.Job) -> None:
+        left_s = deadline.left(asked.deadline_at, self._clock)
+        try:
+            async with asyncio.timeout(left_s):
+                await asked.body.async_prefetch()
+        except TimeoutError as timeout:
+            raise errors.DeadlineUnmeetableError(
+                'the request did not arrive whole in time',
+            ) from timeout
+        except stream.BodyTooLargeError as large:
+            raise errors.BodyTooLargeError(str(large)) from large
+
+    def _note_answering(self, asked: job.Job) -> None:
+        """Record a feed once it begins: its end says nothing."""
+        if not asked.request_class.holds_slot:
+            self._record(asked)
+
+    def _record(self, asked: job.Job) -> None:
+        took_s = self._clock() - asked.arrived_at
+        class_name = asked.request_class.name
+        self._metrics.timing(asked.tenant, class_name, took_s)
--- /dev/null
+++ b/kumquatport/request/health/hint.py
@@ -0,0 +1,117 @@
+"""Polls the backend server's health report.
+
+Reports lag and sometimes mislead. Two things of them are believed: that a
+backend server is leaving, and that nothing listens. That it is cold only
+lowers the weight announced. The load is only shown.
+"""
+
+import asyncio
+import typing
+from collections import abc
+
+import aiohttp
+import mode
+import structlog
+
+from kumquatport.request import errors
+from kumquatport.request.health import const
+from kumquatport.request.proxy import client
+
+_LOGGER = structlog.get_logger(__name__)
+_FAULTS = (aiohttp.ClientError, OSError, ValueError, errors.RequestLostError)
+
+
+class Report(typing.NamedTuple):
+    """What the backend server said last.
+
+    Attributes:
+        state: ``cold``, ``ready``, ``leaving``, or empty if unknown.
+        load: 0 to 1.
+        at: When it said so, on the handler's clock.
+    """
+
+    state: str
+    load: float
+    at: float
+
+
+class HealthHint(mode.Service):
+    """Keeps the last report."""
+
+    def __init__(
+        self,
+        server: client.BackendServerClient,
+        clock: abc.Callable[[], float],
+        **options: typing.Any,
+    ) -> None:
+        """Know nothing yet."""
+        super().__init__(**options)
+        self._server = server
+        self._clock = clock
+        self._report: Report | None = None
+        self._refused_polls = 0
+
+    @property
+    def report(self) -> Report | None:
+        """The last report, None before the first."""
+        return self._report
+
+    @property
+    def reachable(self) -> bool:
+        """Whether something listens; a late answer does not count against."""
+        return self._refused_polls < const.UNREACHABLE_POLLS
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the backend server said that it is leaving."""
+        report = self._report
+        return report is not None and report.state == const.STATE_LEAVING
+
+    @property
+    def cold(self) -> bool:
+        """Whether a fresh report says that the backend server is cold."""
+        report = self._report
+        if report is None or self._clock() - report.at > const.FRESH_S:
+            return False
+        return report.state == const.STATE_COLD
+
+    async def async_poll(self) -> None:
+        """Ask once."""
+        try:
+            answer = await self._server.async_get_json(
+                const.PATH, const.TIMEOUT_S
+            )
+        except aiohttp.ClientConnectorError:
+            self._note_refused()
+            return
+        except TimeoutError:
+            return
+        except _FAULTS as fault:
+            _LOGGER.debug('Health report failed', fault=repr(fault))
+            return
+        self._note(answer)
+
+    @mode.Service.task
+    async def _async_poll_on(self) -> None:
+        while not self.should_stop:
+            await self.async_poll()
+            await asyncio.sleep(const.POLL_S)
+
+    def _note(self, answer: typing.Any) -> None:
+        if not self.reachable:
+            _LOGGER.info('Backend server is back')
+        self._refused_polls = 0
+        if not isinstance(answer, dict):
+            return
+        load = answer.get('load')
+        self._report = Report(
+            state=str(answer.get('state', '')),
+            load=float(load) if isinstance(load, (int, float)) else 0,
+            at=self._clock(),
+        )
+
+    def _note_refused(self) -> None:
+        self._refused_polls += 1
+        self._report = None
+        if self._refused_polls == const.UNREACHABLE_POLLS:
+            _LOGGER.warning('Nothing listens at the backend server')
--- /dev/null
+++ b/kumquatport/request/limit/__init__.py
@@ -0,0 +1,1 @@
+"""How many requests may be in progress, learnt from what becomes of them."""
--- /dev/null
+++ b/kumquatport/request/limit/aimd.py
@@ -0,0 +1,30 @@
+"""Additive increase, multiplicative decrease upon refusals and time-outs."""
+
+from kumquatport.request.limit import const, sample
+
+
+def step(
+    state: sample.State,
+    observed: sample.Sample,
+    bounds: sample.Bounds,
+) -> sample.State:
+    """Grow by one for each round of answers, halve upon a failure."""
+    if observed.result is sample.Result.answered:
+        return _grow(state, observed, bounds)
+    if observed.result is sample.Result.overdue:
+        return state
+    if observed.at - state.backed_off_at < observed.latency_s:
+        return state
+    value = max(state.value * const.AIMD_BACK_OFF, 1)
+    return state._replace(value=value, backed_off_at=observed.at)
+
+
+def _grow(
+    state: sample.State,
+    observed: sample.Sample,
+    bounds: sample.Bounds,
+) -> sample.State:
+    if observed.in_progress < int(state.value):
+        return state
+    value = state.value + 1 / state.value
+    return state._replace(value=min(value, bounds.slots))
--- /dev/null
+++ b/kumquatport/request/limit/ramp.py
@@ -0,0 +1,17 @@
+"""A fixed ramp: doubles with time, whatever the backend server does."""
+
+from kumquatport.request.limit import sample
+
+
+def step(
+    state: sample.State,
+    observed: sample.Sample,
+    bounds: sample.Bounds,
+) -> sample.State:
+    """Follow the ramp from the last start; a lost server starts it anew."""
+    if observed.result is sample.Result.unreachable:
+        state = state._replace(restarted_at=observed.at)
+    doublings = (observed.at - state.restarted_at) / bounds.double_s
+    exponent = min(doublings, float(bounds.slots))
+    value = min(bounds.start * 2**exponent, bounds.slots)
+    return state._replace(value=value, grown_at=observed.at)
--- /dev/null
+++ b/kumquatport/request/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Carries one request to the backend server and its answer back."""
--- /dev/null
+++ b/kumquatport/request/proxy/carrier.py
@@ -0,0 +1,128 @@
+"""Tries at the backend server, within deadline, budget and safety."""
+
+import asyncio
+from collections import abc
+
+import aiohttp
+
+from kumquatport.request import const as request_const
+from kumquatport.request import deadline, errors
+from kumquatport.request.budget import budget
+from kumquatport.request.limit import limit, sample
+from kumquatport.request.proxy import (
+    attempt,
+    client,
+    const,
+    headers,
+    job,
+    watch,
+)
+
+_FAILURES = (errors.RequestRefusedError, errors.RequestLostError)
+
+
+class Carrier:
+    """Opens requests, and tells the limit what became of each try."""
+
+    def __init__(
+        self,
+        server: client.BackendServerClient,
+        learnt: limit.Limit,
+        retries: budget.RetryBudget,
+        clock: abc.Callable[[], float],
+    ) -> None:
+        """Send nothing yet."""
+        self._server = server
+        self._limit = learnt
+        self._retries = retries
+        self._clock = clock
+
+    async def async_open(
+        self, asked: job.Job, in_progress: int
+    ) -> aiohttp.ClientResponse:
+        """Return the answer's head, trying again where that is safe.
+
+        Args:
+            asked: The request.
+            in_progress: Requests in progress, this one included.
+
+        Raises:
+            errors.RequestRefusedError: No byte of any try can have arrived.
+            errors.RequestLostError: A try may have run.
+        """
+        self._retries.earn()
+        tries = 0
+        begun = False
+        while True:
+            tried = attempt.Attempt()
+            try:
+                return await self._async_try(asked, tried, in_progress, tries)
+            except _FAILURES as error:
+                begun = begun or tried.begun
+                if not self._may_retry(asked, tried, error, tries):
+                    raise _truthful(error, begun) from error
+                await asyncio.sleep(const.RETRY_PAUSE_S)
+                tries += 1
+
+    async def _async_try(
+        self,
+        asked: job.Job,
+        tried: attempt.Attempt,
+        in_progress: int,
+        tries: int,
+    ) -> aiohttp.ClientResponse:
+        now = self._clock()
+        watched = watch.Watch(asked, self._limit, self._clock, in_progress)
+        watched.begin()
+        try:
+            response = await self._server.async_open(
+                asked,
+                tried,
+                asked.deadline_at - now,
+                client.own_headers(asked, now, tries),
+            )
+        except _FAILURES as error:
+            watched.end(_result_of(error))
+            raise
+        finally:
+            watched.cancel()
+        shed = response.status == const.STATUS_SHED
+        watched.end(sample.Result.shed if shed else sample.Result.answered)
+        return response
+
+    def _may_retry(
+        self,
+        asked: job.Job,
+        tried: attempt.Attempt,
+        error: errors.RequestError,
+        tries: int,
+    ) -> bool:
+        if tries + 1 >= const.MAX_TRIES or not asked.body.repeatable:
+            return False
+        if isinstance(error, errors.AnswerTimeoutError):
+            return False
+        if tried.begun and not asked.request_class.repeatable:
+            return False
+        marker = headers.find(asked.head.headers, request_const.ATTR_RETRY)
+        left_s = deadline.left(asked.deadline_at, self._clock)
+        if marker is not None or left_s <= const.RETRY_PAUSE_S:
+            return False
+        return self._retries.spend()
+
+
+def _truthful(
+    error: errors.RequestError,
+    begun: bool,
+) -> errors.RequestError:
+    """Never call a request not run if an earlier try of it may have."""
+    if begun and isinstance(error, errors.RequestRefusedError):
+        return errors.AnswerMissingError('an earlier try may have run')
+    return error
+
+
+def _result_of(error: errors.RequestError) -> sample.Result:
+    if isinstance(error, errors.AnswerTimeoutError):
+        return sample.Result.timed_out
+    if isinstance(error, errors.RequestLostError):
+        return sample.Result.broken
+    return sample.Result.unreachable
--- /dev/null
+++ b/kumquatport/request/proxy/headers.py
@@ -0,0 +1,95 @@
+"""Which headers go on to the backend server, and which come back."""
+
+import typing
+from collections import abc
+
+from kumquatport.request import const, errors, messages
+from kumquatport.request.proxy import const as proxy_const
+
+_FORBIDDEN = frozenset('\r\n\0')
+_TOKEN = frozenset(
+    "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz",
+)
+
+
+def check(head: messages.RequestHead) -> None:
+    """Refuse a head that is too large or can't be written as HTTP/1.1.
+
+    Raises:
+        errors.HeadersTooLargeError: Over the limits on count or bytes.
+        errors.RequestMalformedError: Characters that would split the head.
+    """
+    size = len(head.path) + len(head.authority)
+    size += sum(len(name) + len(value) for name, value in head.headers)
+    too_many = len(head.headers) > const.MAX_HEADER_COUNT
+    if too_many or size > const.MAX_HEADER_BYTES:
+        raise errors.HeadersTooLargeError('headers are over the limit')
+    if not head.path.startswith('/') or not head.method.isalpha():
+        raise errors.RequestMalformedError('method or path is malformed')
+    if not _printable(head.path) or not _printable(head.authority):
+        raise errors.RequestMalformedError('path or authority is malformed')
+    if not all(_valid(name, value) for name, value in head.headers):
+        raise errors.RequestMalformedError('a header is malformed')
+
+
+def to_backend_server(
+    head: messages.RequestHead,
+    extra: abc.Iterable[tuple[str, str]],
+) -> messages.Headers:
+    """Return the headers to send to the backend server.
+
+    Args:
+        head: The request, already checked.
+        extra: Headers of ours, which replace the caller's of that name.
+    """
+    ours = (('host', head.authority), *extra)
+    dropped = _named_by_connection(head.headers)
+    dropped |= {name for name, _ in ours}
+    dropped |= {'content-length', 'expect'}
+    kept = _forwarded(head.headers, dropped)
+    return (*ours, *kept)
+
+
+def to_caller(
+    received: abc.Iterable[tuple[str, str]],
+) -> messages.Headers:
+    """Return the headers of an answer, names in lower case."""
+    lowered = tuple((name.lower(), value) for name, value in received)
+    return tuple(_forwarded(lowered, _named_by_connection(lowered)))
+
+
+def find(headers: messages.Headers, wanted: str) -> str | None:
+    """Return the first value of a header."""
+    for name, value in headers:
+        if name == wanted:
+            return value
+    return None
+
+
+def _forwarded(
+    headers: messages.Headers,
+    dropped: typing.AbstractSet[str],
+) -> abc.Iterator[tuple[str, str]]:
+    for name, value in headers:
+        if name in dropped or name in proxy_const.HOP_BY_HOP:
+            continue
+        if not name.startswith(proxy_const.OWN_PREFIX):
+            yield name, value
+
+
+def _named_by_connection(headers: messages.Headers) -> set[str]:
+    named: set[str] = set()
+    for name, value in headers:
+        if name == 'connection':
+            named.update(part.strip().lower() for part in value.split(','))
+    return named
+
+
+def _printable(text: str) -> bool:
+    return text.isascii() and text.isprintable() and ' ' not in text
+
+
+def _valid(name: str, value: str) -> bool:
+    if not name or not _TOKEN.issuperset(name):
+        return False
+    return not _FORBIDDEN.intersection(value)
--- /dev/null
+++ b/kumquatport/request/queue/__init__.py
@@ -0,0 +1,1 @@
+"""The bounded queue of requests that wait for a slot."""
--- /dev/null
+++ b/kumquatport/request/queue/waiter.py
@@ -0,0 +1,27 @@
+"""One request that waits for a slot."""
+
+import asyncio
+import typing
+
+
+class Ticket(typing.NamedTuple):
+    """What the queue needs to know of a request.
+
+    Attributes:
+        tenant: Whose share it counts to.
+        class_name: Its class.
+        cost_s: Slot time it will probably take, in seconds.
+        deadline_at: When its answer must have begun.
+    """
+
+    tenant: str
+    class_name: str
+    cost_s: float
+    deadline_at: float
+
+
+class Waiter(typing.NamedTuple):
+    """A ticket and the future that is done when its turn comes."""
+
+    ticket: Ticket
+    granted: asyncio.Future[None]
--- /dev/null
+++ b/kumquatport/request/serving.py
@@ -0,0 +1,116 @@
+"""Takes one request to the backend server and its answer back."""
+
+import asyncio
+import typing
+from collections import abc
+
+import aiohttp
+
+from kumquatport.request import claims, errors
+from kumquatport.request.admission import admission
+from kumquatport.request.proxy import answer, carrier, const, job
+
+_NOT_RUN = claims.Settlement(claims.SETTLED_NOT_RUN, None)
+_UNKNOWN = claims.Settlement(claims.SETTLED_UNKNOWN, None)
+
+
+class Parts(typing.NamedTuple):
+    """What serving a request needs.
+
+    Attributes:
+        gate: Gives slots.
+        carrier: Opens requests at the backend server.
+        claim: Asked before a request that must not run twice.
+        answering: Called with the job when the answer's head is here.
+    """
+
+    gate: admission.Admission
+    carrier: carrier.Carrier
+    claim: claims.Claim
+    answering: abc.Callable[[job.Job], None]
+
+
+async def async_serve(asked: job.Job, parts: Parts) -> None:
+    """Wait for a slot, run the request, and give the slot back.
+
+    Raises:
+        errors.RequestRefusedError: It did not run.
+        errors.RequestLostError: It may have run.
+        errors.AnswerBrokenError: The answer broke off; reset the stream.
+    """
+    ticket = parts.gate.ticket(
+        asked.tenant,
+        asked.request_class.name,
+        asked.deadline_at,
+    )
+    slot = await parts.gate.async_acquire(ticket)
+    try:
+        await _async_run_claimed(asked, parts, slot)
+    finally:
+        slot.release()
+
+
+async def _async_run_claimed(
+    asked: job.Job,
+    parts: Parts,
+    slot: admission.Slot,
+) -> None:
+    verdict = await _async_claim(asked, parts)
+    if verdict.answer is not None:
+        await answer.async_send_kept(asked.exchange, verdict.answer)
+        return
+    try:
+        await _async_run(asked, parts, slot, verdict)
+    except errors.RequestRefusedError:
+        await verdict.async_settle(_NOT_RUN)
+        raise
+    except (errors.RequestLostError, asyncio.CancelledError):
+        await verdict.async_settle(_UNKNOWN)
+        raise
+
+
+async def _async_claim(asked: job.Job, parts: Parts) -> claims.Verdict:
+    if asked.request_class.repeatable:
+        return await claims.async_grant(asked.head, asked.deadline_at)
+    return await parts.claim(asked.head, asked.deadline_at)
+
+
+async def _async_run(
+    asked: job.Job,
+    parts: Parts,
+    slot: admission.Slot,
+    verdict: claims.Verdict,
+) -> None:
+    response = await parts.carrier.async_open(asked, slot.in_progress)
+    try:
+        parts.answering(asked)
+        if not asked.request_class.holds_slot:
+            slot.release()
+        await _async_answer(asked, response, verdict)
+    finally:
+        # Closes the connection of an answer that has not ended.
+        response.close()
+
+
+async def _async_answer(
+    asked: job.Job,
+    response: aiohttp.ClientResponse,
+    verdict: claims.Verdict,
+) -> None:
+    head = answer.head_of(response)
+    copy = answer.Copy(wanted=not asked.request_class.repeatable)
+    idle_s = const.IDLE_BODY_S if asked.request_class.holds_slot else None
+    await asked.exchange.async_send_head(response.status, head)
+    end = False
+    while not end:
+        piece = await answer.async_read(response, idle_s)
+        copy.add(piece)
+        end = response.content.at_eof()
+        if end:
+            await verdict.async_settle(
+                claims.Settlement(
+                    claims.SETTLED_ANSWERED,
+                    copy.answer(response.status, head),
+                ),
+            )
+        await answer.async_send_piece(asked.exchange, piece, end)
