--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -1,8 +1,19 @@
 """Errors with stable codes, one root for all of them."""
 
+import enum
 import typing
 
 
+class TlsReason(enum.StrEnum):
+    """Why a certificate or key cannot be used."""
+
+    UNREADABLE = 'unreadable'
+    MALFORMED = 'malformed'
+    MISMATCH = 'mismatch'
+    NOT_YET_VALID = 'not-yet-valid'
+    EXPIRED = 'expired'
+
+
 class Fault(typing.NamedTuple):
     """One thing that is wrong in an input.
 
@@ -26,12 +37,40 @@
 
     code = 'KQ-1001'
 
+    def __init__(self, file: str, line: int, key: str, expected: str) -> None:
+        """Name the fault and its place.
+
+        Args:
+            file: Path of the settings file.
+            line: Line from 1; 0 where the fault has no line.
+            key: Dotted key, for example ``tls.key``; may be empty.
+            expected: What was expected there.
+        """
+        place = f'{file}:{line}' if line else file
+        where = f'{place}: {key}' if key else place
+        super().__init__(f'{where}: {expected}')
+        self.file = file
+        self.line = line
+        self.key = key
+        self.expected = expected
+
 
 class TlsMaterialError(KumquatportError):
     """A certificate or key cannot be read or does not fit the other."""
 
     code = 'KQ-1002'
 
+    def __init__(self, reason: TlsReason, source: str) -> None:
+        """Name the fault without any part of the material.
+
+        Args:
+            reason: What is wrong.
+            source: The path or ``platform:KEY`` it came from.
+        """
+        super().__init__(f'{source}: {reason}')
+        self.reason = reason
+        self.source = source
+
 
 class StartError(KumquatportError):
     """A process cannot take what it needs at start, such as a port."""
@@ -63,6 +102,12 @@
     code = 'KQ-2004'
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """The platform refused a write as malformed; nothing changed."""
+
+    code = 'KQ-2005'
+
+
 class DocumentRejectedError(KumquatportError):
     """A document is not valid; it is rejected as a whole."""
 
@@ -79,18 +124,75 @@
         self.faults = faults
 
 
+class NotInDocumentError(KumquatportError):
+    """The document has no service or failure domain of that name."""
+
+    code = 'KQ-3002'
+
+
 class FrameError(KumquatportError):
     """A control message or forward is malformed or not authentic."""
 
     code = 'KQ-4001'
 
 
+class FrameTooLongError(FrameError):
+    """A control message is longer, or shorter, than any can be."""
+
+    code = 'KQ-4011'
+
+
+class FrameVersionError(FrameError):
+    """A control message is of a protocol version not spoken here."""
+
+    code = 'KQ-4012'
+
+
+class FrameKindError(FrameError):
+    """A control message is of a kind not known here."""
+
+    code = 'KQ-4013'
+
+
+class FrameMacError(FrameError):
+    """A control message was not made under the shared key."""
+
+    code = 'KQ-4014'
+
+
+class FramePayloadError(FrameError):
+    """The payload of a control message is not what its kind says."""
+
+    code = 'KQ-4015'
+
+
 class PeerUnavailableError(KumquatportError):
     """Another instance did not answer a control message in time."""
 
     code = 'KQ-4002'
 
 
+class PeerRefusedError(PeerUnavailableError):
+    """Another instance answered a control message with an error.
+
+    Attributes:
+        peer_code: Stable code of the error at the peer.
+    """
+
+    code = 'KQ-4004'
+
+    def __init__(self, endpoint: str, peer_code: str, reason: str) -> None:
+        """Keep the peer's code.
+
+        Args:
+            endpoint: ``address:port`` of the peer.
+            peer_code: Code in its answer.
+            reason: Text in its answer.
+        """
+        super().__init__(f'{endpoint}: {peer_code} {reason}')
+        self.peer_code = peer_code
+
+
 class ConnectionIdError(KumquatportError):
     """A connection ID was not issued under the shared key."""
 
