--- a/kumquatport/request/claims.py
+++ b/kumquatport/request/claims.py
@@ -7,7 +7,7 @@
 import typing
 from collections import abc
 
-from kumquatport.request import messages
+from kumquatport.request import errors, messages
 
 SETTLED_NOT_RUN = 'not-run'
 SETTLED_ANSWERED = 'answered'
@@ -49,6 +49,30 @@
     async_settle: abc.Callable[[Settlement], abc.Awaitable[None]]
 
 
+class Settling:
+    """Tells a verdict what became of its request, at the first call only."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        """Hold the verdict of a request that may run."""
+        self._verdict: Verdict | None = verdict
+
+    async def async_settle(self, settlement: Settlement) -> None:
+        """Tell the outcome unless one was told before.
+
+        Raises:
+            errors.AnswerBrokenError: The outcome could not be kept, so that
+                the answer must not look whole.
+        """
+        verdict = self._verdict
+        self._verdict = None
+        if verdict is None:
+            return
+        try:
+            await verdict.async_settle(settlement)
+        except errors.RequestLostError as lost:
+            raise errors.AnswerBrokenError(str(lost)) from lost
+
+
 Claim: typing.TypeAlias = abc.Callable[
     [messages.RequestHead, float],
     abc.Awaitable[Verdict],
--- a/kumquatport/request/errors.py
+++ b/kumquatport/request/errors.py
@@ -128,3 +128,4 @@
 
 
 RequestError: typing.TypeAlias = RequestRefusedError | RequestLostError
+REQUEST_ERRORS = (RequestRefusedError, RequestLostError)
--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -11,6 +11,7 @@
 from kumquatport.request import (
     cancellation,
     claims,
+    const,
     deadline,
     errors,
     messages,
@@ -171,20 +172,22 @@
                 self._async_serve(head, exchange),
                 exchange.cancelled,
             )
+        except stream.StreamClosedError:
+            self._metrics.increment(const.COUNT_CANCELLED, 1)
         except errors.AnswerBrokenError as broken:
-            self._count_error(const.COUNT_UNKNOWN_PREFIX, broken)
+            self._count_error(broken)
             exchange.reset(const.H3_INTERNAL_ERROR)
-        except errors.RequestRefusedError as refused:
-            self._count_error(const.COUNT_REFUSED_PREFIX, refused)
-            await refusal.async_send(exchange, refused)
-        except errors.RequestLostError as lost:
-            self._count_error(const.COUNT_UNKNOWN_PREFIX, lost)
-            await refusal.async_send(exchange, lost)
+        except errors.REQUEST_ERRORS as error:
+            self._count_error(error)
+            await refusal.async_send(exchange, error)
         else:
             name = const.COUNT_ANSWERED if whole else const.COUNT_CANCELLED
             self._metrics.increment(name, 1)
 
-    def _count_error(self, prefix: str, error: errors.RequestError) -> None:
+    def _count_error(self, error: errors.RequestError) -> None:
+        prefix = const.COUNT_UNKNOWN_PREFIX
+        if isinstance(error, errors.RequestRefusedError):
+            prefix = const.COUNT_REFUSED_PREFIX
         self._metrics.increment(f'{prefix}{error.code}', 1)
 
     async def _async_serve(
--- a/kumquatport/request/proxy/carrier.py
+++ b/kumquatport/request/proxy/carrier.py
@@ -18,8 +18,6 @@
     watch,
 )
 
-_FAILURES = (errors.RequestRefusedError, errors.RequestLostError)
-
 
 class Carrier:
     """Opens requests, and tells the limit what became of each try."""
@@ -57,7 +55,7 @@
             tried = attempt.Attempt()
             try:
                 return await self._async_try(asked, tried, in_progress, tries)
-            except _FAILURES as error:
+            except errors.REQUEST_ERRORS as error:
                 begun = begun or tried.begun
                 if not self._may_retry(asked, tried, error, tries):
                     raise _truthful(error, begun) from error
@@ -81,7 +79,7 @@
                 asked.deadline_at - now,
                 client.own_headers(asked, now, tries),
             )
-        except _FAILURES as error:
+        except errors.REQUEST_ERRORS as error:
             watched.end(_result_of(error))
             raise
         finally:
--- a/kumquatport/request/serving.py
+++ b/kumquatport/request/serving.py
@@ -6,12 +6,18 @@
 
 import aiohttp
 
+from kumquatport.connection.quic import stream
 from kumquatport.request import claims, errors
 from kumquatport.request.admission import admission
 from kumquatport.request.proxy import answer, carrier, const, job
 
 _NOT_RUN = claims.Settlement(claims.SETTLED_NOT_RUN, None)
 _UNKNOWN = claims.Settlement(claims.SETTLED_UNKNOWN, None)
+_MAY_HAVE_RUN = (
+    errors.RequestLostError,
+    asyncio.CancelledError,
+    stream.StreamClosedError,
+)
 
 
 class Parts(typing.NamedTuple):
@@ -59,13 +65,14 @@
     if verdict.answer is not None:
         await answer.async_send_kept(asked.exchange, verdict.answer)
         return
+    settling = claims.Settling(verdict)
     try:
-        await _async_run(asked, parts, slot, verdict)
+        await _async_run(asked, parts, slot, settling)
     except errors.RequestRefusedError:
-        await verdict.async_settle(_NOT_RUN)
+        await settling.async_settle(_NOT_RUN)
         raise
-    except (errors.RequestLostError, asyncio.CancelledError):
-        await verdict.async_settle(_UNKNOWN)
+    except _MAY_HAVE_RUN:
+        await settling.async_settle(_UNKNOWN)
         raise
 
 
@@ -79,14 +86,14 @@
     asked: job.Job,
     parts: Parts,
     slot: admission.Slot,
-    verdict: claims.Verdict,
+    settling: claims.Settling,
 ) -> None:
     response = await parts.carrier.async_open(asked, slot.in_progress)
     try:
         parts.answering(asked)
         if not asked.request_class.holds_slot:
             slot.release()
-        await _async_answer(asked, response, verdict)
+        await _async_answer(asked, response, settling)
     finally:
         # Closes the connection of an answer that has not ended.
         response.close()
@@ -95,7 +102,7 @@
 async def _async_answer(
     asked: job.Job,
     response: aiohttp.ClientResponse,
-    verdict: claims.Verdict,
+    settling: claims.Settling,
 ) -> None:
     head = answer.head_of(response)
     copy = answer.Copy(wanted=not asked.request_class.repeatable)
@@ -107,7 +114,7 @@
         copy.add(piece)
         end = response.content.at_eof()
         if end:
-            await verdict.async_settle(
+            await settling.async_settle(
                 claims.Settlement(
                     claims.SETTLED_ANSWERED,
                     copy.answer(response.status, head),
