--- /dev/null
+++ b/kumquatport/process/ctl/__main__.py
@@ -0,0 +1,99 @@
+"""Entry point of kumquatportctl."""
+
+import argparse
+import asyncio
+import functools
+import sys
+import typing
+from collections import abc
+
+from kumquatport import exceptions
+from kumquatport.process import logs
+from kumquatport.process.ctl import (
+    arguments,
+    domain,
+    output,
+    settings,
+    status,
+    verbs,
+)
+from kumquatport.process.platform import client as platform
+from kumquatport.process.settings import models
+from kumquatport.version.acceptance import const as acceptance_const
+
+_Work: typing.TypeAlias = abc.Coroutine[object, object, int]
+
+
+def main(argv: abc.Sequence[str] | None = None) -> int:
+    """Run one verb and return its exit code."""
+    options = arguments.parse(argv)
+    logs.setup(models.LogSettings(format='console', level='error'))
+    emit = functools.partial(output.emit, as_json=options.json)
+    try:
+        return _run(options, emit)
+    except exceptions.KumquatportError as error:
+        report = output.failure(error)
+        emit(report)
+        return report.exit_code
+
+
+def _run(options: argparse.Namespace, emit: output.Emit) -> int:
+    if options.verb == 'validate':
+        report = verbs.validate(options.file)
+        emit(report)
+        return report.exit_code
+    loaded = settings.load(
+        options.settings,
+        options.platform,
+        options.operator,
+        getattr(options, 'instance', ()),
+    )
+    return asyncio.run(_async_run(options, loaded, emit))
+
+
+async def _async_run(
+    options: argparse.Namespace,
+    loaded: settings.CtlSettings,
+    emit: output.Emit,
+) -> int:
+    client = platform.PlatformClient(
+        loaded.platform_url, acceptance_const.PLATFORM_TIMEOUT_S
+    )
+    await client.async_setup()
+    call = verbs.Call(client, loaded.operator, loaded.instances, emit)
+    try:
+        return await _async_verb(options, call)
+    finally:
+        await client.async_stop()
+
+
+def _async_verb(options: argparse.Namespace, call: verbs.Call) -> _Work:
+    """Return the work of the verb."""
+    makers: dict[str, abc.Callable[[], _Work]] = {
+        'diff': lambda: verbs.async_diff(call, options.file),
+        'apply': lambda: verbs.async_apply(
+            call,
+            options.file,
+            options.identifier,
+            options.comment,
+            options.confirm,
+        ),
+        'show': lambda: verbs.async_show(call),
+        'history': lambda: verbs.async_history(call, options.count),
+        'outcome': lambda: verbs.async_outcome(
+            call, options.identifier, options.base
+        ),
+        'status': lambda: status.async_status(call),
+        'domain': lambda: domain.async_domain(
+            call,
+            options.name,
+            out=options.direction == 'out',
+            comment=options.comment,
+            confirmed=options.confirm,
+        ),
+    }
+    return makers[options.verb]()
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/kumquatport/process/ctl/arguments.py
+++ b/kumquatport/process/ctl/arguments.py
@@ -48,10 +48,10 @@
     parser.add_argument(
         '--settings', metavar='FILE', help='YAML file that names the platform'
     )
-    parser.add_argument('--platform', metavar='URL', help='root of the platform')
     parser.add_argument(
-        '--operator', metavar='NAME', help='name for the audit'
+        '--platform', metavar='URL', help='root of the platform'
     )
+    parser.add_argument('--operator', metavar='NAME', help='name for the audit')
     parser.add_argument(
         '--json', action='store_true', help='answer JSON on standard output'
     )
@@ -139,7 +139,5 @@
 def _count(text: str) -> int:
     number = int(text)
     if not 1 <= number <= const.MAX_HISTORY:
-        raise argparse.ArgumentTypeError(
-            f'expected 1 to {const.MAX_HISTORY}'
-        )
+        raise argparse.ArgumentTypeError(f'expected 1 to {const.MAX_HISTORY}')
     return number
--- /dev/null
+++ b/kumquatport/process/load/__init__.py
@@ -0,0 +1,1 @@
+"""Present load of the services, as the instances tell it."""
--- a/kumquatport/process/metrics/const.py
+++ b/kumquatport/process/metrics/const.py
@@ -20,6 +20,7 @@
 GAUGE_CONTROL_CPU_S: typing.Final = 'control.cpu_s'
 GAUGE_CPU_S: typing.Final = 'cpu_s'
 GAUGE_FLOWS_OPEN: typing.Final = 'flows.open'
+GAUGE_REQUESTS_IN_PROGRESS: typing.Final = 'requests.in_progress'
 GAUGE_RESIDENT_BYTES: typing.Final = 'resident_bytes'
 
 OTHER_LABEL: typing.Final = 'other'
--- a/kumquatport/process/platform/client.py
+++ b/kumquatport/process/platform/client.py
@@ -170,7 +170,7 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             self._note_unavailable(kind, error)
             raise exceptions.PlatformUnavailableError(
-                f'{kind}: {error!r}'
+                f'{kind}: {type(error).__name__} {error}'
             ) from error
         answers.check_read(answer, str(url))
         self._note_available()
@@ -201,12 +201,12 @@
         except aiohttp.ClientConnectorError as unsent:
             self._note_unavailable(kind, unsent)
             raise exceptions.PlatformUnavailableError(
-                f'{kind}: {unsent!r}'
+                f'{kind}: {type(unsent).__name__} {unsent}'
             ) from unsent
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             self._note_unavailable(kind, error)
             raise exceptions.OutcomeUnknownError(
-                f'{kind}: {error!r}'
+                f'{kind}: {type(error).__name__} {error}'
             ) from error
         answers.check_write(answer, key, body is None)
         self._note_available()
--- a/kumquatport/version/acceptance/__init__.py
+++ b/kumquatport/version/acceptance/__init__.py
@@ -21,4 +21,6 @@
 async_history = audit.async_history
 async_in_force = store.async_in_force
 async_record = audit.async_record
+check_guard_rails = accept.check_guard_rails
+entry_lines = audit.entry_lines
 new_identifier = accept.new_identifier
--- a/kumquatport/version/acceptance/accept.py
+++ b/kumquatport/version/acceptance/accept.py
@@ -17,7 +17,7 @@
 from kumquatport.version.document import const as document_const
 
 Edit = abc.Callable[[document.Document], document.Document]
-Check = abc.Callable[[model.InForce, document.Document], None]
+Check = abc.Callable[[model.InForce, document.Document], abc.Awaitable[None]]
 
 
 def new_identifier() -> str:
@@ -88,16 +88,34 @@
             return model.Accepted(
                 before.version, before.document['identifier'], before.version
             )
-        check(before, changed)
+        await check(before, changed)
         try:
-            return await _async_write(
-                client, before, prepare(before, changed)
-            )
+            return await _async_write(client, before, prepare(before, changed))
         except model.AcceptanceConflictError as error:
             last = error
     raise last
 
 
+def check_guard_rails(
+    in_force: model.InForce,
+    submitted: document.Document,
+    loads: abc.Sequence[document.DomainLoad],
+) -> None:
+    """Hold a document back that may do harm.
+
+    Args:
+        in_force: What is in force now.
+        submitted: The new document.
+        loads: Present load; empty when it is not known.
+
+    Raises:
+        GuardRailError: The document has to be confirmed.
+    """
+    concerns = document.concerns(in_force.document, submitted, loads)
+    if concerns:
+        raise model.GuardRailError(concerns)
+
+
 def prepare(
     before: model.InForce,
     submitted: document.Document,
--- a/kumquatport/version/acceptance/audit.py
+++ b/kumquatport/version/acceptance/audit.py
@@ -1,6 +1,7 @@
 """The audit: one entry in the platform for each accepted document."""
 
 import asyncio
+import datetime
 import typing
 from collections import abc
 
@@ -65,6 +66,20 @@
     }
 
 
+def entry_lines(entry: model.AuditEntry) -> list[str]:
+    """Return an entry as text: a heading, then one line for each change."""
+    when = datetime.datetime.fromtimestamp(
+        entry['submitted_s'], datetime.UTC
+    ).isoformat(' ', 'seconds')
+    heading = f'{entry["version"]} {when} {entry["operator"] or "-"}'
+    if entry['comment']:
+        heading = f'{heading}: {entry["comment"]}'
+    changes = entry['changes']
+    if changes is None:
+        return [heading, '  changes not recorded']
+    return [heading, *(f'  {line}' for line in changes)]
+
+
 async def async_entry(
     client: platform.PlatformClient, version: int
 ) -> model.AuditEntry | None:
--- a/kumquatport/version/document/__init__.py
+++ b/kumquatport/version/document/__init__.py
@@ -22,6 +22,7 @@
 change_lines = difference.lines
 compare = difference.difference
 
+draft = edit.draft
 empty = edit.empty
 with_domain_out = edit.with_domain_out
 
--- a/kumquatport/version/document/edit.py
+++ b/kumquatport/version/document/edit.py
@@ -19,6 +19,18 @@
     }
 
 
+def draft(document: model.Document, version: int) -> model.Document:
+    """Return a copy to be edited, made from the version in force."""
+    copied = document.copy()
+    copied['base_version'] = version
+    copied['identifier'] = ''
+    copied['operator'] = ''
+    copied['comment'] = ''
+    copied['submitted_s'] = 0
+    copied['predecessors'] = []
+    return copied
+
+
 def with_domain_out(
     document: model.Document, name: str, *, out: bool
 ) -> model.Document:
