--- /dev/null
+++ b/kumquatport/process/console/__init__.py
@@ -0,0 +1,1 @@
+"""kumquatport-console: the operators' forms in a browser."""
--- /dev/null
+++ b/kumquatport/process/console/const.py
@@ -0,0 +1,46 @@
+"""Paths, names and limits of the console."""
+
+import typing
+
+PATH_OVERVIEW: typing.Final = '/'
+PATH_SIGN_IN: typing.Final = '/sign-in'
+PATH_SIGN_OUT: typing.Final = '/sign-out'
+PATH_EDIT: typing.Final = '/edit'
+PATH_SERVICE: typing.Final = '/service'
+PATH_RULES: typing.Final = '/rules'
+PATH_REVIEW: typing.Final = '/review'
+PATH_APPLY: typing.Final = '/apply'
+PATH_OUTCOME: typing.Final = '/outcome'
+PATH_HISTORY: typing.Final = '/history'
+PATH_STATIC: typing.Final = '/static'
+
+COOKIE_SESSION: typing.Final = 'kumquatport_session'
+
+FIELD_ACTION: typing.Final = 'action'
+FIELD_BASE: typing.Final = 'base_version'
+FIELD_COMMENT: typing.Final = 'comment'
+FIELD_CONFIRM: typing.Final = 'confirm'
+FIELD_CSRF: typing.Final = 'csrf'
+FIELD_DRAFT: typing.Final = 'draft'
+FIELD_FIND: typing.Final = 'find'
+FIELD_IDENTIFIER: typing.Final = 'identifier'
+FIELD_SERVICE: typing.Final = 'service_name'
+
+PURPOSE_SESSION: typing.Final = 'session'
+PURPOSE_FORM: typing.Final = 'form'
+PURPOSE_DRAFT: typing.Final = 'draft'
+
+SESSION_S: typing.Final = 28800.0
+NONCE_BYTES: typing.Final = 16
+MAX_BODY_BYTES: typing.Final = 4194304
+MAX_DRAFT_BYTES: typing.Final = 16777216
+MAX_SHOWN_ROWS: typing.Final = 50
+MAX_SHOWN_CHANGES: typing.Final = 500
+SHUTDOWN_S: typing.Final = 5.0
+
+ATTEMPT_WINDOW_S: typing.Final = 60.0
+MAX_ATTEMPTS: typing.Final = 5
+MAX_ATTEMPTS_OF_ADDRESS: typing.Final = 20
+MAX_TRACKED: typing.Final = 10000
+MAX_HASHES_AT_ONCE: typing.Final = 2
+MAX_PASSWORD_BYTES: typing.Final = 1024
--- /dev/null
+++ b/kumquatport/process/console/forms.py
@@ -0,0 +1,188 @@
+"""Forms of the console and what they turn into."""
+
+import re
+import typing
+from collections import abc
+
+import wtforms
+
+from kumquatport.version import document
+from kumquatport.version.document import const as document_const
+
+_SEPARATORS = re.compile('[ ,]+')
+
+FormData: typing.TypeAlias = typing.Any
+
+
+def _text(label: str) -> wtforms.StringField:
+    return wtforms.StringField(
+        label, filters=[lambda typed: (typed or '').strip()]
+    )
+
+
+def _number(label: str) -> wtforms.FloatField:
+    return wtforms.FloatField(label, [wtforms.validators.InputRequired()])
+
+
+def _whole(label: str) -> wtforms.IntegerField:
+    return wtforms.IntegerField(label, [wtforms.validators.InputRequired()])
+
+
+class SignInForm(wtforms.Form):
+    """Name and password."""
+
+    name = _text('Name')
+    password = wtforms.PasswordField('Password')
+
+
+class FailureDomainForm(wtforms.Form):
+    """One more failure domain."""
+
+    domain = _text('Failure domain')
+    region = _text('Region')
+
+
+class ClassForm(wtforms.Form):
+    """One class of a service; without a name it does not count."""
+
+    name = _text('Class')
+    methods = _text('Methods')
+    path_prefix = _text('Path starts with')
+    repeatable = wtforms.BooleanField('May be repeated')
+    holds_slot = wtforms.BooleanField('Holds a slot')
+    deadline_s = wtforms.FloatField(
+        'Deadline (s), empty for none', [wtforms.validators.Optional()]
+    )
+
+
+class TenantForm(wtforms.Form):
+    """One tenant of a service; without a name it does not count."""
+
+    name = _text('Tenant')
+    share = wtforms.FloatField('Share', [wtforms.validators.Optional()])
+
+
+class ServiceForm(wtforms.Form):
+    """One service."""
+
+    name = _text('Name')
+    address = _text('Address and port')
+    entry_port = _whole('Entry port')
+    slots = _whole('Slots of a backend server')
+    connections = _whole('Connections of a backend server')
+    queue_s = _number('Longest wait in the queue (s)')
+    queue_length = _whole('Most requests in the queue')
+    retry_budget = _number('Retries for each request')
+    start_share = _number('Share of full work at the start')
+    double_s = _number('Time in which work doubles (s)')
+    classes = wtforms.FieldList(wtforms.FormField(ClassForm))
+    tenants = wtforms.FieldList(wtforms.FormField(TenantForm))
+
+
+class RuleForm(wtforms.Form):
+    """One rule."""
+
+    service = wtforms.SelectField('Service')
+    failure_domain = wtforms.SelectField('Failure domain')
+    weight = _number('Weight')
+
+
+def service_form(row: document.Service | None) -> ServiceForm:
+    """Return the form of a service, or of a new one, with rows to spare."""
+    content: dict[str, typing.Any] = {
+        'slots': document_const.DEFAULT_SLOTS,
+        'connections': document_const.DEFAULT_CONNECTIONS,
+        'queue_s': document_const.DEFAULT_QUEUE_S,
+        'queue_length': document_const.DEFAULT_QUEUE_LENGTH,
+        'retry_budget': document_const.DEFAULT_RETRY_BUDGET,
+        'start_share': document_const.DEFAULT_START_SHARE,
+        'double_s': document_const.DEFAULT_DOUBLE_S,
+    }
+    if row is not None:
+        content.update(row['limits'])
+        content.update(row['ramp'])
+        content.update({key: row[key] for key in ('name', 'address')})
+        content['entry_port'] = row['entry_port']
+        content['tenants'] = list(row['tenants'])
+        content['classes'] = [
+            {**one, 'methods': ', '.join(one['methods'])}
+            for one in row['classes']
+        ]
+    form = ServiceForm(data=content)
+    add_rows(form)
+    return form
+
+
+def add_rows(form: ServiceForm) -> None:
+    """Add an empty row for one more class and one more tenant."""
+    form.classes.append_entry(
+        {'path_prefix': '/', 'holds_slot': True, 'repeatable': False}
+    )
+    form.tenants.append_entry({'share': document_const.DEFAULT_SHARE})
+
+
+def service_row(form: ServiceForm) -> typing.Any:
+    """Return the service that a filled in form describes, not yet checked."""
+    typed = form.data
+    return {
+        'name': typed['name'],
+        'address': typed['address'],
+        'entry_port': typed['entry_port'],
+        'limits': _picked(typed, document.Limits),
+        'ramp': _picked(typed, document.Ramp),
+        'classes': [_class_row(one) for one in typed['classes'] if one['name']],
+        'tenants': [
+            {
+                'name': one['name'],
+                'share': one['share'] or document_const.DEFAULT_SHARE,
+            }
+            for one in typed['tenants']
+            if one['name']
+        ],
+    }
+
+
+def rule_form(
+    draft: document.Document, posted: FormData = None
+) -> RuleForm:
+    """Return the form of one more rule."""
+    form = RuleForm(posted, weight=document_const.DEFAULT_WEIGHT)
+    form.service.choices = [row['name'] for row in draft['services']]
+    form.failure_domain.choices = [
+        row['name'] for row in draft['failure_domains']
+    ]
+    return form
+
+
+def faults(form: wtforms.Form) -> list[str]:
+    """Return what does not fit in a form, one line each."""
+    return [
+        f'{path}: {reason}' for path, reason in _faults(form.errors, '')
+    ]
+
+
+def _faults(
+    found: typing.Any, path: str
+) -> abc.Iterator[tuple[str, str]]:
+    """Yield path and reason of each error in a form and its rows."""
+    if isinstance(found, dict):
+        for key, under in found.items():
+            yield from _faults(under, f'{path}.{key}'.lstrip('.'))
+        return
+    for index, one in enumerate(found):
+        if isinstance(one, str):
+            yield path, one
+        else:
+            yield from _faults(one, f'{path}[{index}]')
+
+
+def _class_row(typed: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    methods = _SEPARATORS.split(typed['methods'].upper())
+    return {**typed, 'methods': [method for method in methods if method]}
+
+
+def _picked(
+    typed: dict[str, typing.Any], keys: type[typing.Any]
+) -> dict[str, typing.Any]:
+    """Return the typed values that a part of the service has."""
+    return {key: typed[key] for key in keys.__annotations__}
--- /dev/null
+++ b/kumquatport/process/console/guard.py
@@ -0,0 +1,116 @@
+"""What every request passes: sessions, forms of this site only, errors."""
+
+import typing
+from collections import abc
+from urllib import parse
+
+import structlog
+from aiohttp import web
+
+from kumquatport import exceptions
+from kumquatport.process.console import const, errors, parts, sessions
+
+_LOGGER = structlog.get_logger(__name__)
+
+Handler = abc.Callable[[web.Request], abc.Awaitable[web.StreamResponse]]
+
+_HEADERS: typing.Final = (
+    ('Cache-Control', 'no-store'),
+    (
+        'Content-Security-Policy',
+        "default-src 'none'; style-src 'self'; form-action 'self'; "
+        "frame-ancestors 'none'; base-uri 'none'",
+    ),
+    ('Cross-Origin-Opener-Policy', 'same-origin'),
+    ('Referrer-Policy', 'same-origin'),
+    ('X-Content-Type-Options', 'nosniff'),
+    ('X-Frame-Options', 'DENY'),
+)
+
+_STATUS: typing.Final = (
+    (errors.CrossSiteError, web.HTTPForbidden.status_code),
+    (errors.TokenError, web.HTTPBadRequest.status_code),
+    (errors.UnknownActionError, web.HTTPBadRequest.status_code),
+    (exceptions.NotInDocumentError, web.HTTPNotFound.status_code),
+    (exceptions.DocumentRejectedError, web.HTTPUnprocessableEntity.status_code),
+    (
+        exceptions.PlatformUnavailableError,
+        web.HTTPServiceUnavailable.status_code,
+    ),
+)
+
+
+@web.middleware
+async def async_protect(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Let a request pass only with a session and from this site."""
+    try:
+        response = await _async_answer(request, handler)
+    except web.HTTPException as answer:
+        answer.headers.update(_HEADERS)
+        raise
+    response.headers.update(_HEADERS)
+    return response
+
+
+async def _async_answer(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Answer a request; typed failures become pages."""
+    if request.path.startswith(const.PATH_STATIC):
+        return await handler(request)
+    key = parts.of(request).key
+    session = sessions.load(key, request)
+    if session is not None:
+        request[parts.SESSION] = session
+    try:
+        await _async_check(request, session)
+        return await handler(request)
+    except exceptions.KumquatportError as error:
+        return _problem(request, error)
+
+async def _async_check(
+    request: web.Request, session: sessions.Session | None
+) -> None:
+    """Check where a request comes from and who sent it.
+
+    Raises:
+        CrossSiteError: Another site made the browser send it.
+        HTTPSeeOther: It has to sign in first.
+    """
+    if request.method == 'POST':
+        _check_site(request)
+        given = await parts.async_field(request, const.FIELD_CSRF)
+        sessions.check_form(parts.of(request).key, session, given)
+    if request.path == const.PATH_SIGN_IN:
+        return
+    known = parts.of(request).passwords.is_operator(parts.operator(request))
+    if not known:
+        raise web.HTTPSeeOther(const.PATH_SIGN_IN)
+
+
+def _check_site(request: web.Request) -> None:
+    """Check what the browser says about the form's site.
+
+    Raises:
+        CrossSiteError: It says that it is another one.
+    """
+    site = request.headers.get('Sec-Fetch-Site', 'same-origin')
+    if site not in {'same-origin', 'none'}:
+        raise errors.CrossSiteError(f'posted from {site}')
+    origin = request.headers.get('Origin')
+    if origin is not None and parse.urlsplit(origin).netloc != request.host:
+        raise errors.CrossSiteError('posted from another origin')
+
+
+def _problem(
+    request: web.Request, error: exceptions.KumquatportError
+) -> web.Response:
+    """Show a failure."""
+    status = web.HTTPInternalServerError.status_code
+    for kind, code in _STATUS:
+        if isinstance(error, kind):
+            status = code
+    _LOGGER.info('request refused', path=request.path, error=error)
+    return parts.page(request, 'problem.html', {'error': error}, status)
--- /dev/null
+++ b/kumquatport/process/console/pages/__init__.py
@@ -0,0 +1,1 @@
+"""Pages of the console."""
--- /dev/null
+++ b/kumquatport/process/console/pages/signing.py
@@ -0,0 +1,71 @@
+"""Signing in and out."""
+
+from aiohttp import web
+
+from kumquatport.process.console import (
+    const,
+    errors,
+    forms,
+    parts,
+    sessions,
+)
+
+
+async def async_form(request: web.Request) -> web.Response:
+    """Show the sign-in form, with a session that its token belongs to."""
+    if parts.SESSION not in request:
+        request[parts.SESSION] = sessions.start('')
+    return _form(request, forms.SignInForm(), '')
+
+
+async def async_sign_in(request: web.Request) -> web.StreamResponse:
+    """Check name and password."""
+    form = forms.SignInForm(await request.post())
+    typed = form.data
+    shared = parts.of(request)
+    try:
+        await shared.passwords.async_check(
+            typed['name'] or '',
+            typed['password'] or '',
+            request.remote or '',
+        )
+    except errors.SignInError as error:
+        status = web.HTTPUnauthorized.status_code
+        return _form(request, form, str(error), status)
+    except errors.TooManyAttemptsError as too_many:
+        status = web.HTTPTooManyRequests.status_code
+        return _form(request, form, str(too_many), status)
+    response = _see(const.PATH_OVERVIEW)
+    session = sessions.start(typed['name'])
+    sessions.store(shared.key, response, session, secure=shared.secure)
+    return response
+
+
+async def async_sign_out(request: web.Request) -> web.StreamResponse:
+    """Take the session from the browser."""
+    response = _see(const.PATH_SIGN_IN)
+    response.del_cookie(const.COOKIE_SESSION, path='/')
+    return response
+
+
+def _see(path: str) -> web.Response:
+    """Send the browser to another page."""
+    return web.Response(
+        status=web.HTTPSeeOther.status_code, headers={'Location': path}
+    )
+
+
+def _form(
+    request: web.Request,
+    form: forms.SignInForm,
+    fault: str,
+    status: int = 200,
+) -> web.Response:
+    content = {'form': form, 'fault': fault}
+    response = parts.page(request, 'sign_in.html', content, status)
+    if status == web.HTTPTooManyRequests.status_code:
+        response.headers['Retry-After'] = str(int(const.ATTEMPT_WINDOW_S))
+    shared = parts.of(request)
+    session = request[parts.SESSION]
+    sessions.store(shared.key, response, session, secure=shared.secure)
+    return response
--- /dev/null
+++ b/kumquatport/process/console/service.py
@@ -0,0 +1,157 @@
+"""Root service of the console's process."""
+
+import asyncio
+import ssl
+import time
+import typing
+
+import mode
+from aiohttp import web
+
+import kumquatport
+from kumquatport import const as shared_const
+from kumquatport import exceptions
+from kumquatport.process.console import app, const, parts, passwords
+from kumquatport.process.metrics import registry
+from kumquatport.process.platform import client as platform
+from kumquatport.process.settings import models
+from kumquatport.process.status import models as status_models
+from kumquatport.process.status import server as status_server
+from kumquatport.process.tls import context as tls_context
+from kumquatport.process.tls import material, watcher
+from kumquatport.version import acceptance
+from kumquatport.version.acceptance import const as acceptance_const
+
+
+class Console(mode.Service):
+    """Serves the forms; keeps nothing but the failed sign-ins of late."""
+
+    def __init__(self, settings: models.ConsoleSettings) -> None:
+        """Set up a console that does not listen yet.
+
+        Args:
+            settings: Of this process.
+        """
+        super().__init__()
+        self._settings = settings
+        self._metrics = registry.Registry()
+        self._started_s = time.monotonic()
+        self._state = 'starting'
+        self._context: ssl.SSLContext | None = None
+        self._runner: web.AppRunner | None = None
+        self._recording: set[asyncio.Task[bool]] = set()
+        self._client = platform.PlatformClient(
+            settings.common.platform.url,
+            max(
+                settings.common.platform.timeout_s,
+                acceptance_const.PLATFORM_TIMEOUT_S,
+            ),
+        )
+
+    async def on_start(self) -> None:
+        """Listen.
+
+        Raises:
+            StartError: A port is taken.
+            TlsMaterialError: The certificate or key does not fit.
+        """
+        await self.add_runtime_dependency(self._client)
+        common = self._settings.common
+        await self.add_runtime_dependency(
+            status_server.Server(
+                common.address, common.status_port, self._status, self._metrics
+            )
+        )
+        if self._settings.tls is not None:
+            await self.add_runtime_dependency(
+                watcher.Watcher(
+                    self._settings.tls,
+                    self._replace_tls,
+                    read_object=self._async_read_object,
+                )
+            )
+        await self._async_listen()
+        self._state = 'ready'
+
+    async def on_stop(self) -> None:
+        """Finish requests and audit entries in progress."""
+        self._state = 'gone'
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._recording:
+            await asyncio.wait(self._recording, timeout=const.SHUTDOWN_S)
+
+    async def _async_listen(self) -> None:
+        """Serve the forms."""
+        shared = parts.Parts(
+            client=self._client,
+            passwords=passwords.Passwords(self._settings.operators),
+            key=bytes(self._settings.session_key),
+            instances=self._settings.instances,
+            secure=self._settings.tls is not None,
+            record=self._record,
+        )
+        self._runner = web.AppRunner(
+            app.build(shared),
+            access_log=None,
+            shutdown_timeout=const.SHUTDOWN_S,
+        )
+        await self._runner.setup()
+        listen = self._settings.listen
+        site = web.TCPSite(
+            self._runner, listen.address, listen.port, ssl_context=self._context
+        )
+        try:
+            await site.start()
+        except OSError as error:
+            raise exceptions.StartError(
+                f'console on {listen.address}:{listen.port}: {error.strerror}'
+            ) from error
+
+    def _replace_tls(self, loaded: material.Material) -> None:
+        """Show another certificate on new connections."""
+        if self._context is None:
+            self._context = tls_context.make(loaded)
+        else:
+            tls_context.replace(self._context, loaded)
+
+    async def _async_read_object(self, key: str) -> bytes:
+        stored = await self._client.async_get(key)
+        return stored.value
+
+    def _record(self, accepted: acceptance.Accepted) -> None:
+        """Write an audit entry while the operator is being answered."""
+        task = asyncio.create_task(
+            acceptance.async_record(self._client, accepted)
+        )
+        self._recording.add(task)
+        task.add_done_callback(self._recording.discard)
+
+    def _status(self) -> status_models.Status:
+        self._metrics.counters.update(self._new_calls())
+        common = self._settings.common
+        return {
+            'instance': common.instance,
+            'kind': shared_const.KIND_CONSOLE,
+            'failure_domain': common.failure_domain,
+            'state': self._state,
+            'release': kumquatport.__version__,
+            'document_version': 0,
+            'uptime_s': time.monotonic() - self._started_s,
+            'member_counts': {},
+            'members': [],
+            'metrics': self._metrics.snapshot(),
+        }
+
+    def _new_calls(self) -> dict[str, int]:
+        """Return platform calls since the last status."""
+        return {
+            name: count - self._metrics.counters[name]
+            for name, count in self._call_counts().items()
+        }
+
+    def _call_counts(self) -> dict[str, typing.Any]:
+        return {
+            f'platform.{kind}': count
+            for kind, count in self._client.calls.items()
+        }
--- a/kumquatport/version/acceptance/store.py
+++ b/kumquatport/version/acceptance/store.py
@@ -1,5 +1,7 @@
 """Reading the document in force from the platform."""
 
+import asyncio
+
 from kumquatport import exceptions
 from kumquatport.process.platform import client as platform
 from kumquatport.version import document
@@ -41,5 +43,6 @@
         stored = await client.async_get(document_const.DOCUMENT_KEY)
     except exceptions.ObjectMissingError:
         return model.InForce(0, document.empty(), b'')
-    parsed = document.parse(stored.value)
+    # A large document takes long enough to hold up everything else.
+    parsed = await asyncio.to_thread(document.parse, stored.value)
     return model.InForce(stored.version, parsed, stored.value)
--- a/kumquatport/version/document/__init__.py
+++ b/kumquatport/version/document/__init__.py
@@ -25,6 +25,12 @@
 draft = edit.draft
 empty = edit.empty
 with_domain_out = edit.with_domain_out
+with_failure_domain = edit.with_failure_domain
+with_rule = edit.with_rule
+with_service = edit.with_service
+without_failure_domain = edit.without_failure_domain
+without_rule = edit.without_rule
+without_service = edit.without_service
 
 Concern = guard.Concern
 DomainLoad = guard.DomainLoad
--- a/kumquatport/version/document/edit.py
+++ b/kumquatport/version/document/edit.py
@@ -46,3 +46,91 @@
         for row in document['failure_domains']
     ]
     return changed
+
+
+def with_failure_domain(
+    document: model.Document, name: str, region: str
+) -> model.Document:
+    """Return a copy with one more failure domain, to be checked."""
+    changed = document.copy()
+    added: model.FailureDomain = {'name': name, 'region': region, 'out': False}
+    changed['failure_domains'] = [*document['failure_domains'], added]
+    return changed
+
+
+def without_failure_domain(
+    document: model.Document, name: str
+) -> model.Document:
+    """Return a copy without a failure domain and the rules that name it."""
+    changed = document.copy()
+    changed['failure_domains'] = [
+        row for row in document['failure_domains'] if row['name'] != name
+    ]
+    changed['rules'] = [
+        rule for rule in document['rules'] if rule['failure_domain'] != name
+    ]
+    return changed
+
+
+def with_service(
+    document: model.Document, name: str, replacement: model.Service
+) -> model.Document:
+    """Return a copy with a service replaced, or added when there is none.
+
+    Rules follow a service that gets another name.
+
+    Args:
+        document: The document.
+        name: Present name of the service; empty to add one.
+        replacement: The service as it should be.
+    """
+    changed = document.copy()
+    changed['services'] = [
+        replacement if row['name'] == name else row
+        for row in document['services']
+    ]
+    if not name:
+        changed['services'].append(replacement)
+        return changed
+    changed['rules'] = [
+        {**rule, 'service': replacement['name']}
+        if rule['service'] == name
+        else rule
+        for rule in document['rules']
+    ]
+    return changed
+
+
+def without_service(document: model.Document, name: str) -> model.Document:
+    """Return a copy without a service and the rules that name it."""
+    changed = document.copy()
+    changed['services'] = [
+        row for row in document['services'] if row['name'] != name
+    ]
+    changed['rules'] = [
+        rule for rule in document['rules'] if rule['service'] != name
+    ]
+    return changed
+
+
+def with_rule(document: model.Document, added: model.Rule) -> model.Document:
+    """Return a copy in which the rule stands in place of one for its pair."""
+    changed = without_rule(
+        document, added['service'], added['failure_domain']
+    )
+    changed['rules'].append(added)
+    return changed
+
+
+def without_rule(
+    document: model.Document, service: str, failure_domain: str
+) -> model.Document:
+    """Return a copy without the rule of a pair."""
+    changed = document.copy()
+    changed['rules'] = [
+        rule
+        for rule in document['rules']
+        if (rule['service'], rule['failure_domain'])
+        != (service, failure_domain)
+    ]
+    return changed
