Fault-injecting proxy for TCP and UDP links

Drop, delay, jitter, duplicate, cut either way, freeze and reset, seeded by link and direction; one upstream socket for each UDP client, so that sources stay apart. A cut TCP link stalls rather than breaks, as a lost route does.

--- a/tests/standins/fabric.py
+++ b/tests/standins/fabric.py
@@ -79,12 +79,12 @@
     def _listen(self, service: Service) -> None:
         if service in self._listeners:
             return
-        sock = _bind(service.address, service.port)
+        sock = bind(service.address, service.port)
         self._listeners[service] = sock
         self._loop.add_reader(sock, self._receive_callers, service, sock)
 
     def _receive_callers(self, service: Service, sock: socket.socket) -> None:
-        for datagram, caller in _receive(sock):
+        for datagram, caller in receive(sock):
             self._spray(service, caller, datagram)
 
     def _spray(
@@ -101,12 +101,12 @@
         self._send(upstream, datagram, (balancer, service.entry_port))
 
     def _open(self, service: Service, caller: runner.Endpoint) -> socket.socket:
-        upstream = _bind(self._upstream_address, 0)
+        upstream = bind(self._upstream_address, 0)
         self._flows[service, caller] = upstream
         listener = self._listeners[service]
 
         def _answer() -> None:
-            for datagram, _ in _receive(upstream):
+            for datagram, _ in receive(upstream):
                 self.counts['answers'] += 1
                 self._send(listener, datagram, caller)
 
@@ -122,7 +122,8 @@
             self.counts['send_failed'] += 1
 
 
-def _bind(address: str, port: int) -> socket.socket:
+def bind(address: str, port: int) -> socket.socket:
+    """Open a UDP socket that does not block."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     sock.setblocking(False)
@@ -130,9 +131,10 @@
     return sock
 
 
-def _receive(
+def receive(
     sock: socket.socket,
 ) -> abc.Iterator[tuple[bytes, runner.Endpoint]]:
+    """Yield the datagrams that wait, a batch at most."""
     for _ in range(BATCH_DATAGRAMS):
         try:
             yield sock.recvfrom(MAX_DATAGRAM_BYTES)
--- /dev/null
+++ b/tests/standins/fault_rules.py
@@ -0,0 +1,99 @@
+"""What a fault-injecting proxy does to the traffic of one direction."""
+
+import asyncio
+import collections
+import random
+import typing
+from collections import abc
+
+FORWARD = 'forward'
+BACKWARD = 'backward'
+BOTH = 'both'
+DIRECTIONS = (FORWARD, BACKWARD)
+MAX_HELD = 100000
+
+
+class Rules(typing.NamedTuple):
+    """Faults of one direction; probabilities from 0 to 1.
+
+    Attributes:
+        drop: Probability that a datagram is lost, or that a TCP connection
+            is reset at a chunk.
+        duplicate: Probability that a datagram arrives twice.
+        delay_s: Added to each datagram or chunk.
+        jitter_s: Up to this much more, drawn for each; reorders datagrams.
+        cut: Datagrams are lost; TCP stalls.
+        freeze: Datagrams and TCP wait until the thaw.
+    """
+
+    drop: float = 0.0
+    duplicate: float = 0.0
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    cut: bool = False
+    freeze: bool = False
+
+
+class Direction:
+    """One direction of one link: its rules, counts and what waits."""
+
+    def __init__(self, seed: str) -> None:
+        self.rules = Rules()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._random = random.Random(seed)
+        self._held: collections.deque[abc.Callable[[], None]] = (
+            collections.deque(maxlen=MAX_HELD)
+        )
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def change(self, rules: Rules) -> None:
+        """Replace the rules; a thaw lets go what was held."""
+        self.rules = rules
+        if rules.cut or rules.freeze:
+            self._open.clear()
+        else:
+            self._open.set()
+        while self._held and not rules.freeze:
+            self._held.popleft()()
+
+    def pass_datagram(self, send: abc.Callable[[], None]) -> None:
+        """Call ``send`` never, later or more than once."""
+        rules = self.rules
+        if rules.freeze:
+            self.counts['held'] += 1
+            self._held.append(send)
+            return
+        if rules.cut or self._happens(rules.drop):
+            self.counts['dropped'] += 1
+            return
+        self.counts['passed'] += 1
+        self._send_later(send)
+        if self._happens(rules.duplicate):
+            self.counts['duplicated'] += 1
+            self._send_later(send)
+
+    async def async_open(self) -> None:
+        """Wait while the direction is cut or frozen."""
+        await self._open.wait()
+
+    def resets(self) -> bool:
+        """Draw whether a TCP connection breaks now."""
+        broken = self._happens(self.rules.drop)
+        self.counts['dropped' if broken else 'passed'] += 1
+        return broken
+
+    def delay(self) -> float:
+        """Draw a delay (s)."""
+        rules = self.rules
+        return rules.delay_s + self._random.uniform(0, rules.jitter_s)
+
+    def _happens(self, probability: float) -> bool:
+        return probability > 0 and self._random.random() < probability
+
+    def _send_later(self, send: abc.Callable[[], None]) -> None:
+        delay = self.delay()
+        if delay <= 0:
+            send()
+            return
+        asyncio.get_running_loop().call_later(delay, send)
