--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,10 +1,8 @@
 """A whole deployment of real processes with its stand-ins."""
 
 import json
-import os
 import pathlib
 import shutil
-import socket
 import subprocess
 import sys
 import tempfile
@@ -12,168 +10,117 @@
 import urllib.request
 from collections import abc
 
-from tests import processes
-from tests.builders import documents, settings
+from tests import fault_paths, network, processes
+from tests.builders import documents, plans, settings
 
-DEFAULT_BLOCK = '127.10'
-BLOCK_VARIABLE = 'KUMQUATPORT_TEST_BLOCK'
-CLAIM_PORT = 39000
-READY_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
-SERVICE_PORT = 4433
-BACKEND_PORT = 8000
+STAND_IN_STOP_S = 2.0
 KEY_DOCUMENT = 'config/document'
 
-
-class ServicePlan(typing.NamedTuple):
-    """One service and how many backend servers it has."""
-
-    name: str
-    backend_servers: int
-
-
-class Plan(typing.NamedTuple):
-    """Sizes of a deployment."""
-
-    region: str
-    failure_domains: tuple[str, ...]
-    services: tuple[ServicePlan, ...]
-    balancers: int = 3
+accra = plans.accra
+lakes = plans.lakes
 
 
 class LogFault(AssertionError):
     """A process wrote a traceback."""
 
 
-def accra(storefront: int = 7, manuals: int = 3, balancers: int = 3) -> Plan:
-    """Plan Accra, at the brief's sizes unless reduced."""
-    return Plan(
-        'accra',
-        ('accra-a', 'accra-b', 'accra-c'),
-        (
-            ServicePlan('storefront', storefront),
-            ServicePlan('manuals', manuals),
-        ),
-        balancers,
-    )
+class Options(typing.NamedTuple):
+    """How a deployment differs from the usual one.
 
+    Attributes:
+        seed: Seed of the stand-ins' random choices.
+        backend: More options for each backend server.
+        seeds: Whether settings name the balancers as seeds.
+        log_level: Of the system's own processes.
+        faults: Patterns of paths that lead through the fault proxy; see
+            ``fault_paths.FaultPaths``.
+    """
 
-def lakes(desk: int = 7, archive: int = 3, balancers: int = 3) -> Plan:
-    """Plan Lakes, at the brief's sizes unless reduced."""
-    return Plan(
-        'lakes',
-        ('duluth', 'kenosha', 'saginaw'),
-        (ServicePlan('desk', desk), ServicePlan('archive', archive)),
-        balancers,
-    )
+    seed: int = 0
+    backend: tuple[str, ...] = ()
+    seeds: bool = True
+    log_level: str = 'info'
+    faults: tuple[str, ...] = ()
 
 
 class Deployment:
     """Starts, disturbs and ends the processes of one deployment.
 
-    Names: ``platform``, ``statsd``, ``fabric``, ``balancer-N``,
+    Names: ``platform``, ``statsd``, ``fabric``, ``faults``, ``balancer-N``,
     ``SERVICE-N`` (agent) and ``SERVICE-N-server`` (backend server), N from 1.
     All methods block; call them with ``asyncio.to_thread`` in a loop.
     """
 
-    def __init__(
-        self,
-        plan: Plan,
-        *,
-        seed: int = 0,
-        backend_options: abc.Sequence[str] = (),
-        seeds: bool = True,
-        log_level: str = 'info',
-    ) -> None:
-        """Reserve addresses and write all settings.
+    def __init__(self, plan: plans.Plan, options: Options = Options()) -> None:
+        """Claim addresses and write all settings.
 
         Args:
             plan: Sizes.
-            seed: Seed of the stand-ins' random choices.
-            backend_options: More options for each backend server.
-            seeds: Whether settings name the balancers as seeds.
-            log_level: Of the system's own processes.
+            options: What differs from the usual.
         """
         self.plan = plan
-        self.seed = seed
+        self.options = options
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kumquatport-'))
+        self.network = network.Network()
         self.processes: dict[str, processes.Process] = {}
-        self._claim, self._net = _claim_net()
+        self.paths = fault_paths.FaultPaths(self.network.faults, options.faults)
         self._status: dict[str, str] = {}
-        self._balancer_addresses: dict[str, str] = {}
-        self._backend_options = list(backend_options)
-        self._common = settings.Common(
-            plan.region,
-            f'http://{self._net}.2:9000',
-            (f'{self._net}.3', 8125),
-            self._seeds() if seeds else (),
-            log_level,
-        )
+        self._balancers: dict[str, str] = {}
         self._prepare()
 
     @property
     def ca(self) -> pathlib.Path:
+        """Certificate that callers trust."""
         return self.folder / 'cert.pem'
 
-    @property
-    def common(self) -> settings.Common:
-        return self._common
-
     @property
     def caller_address(self) -> str:
         """An address that callers may bind."""
-        return f'{self._net}.200'
+        return self.network.caller
 
     @property
     def platform_url(self) -> str:
-        return self._common.platform_url
+        return _url(self.network.platform)
 
     @property
     def balancers(self) -> tuple[str, ...]:
-        return tuple(self._balancer_addresses)
+        return tuple(self._balancers)
 
     @property
     def agents(self) -> tuple[str, ...]:
-        return tuple(
-            f'{service.name}-{number + 1}'
-            for service in self.plan.services
-            for number in range(service.backend_servers)
-        )
+        return self.plan.agents
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        return tuple(f'{agent}-server' for agent in self.agents)
 
-    def service_endpoint(self, name: str) -> tuple[str, int]:
+    def service_endpoint(self, name: str) -> network.Endpoint:
         """Tell the address and port that callers of a service use."""
-        index = [service.name for service in self.plan.services].index(name)
-        return f'{self._net}.{10 + index}', SERVICE_PORT
+        direct = self.network.service(self.plan.service_names.index(name))
+        return self.paths.through(f'callers->{name}', 'udp', direct)
 
     def address(self, name: str) -> str:
         """Tell the IP number of a balancer, agent or backend server."""
-        if name in self._balancer_addresses:
-            return self._balancer_addresses[name]
-        agent = name.removesuffix('-server')
-        return f'{self._net}.{50 + self.agents.index(agent)}'
-
-    def failure_domain(self, name: str) -> str:
-        """Tell where a balancer, agent or backend server runs."""
-        number = int(name.removesuffix('-server').rsplit('-', 1)[1])
-        domains = self.plan.failure_domains
-        return domains[(number - 1) % len(domains)]
+        if name in self._balancers:
+            return self._balancers[name]
+        index = self.agents.index(name.removesuffix('-server'))
+        return self.network.agent(index)
 
     def entry_port(self, service: str) -> int:
         """Tell the balancers' port for a service."""
-        names = [planned.name for planned in self.plan.services]
-        return documents.FIRST_ENTRY_PORT + names.index(service)
+        index = self.plan.service_names.index(service)
+        return documents.FIRST_ENTRY_PORT + index
 
     def document(self, **changes: typing.Any) -> documents.Entry:
         """Build this deployment's document; see ``documents.document``."""
         services = []
-        for service in self.plan.services:
-            address, port = self.service_endpoint(service.name)
+        for index, name in enumerate(self.plan.service_names):
+            address, port = self.network.service(index)
+            entry_port = self.entry_port(name)
             services.append(
-                documents.service(
-                    service.name,
-                    f'{address}:{port}',
-                    self.entry_port(service.name),
-                )
+                documents.service(name, f'{address}:{port}', entry_port)
             )
         return documents.document(
             self.plan.region, self.plan.failure_domains, services, **changes
@@ -181,13 +128,11 @@
 
     def start(self, *, document: documents.Entry | None = None) -> None:
         """Start all; return when all say that they are ready."""
-        stand_ins = ('platform', 'statsd', 'fabric')
-        self.start_some(stand_ins)
+        proxy = ('faults',) if self.paths.wanted else ()
+        self.start_some(('platform', 'statsd', 'fabric', *proxy))
         self.put_document(document or self.document())
-        servers = [f'{agent}-server' for agent in self.agents]
-        self.start_some(servers)
-        self.start_some(self.balancers)
-        self.start_some(self.agents)
+        self.start_some(self.servers)
+        self.start_some((*self.balancers, *self.agents))
 
     def start_some(self, names: abc.Iterable[str]) -> None:
         """Start processes together and wait for each."""
@@ -214,6 +159,14 @@
         url = self._status[name].removesuffix('/counts')
         return processes.post_json(url, order)
 
+    def set_faults(self, rules: dict[str, dict]) -> None:
+        """Replace the rules of paths through the fault proxy.
+
+        Args:
+            rules: Rules for each pattern, as ``fault_proxy`` takes them.
+        """
+        self.control('faults', {'rules': rules})
+
     def put_document(self, document: documents.Entry) -> int:
         """Put a document into the platform; return its version."""
         request = urllib.request.Request(
@@ -226,8 +179,8 @@
 
     def set_fabric(self, balancers: abc.Iterable[str]) -> None:
         """Have the fabric use these balancers, by name, from now on."""
-        addresses = [self._balancer_addresses[name] for name in balancers]
-        self.control('fabric', {'balancers': addresses})
+        entries = [self._entry_address(name) for name in balancers]
+        self.control('fabric', {'balancers': entries})
 
     def kill(self, name: str) -> None:
         self.processes[name].kill()
@@ -247,14 +200,15 @@
         self.start_some([name])
 
     def stop(self) -> list[str]:
-        """End everything; return who did not end by itself."""
-        ours = (*self.agents, *self.balancers, *self._consoles())
-        killed = processes.end_all(
-            [self.processes[name] for name in ours if name in self.processes],
-            STOP_TIMEOUT_S,
-        )
-        processes.end_all(self.processes.values(), 2.0)
-        self._claim.close()
+        """End everything; return which of ours did not end by themselves."""
+        ours = [
+            process
+            for process in self.processes.values()
+            if process.module.startswith('kumquatport.')
+        ]
+        killed = processes.end_all(ours, STOP_TIMEOUT_S)
+        processes.end_all(self.processes.values(), STAND_IN_STOP_S)
+        self.network.close()
         return killed
 
     def check_logs(self) -> None:
@@ -273,27 +227,29 @@
         self, operators: list[settings.Settings], name: str = 'console-1'
     ) -> str:
         """Prepare a console process; return its URL."""
-        address = f'{self._net}.30'
+        address = self.network.console
         entries = settings.console(
-            self._common,
+            self._common(name),
             name,
             self.plan.failure_domains[0],
             address,
             operators,
         )
-        self._add_own(name, 'console', entries)
+        self._add_own('console', entries)
         return f'https://{address}:{settings.CONSOLE_PORT}'
 
     def add_balancer(self) -> str:
         """Prepare one more balancer; return its name."""
-        number = len(self._balancer_addresses) + 1
+        number = len(self._balancers) + 1
         name = f'balancer-{number}'
-        address = f'{self._net}.{19 + number}'
-        self._balancer_addresses[name] = address
+        self._balancers[name] = self.network.balancer(number - 1)
         entries = settings.process(
-            self._common, name, self.failure_domain(name), address
+            self._common(name),
+            name,
+            self.plan.failure_domain(name),
+            self._balancers[name],
         )
-        self._add_own(name, 'balancer', entries)
+        self._add_own('balancer', entries)
         return name
 
     def __enter__(self) -> 'Deployment':
@@ -310,91 +266,121 @@
             self.check_logs()
             self.remove()
 
-    def _seeds(self) -> tuple[str, ...]:
-        return tuple(
-            f'{self._net}.{20 + number}:{settings.CONTROL_PORT}'
-            for number in range(self.plan.balancers)
-        )
-
-    def _consoles(self) -> list[str]:
-        return [name for name in self.processes if name.startswith('console')]
-
     def _prepare(self) -> None:
         settings.write_keys(self.folder)
         script = processes.ROOT / 'script' / 'dev-certificate'
         subprocess.run([sys.executable, script, self.folder], check=True)
-        self._add_stand_ins()
+        self._add_platform_and_statsd()
         for _ in range(self.plan.balancers):
             self.add_balancer()
         for service in self.plan.services:
             for number in range(service.backend_servers):
                 self._add_agent(service.name, f'{service.name}-{number + 1}')
+        for name in self.plan.service_names:
+            self.service_endpoint(name)
         self._add_fabric()
+        self._add_faults()
 
-    def _add_stand_ins(self) -> None:
-        net = self._net
-        self._add_stand_in(
-            'platform', 'platform', ['--listen', f'{net}.2:9000'], '2:9000'
+    def _common(self, instance: str) -> settings.Common:
+        platform = self.paths.through(
+            f'{instance}->platform', 'tcp', self.network.platform
         )
+        return settings.Common(
+            self.plan.region,
+            _url(platform),
+            self.network.statsd,
+            self._seeds() if self.options.seeds else (),
+            self.options.log_level,
+        )
+
+    def _seeds(self) -> tuple[str, ...]:
+        return tuple(
+            f'{self.network.balancer(index)}:{settings.CONTROL_PORT}'
+            for index in range(self.plan.balancers)
+        )
+
+    def _entry_address(self, balancer: str) -> str:
+        address = self._balancers[balancer]
+        shadow = self.network.shadow(address)
+        entry = address
+        for service in self.plan.service_names:
+            port = self.entry_port(service)
+            entry, _ = self.paths.through(
+                f'fabric->{balancer}/{service}',
+                'udp',
+                (address, port),
+                (shadow, port),
+            )
+        return entry
+
+    def _add_platform_and_statsd(self) -> None:
+        listen = ['--listen', _text(self.network.platform)]
         self._add_stand_in(
-            'statsd',
-            'statsd_receiver',
-            ['--listen', f'{net}.3:8125', '--control', f'{net}.3:9000'],
-            '3:9000',
+            'platform', 'platform', listen, self.network.platform
         )
+        control = self.network.statsd_control
+        options = ['--listen', _text(self.network.statsd)]
+        options += ['--control', _text(control)]
+        self._add_stand_in('statsd', 'statsd_receiver', options, control)
 
     def _add_fabric(self) -> None:
         config = self.folder / 'fabric.json'
+        entries = [self._entry_address(name) for name in self.balancers]
         services = self.document()['services']
-        addresses = list(self._balancer_addresses.values())
         config.write_text(
-            json.dumps({'services': services, 'balancers': addresses})
+            json.dumps({'services': services, 'balancers': entries})
         )
-        net = self._net
-        options = ['--config', str(config), '--control', f'{net}.4:9000']
-        options += ['--upstream-address', f'{net}.5']
-        options += ['--seed', str(self.seed)]
-        self._add_stand_in('fabric', 'fabric', options, '4:9000')
+        control = self.network.fabric_control
+        options = ['--config', str(config), '--control', _text(control)]
+        options += ['--upstream-address', self.network.fabric_upstream]
+        options += ['--seed', str(self.options.seed)]
+        self._add_stand_in('fabric', 'fabric', options, control)
+
+    def _add_faults(self) -> None:
+        config = self.folder / 'faults.json'
+        config.write_text(json.dumps({'links': self.paths.links}))
+        control = self.network.faults, network.HTTP_PORT
+        options = ['--config', str(config), '--control', _text(control)]
+        options += ['--seed', str(self.options.seed)]
+        self._add_stand_in('faults', 'fault_proxy', options, control)
 
     def _add_agent(self, service: str, name: str) -> None:
         address = self.address(name)
-        server = f'{name}-server'
+        direct = address, network.BACKEND_PORT
         index = self.agents.index(name)
+        server = f'{name}-server'
         options = ['--name', server, '--service', service]
-        options += ['--listen', f'{address}:{BACKEND_PORT}']
-        options += ['--seed', str(self.seed * 1000 + index)]
-        options += self._backend_options
-        self._add_stand_in(
-            server,
-            'backend_server',
-            options,
-            f'{50 + index}:{BACKEND_PORT}',
-        )
+        options += ['--listen', _text(direct)]
+        options += ['--seed', str(self.options.seed * 1000 + index)]
+        options += self.options.backend
+        self._add_stand_in(server, 'backend_server', options, direct)
         entries = settings.agent(
-            self._common,
+            self._common(name),
             name,
-            self.failure_domain(name),
+            self.plan.failure_domain(name),
             address,
             service,
-            (address, BACKEND_PORT),
+            self.paths.through(f'{name}->server', 'tcp', direct),
         )
-        self._add_own(name, 'agent', entries)
+        self._add_own('agent', entries)
 
     def _add_stand_in(
-        self, name: str, module: str, options: list[str], host_port: str
+        self,
+        name: str,
+        module: str,
+        options: list[str],
+        control: network.Endpoint,
     ) -> None:
         self._add(name, f'tests.standins.{module}', options)
-        url = f'http://{self._net}.{host_port}/control/counts'
-        self._status[name] = url
+        self._status[name] = f'{_url(control)}/control/counts'
 
-    def _add_own(
-        self, name: str, program: str, entries: settings.Settings
-    ) -> None:
+    def _add_own(self, program: str, entries: settings.Settings) -> None:
+        name = entries['instance']
         path = settings.write(self.folder, entries)
         module = f'kumquatport.process.{program}'
         self._add(name, module, ['--settings', str(path)])
-        address, port = entries['address'], entries['status_port']
-        self._status[name] = f'http://{address}:{port}/status'
+        status = entries['address'], entries['status_port']
+        self._status[name] = f'{_url(status)}/status'
 
     def _add(self, name: str, module: str, options: list[str]) -> None:
         log = self.folder / f'{name}.log'
@@ -406,17 +392,9 @@
     return status.get('state', 'ready') not in {'starting', 'leaving'}
 
 
-def _claim_net() -> tuple[socket.socket, str]:
-    """Claim a /24 of the loopback block for this run, until closed."""
-    block = os.environ.get(BLOCK_VARIABLE, DEFAULT_BLOCK)
-    for offset in range(250):
-        net = f'{block}.{(os.getpid() + offset) % 250 + 1}'
-        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            claim.bind((f'{net}.1', CLAIM_PORT))
-        except OSError:
-            claim.close()
-            continue
-        claim.listen()
-        return claim, net
-    raise processes.NotReadyError(f'no free network in {block}.0.0/16')
+def _text(endpoint: network.Endpoint) -> str:
+    return f'{endpoint[0]}:{endpoint[1]}'
+
+
+def _url(endpoint: network.Endpoint) -> str:
+    return f'http://{_text(endpoint)}'
--- /dev/null
+++ b/tests/workload.py
@@ -0,0 +1,154 @@
+"""Requests of all kinds to one service, and what each answered."""
+
+import asyncio
+import json
+import typing
+import uuid
+
+from tests import deployment
+from tests.standins import caller
+from tests.standins import caller_errors as errors
+
+TENANT = {'x-tenant': 'guild'}
+PULL_BYTES = 1_000_000
+FEED_LINES = 2
+ANSWER_TIMEOUT_S = 15.0
+RECEIPT_FIELDS = {'key', 'run', 'server'}
+
+
+class Outcome(typing.NamedTuple):
+    """What one request answered.
+
+    Attributes:
+        service: Service that was called.
+        kind: order, pull, feed or small.
+        result: HTTP status, or the error's type.
+        right: Whether it was the whole right answer.
+        seconds: From sending to its end.
+        server: Backend server that answered, if it said so.
+    """
+
+    service: str
+    kind: str
+    result: str
+    right: bool
+    seconds: float
+    server: str = ''
+
+
+async def async_order(connection: caller.Connection, service: str) -> Outcome:
+    """Send an order with a key of its own and check its receipt."""
+    key = uuid.uuid4().hex
+    headers = {**TENANT, 'idempotency-key': key}
+    answer = await connection.async_request(
+        'POST', '/orders', headers, b'{"item": "cups"}', ANSWER_TIMEOUT_S
+    )
+    if answer.status != 200:
+        return _outcome(service, 'order', answer, right=False)
+    receipt = json.loads(answer.body)
+    right = (receipt['key'], receipt['run']) == (key, 1)
+    return _outcome(service, 'order', answer, receipt['server'], right=right)
+
+
+async def async_small(connection: caller.Connection, service: str) -> Outcome:
+    """Ask for a small answer and check that it is this request's own."""
+    echo = uuid.uuid4().hex
+    headers = {**TENANT, 'x-echo': echo}
+    answer = await connection.async_request(
+        'GET', f'/stock/{echo}', headers, b'', ANSWER_TIMEOUT_S
+    )
+    if answer.status != 200:
+        return _outcome(service, 'small', answer, right=False)
+    content = json.loads(answer.body)
+    right = (content['service'], content['echo']) == (service, echo)
+    return _outcome(service, 'small', answer, content['server'], right=right)
+
+
+async def async_pull(connection: caller.Connection, service: str) -> Outcome:
+    """Pull a body; its checksum is checked by the caller."""
+    name = uuid.uuid4().hex
+    answer = await connection.async_pull(
+        name, PULL_BYTES, TENANT, ANSWER_TIMEOUT_S
+    )
+    return _outcome(service, 'pull', answer, right=answer.status == 200)
+
+
+async def async_feed(connection: caller.Connection, service: str) -> Outcome:
+    """Read the first lines of a feed, then leave it."""
+    exchange = connection.start('GET', '/feed', TENANT)
+    status = await exchange.async_headers(ANSWER_TIMEOUT_S)
+    lines: list[str] = []
+    if status == 200:
+        async for line in exchange.async_lines(ANSWER_TIMEOUT_S):
+            lines.append(line)
+            if len(lines) == FEED_LINES:
+                break
+    exchange.cancel()
+    numbers = [int(line.split()[1]) for line in lines]
+    server = lines[0].split()[0] if lines else ''
+    answer = errors.Answered(status, {}, b'', 0.0, 0.0)
+    right = numbers == list(range(FEED_LINES))
+    return _outcome(service, 'feed', answer, server, right=right)
+
+
+KINDS = {
+    'order': async_order,
+    'small': async_small,
+    'pull': async_pull,
+    'feed': async_feed,
+}
+
+
+async def async_call(
+    target: deployment.Deployment, service: str, kinds: tuple[str, ...]
+) -> list[Outcome]:
+    """Open one connection and send requests one after another on it."""
+    try:
+        connection = await caller.async_connect(
+            target.service_endpoint(service),
+            target.ca,
+            service,
+            local=(target.caller_address, 0),
+        )
+    except errors.CallerError as fault:
+        result = type(fault).__name__
+        return [Outcome(service, kind, result, False, 0.0) for kind in kinds]
+    try:
+        return [await _async_one(connection, service, kind) for kind in kinds]
+    finally:
+        await connection.async_close()
+
+
+async def async_call_all(
+    target: deployment.Deployment, connections: int, kinds: tuple[str, ...]
+) -> list[Outcome]:
+    """Call every service of a deployment over several connections each."""
+    calls = [
+        async_call(target, service, kinds)
+        for service in target.plan.service_names
+        for _ in range(connections)
+    ]
+    return [
+        outcome for batch in await asyncio.gather(*calls) for outcome in batch
+    ]
+
+
+async def _async_one(
+    connection: caller.Connection, service: str, kind: str
+) -> Outcome:
+    try:
+        return await KINDS[kind](connection, service)
+    except errors.CallerError as fault:
+        return Outcome(service, kind, repr(fault), False, 0.0)
+
+
+def _outcome(
+    service: str,
+    kind: str,
+    answer: errors.Answered,
+    server: str = '',
+    *,
+    right: bool,
+) -> Outcome:
+    result = str(answer.status)
+    return Outcome(service, kind, result, right, answer.seconds, server)
