Balancer and agent as programs

Cause: the packet path needs its processes: entry sockets follow the document in force, an agent announces what it can take and passes on what it cannot.

--- a/kumquatport/connection/forward/outgoing.py
+++ b/kumquatport/connection/forward/outgoing.py
@@ -81,7 +81,7 @@
 
     def send(
         self,
-        datagram: bytes | memoryview,
+        datagram: bytes | bytearray | memoryview,
         endpoint: header.Endpoint,
     ) -> None:
         """Send a forward; a full send buffer drops it."""
@@ -96,7 +96,7 @@
 
     def _send_again(
         self,
-        datagram: bytes | memoryview,
+        datagram: bytes | bytearray | memoryview,
         endpoint: header.Endpoint,
     ) -> None:
         try:
--- a/kumquatport/connection/quic/session.py
+++ b/kumquatport/connection/quic/session.py
@@ -12,14 +12,16 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
 
+from kumquatport import exceptions
 from kumquatport.connection.quic import const, issuing, stream
+from kumquatport.request import messages
 
 _LOGGER = structlog.get_logger(__name__)
 _NUMBERS = itertools.count(1)
 _STREAM_STEP = 4
 
 Handle = abc.Callable[
-    [stream.RequestHead, stream.Exchange],
+    [messages.RequestHead, messages.Exchange],
     abc.Awaitable[None],
 ]
 
@@ -167,13 +169,17 @@
     async def _async_run(
         self,
         stream_id: int,
-        head: stream.RequestHead,
+        head: messages.RequestHead,
         inbox: stream.Inbox,
     ) -> None:
         try:
             await self._handle(head, self._exchange(stream_id, inbox))
         except stream.StreamClosedError:
             _LOGGER.debug('caller left a request', path=head.path)
+        except exceptions.KumquatportError as err:
+            # A broken answer must not look like a whole one.
+            _LOGGER.info('request broken', code=err.code, path=head.path)
+            self._reset(stream_id, const.INTERNAL_ERROR)
         except Exception:
             _LOGGER.exception('request failed', path=head.path)
             self._reset(stream_id, const.INTERNAL_ERROR)
@@ -184,8 +190,10 @@
         self,
         stream_id: int,
         inbox: stream.Inbox,
-    ) -> stream.Exchange:
-        async def async_send_head(status: int, headers: stream.Headers) -> None:
+    ) -> messages.Exchange:
+        async def async_send_head(
+            status: int, headers: messages.Headers
+        ) -> None:
             fields = [(b':status', str(status).encode())]
             fields.extend(
                 (name.encode(), text.encode()) for name, text in headers
@@ -198,14 +206,10 @@
             self.transmit()
             await self._async_wait_for_room(stream_id, inbox)
 
-        def reset(error_code: int) -> None:
-            self._reset(stream_id, error_code)
-
-        return stream.Exchange(
+        return messages.Exchange(
             async_read_body=inbox.async_read,
             async_send_head=async_send_head,
             async_send_body=async_send_body,
-            reset=reset,
             cancelled=inbox.cancelled,
         )
 
@@ -247,13 +251,13 @@
 def _request_head(
     fields: list[tuple[bytes, bytes]],
     connection: int,
-) -> stream.RequestHead:
+) -> messages.RequestHead:
     headers = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, text in fields
     )
     pseudo = dict(field for field in headers if field[0].startswith(':'))
-    return stream.RequestHead(
+    return messages.RequestHead(
         method=pseudo.get(':method', ''),
         path=pseudo.get(':path', ''),
         authority=pseudo.get(':authority', ''),
--- /dev/null
+++ b/kumquatport/process/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: owns the flows of the backend server beside it."""
--- /dev/null
+++ b/kumquatport/process/agent/const.py
@@ -0,0 +1,14 @@
+"""Constants of the agent."""
+
+PROGRAM = 'kumquatport-agent'
+DESCRIPTION = 'Own the flows of the backend server beside this process.'
+READY_POLL_S = 5.0
+ANNOUNCE_S = 0.5
+WEIGHT_STEP = 0.05
+DRAIN_POLL_S = 0.2
+ALPN = ('h3',)
+CLIENT_MAX_STREAMS = 128
+EVENT_OPENED = 'flows.opened'
+EVENT_CLOSED = 'flows.closed'
+GAUGE_FLOWS = 'flows.open'
+EVENT_HOPS = 'hops'
--- /dev/null
+++ b/kumquatport/process/agent/passing.py
@@ -0,0 +1,84 @@
+"""Passing opening packets on to agents that can take them."""
+
+from collections import abc
+
+from kumquatport import exceptions
+from kumquatport.connection.forward import (
+    const,
+    header,
+    outgoing,
+    placement,
+    refused,
+    route,
+)
+from kumquatport.version import table
+
+
+class Passing:
+    """Sends opening packets that this agent cannot take to the next one."""
+
+    def __init__(
+        self,
+        service: str,
+        own: header.Endpoint,
+        shared_key: bytes,
+        tables: table.TableCache,
+        count_event: abc.Callable[[str], None],
+    ) -> None:
+        """Prepare; nothing is bound yet.
+
+        Args:
+            service: Service of this agent.
+            own: Endpoint of this agent.
+            shared_key: The key that all instances share, 32 bytes.
+            tables: Tables of the members' records.
+            count_event: Counts an event by name.
+        """
+        self._own = own
+        self._count_event = count_event
+        self._gone = refused.RefusedEndpoints()
+        self._outgoing = outgoing.Outgoing(self._on_refused, count_event)
+        self._read = header.make_reader(shared_key)
+        self._write = header.make_writer(shared_key)
+        self._next = placement.make_next(
+            placement.make_candidates(service, tables, self._gone),
+            own,
+            const.MAX_HOPS,
+        )
+
+    def async_setup(self) -> abc.Callable[[], None]:
+        """Bind the socket towards other agents.
+
+        Returns:
+            A callable that closes it.
+        """
+        return self._outgoing.async_setup(self._own[0])
+
+    def pass_on(self, forward: header.Forward) -> bool:
+        """Send an opening packet on; tell whether there was an agent for it.
+
+        Args:
+            forward: The opening packet, with the hops it has behind it.
+        """
+        flow = route.flow_hash(forward.caller, forward.service_tag)
+        endpoint = self._next(flow, forward.hops)
+        if endpoint is None:
+            return False
+        buffer = bytearray(const.PREFIX_BYTES) + forward.payload
+        self._write(
+            buffer,
+            forward.hops + 1,
+            forward.service_tag,
+            forward.caller,
+        )
+        self._outgoing.send(buffer, endpoint)
+        return True
+
+    def _on_refused(self, packet: outgoing.Refused) -> None:
+        self._gone.note(packet.endpoint)
+        try:
+            forward = self._read(packet.datagram)
+        except exceptions.FrameError:
+            return
+        if not self.pass_on(forward):
+            self._count_event('opening_refused.no_agent')
--- /dev/null
+++ b/kumquatport/process/agent/service.py
@@ -0,0 +1,192 @@
+"""The agent's root service."""
+
+import asyncio
+import typing
+from collections import abc
+
+import mode
+import structlog
+from aioquic.quic import configuration as quic_configuration
+
+from kumquatport.connection.connection_id import const as id_const
+from kumquatport.connection.quic import const as quic_const
+from kumquatport.connection.quic import held, listener
+from kumquatport.helpers import tags
+from kumquatport.process.agent import const, passing
+from kumquatport.process.instance import parts as instance_parts
+from kumquatport.process.settings import models
+from kumquatport.process.tls import material
+from kumquatport.process.tls import watcher as tls_watcher
+from kumquatport.request import handler, messages
+from kumquatport.version import current
+from kumquatport.version import document as documents
+from kumquatport.version.members import const as members_const
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Agent(mode.Service):
+    """Owns the flows of one backend server."""
+
+    def __init__(self, settings: models.AgentSettings) -> None:
+        """Build the parts; nothing runs yet.
+
+        Args:
+            settings: Settings of this process.
+        """
+        super().__init__()
+        self._settings = settings
+        common = settings.common
+        self._parts = instance_parts.build(
+            common,
+            instance_parts.Role(
+                members_const.KIND_AGENT,
+                settings.service,
+                settings.data_port,
+            ),
+        )
+        self._membership = self._parts.membership
+        self._leaving = False
+        self._handler = self._make_handler()
+        own = (common.address, settings.data_port)
+        self._passing = passing.Passing(
+            settings.service,
+            own,
+            common.shared_key,
+            self._membership.tables,
+            self._parts.metrics.count,
+        )
+        self._quic = _quic_configuration()
+        self._tls = tls_watcher.Watcher(
+            settings.tls,
+            self._use_material,
+            read_object=self._parts.platform.async_get,
+        )
+        self._listener = self._make_listener()
+        self._undo: list[abc.Callable[[], None]] = []
+
+    def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
+        """Return the services that run as long as this one."""
+        return (*self._parts.services, self._tls, self._handler)
+
+    async def on_started(self) -> None:
+        """Bind the sockets and follow the document in force.
+
+        Raises:
+            StartError: The address or port cannot be had.
+        """
+        self._undo.append(self._passing.async_setup())
+        self._undo.append(self._listener.async_setup())
+        self._undo.append(self._membership.current.subscribe(self._apply))
+        held_now = self._membership.current.held
+        if held_now.version:
+            self._apply(held_now)
+        self.add_future(self._async_announce())
+
+    async def on_stop(self) -> None:
+        """Close the sockets; connections that are left are closed."""
+        while self._undo:
+            self._undo.pop()()
+
+    async def async_drain(self) -> None:
+        """Leave: no new flows, and those that are open go on to their end.
+
+        Raises nothing and has no limit; a second signal ends the wait.
+        """
+        self._leaving = True
+        await self._membership.async_leave()
+        self._listener.go_away()
+        while any(one.requests_in_progress for one in self._listener.sessions):
+            await asyncio.sleep(const.DRAIN_POLL_S)
+        await self._handler.async_drain()
+
+    def _make_handler(self) -> handler.Handler:
+        metrics = self._parts.metrics
+        return handler.Handler(
+            self._settings.backend_server,
+            messages.Metrics(metrics.count, metrics.gauge, metrics.timing),
+        )
+
+    def _make_listener(self) -> listener.Listener:
+        common = self._settings.common
+        place = listener.Place(
+            common.address,
+            self._settings.data_port,
+            tags.service_tag(self._settings.service),
+            tags.failure_domain_tag(common.failure_domain),
+        )
+        hooks = listener.Hooks(
+            may_open=self._may_open,
+            pass_on=self._passing.pass_on,
+            handle=self._handler.async_handle,
+            count_event=self._parts.metrics.count,
+            watchers=held.Watchers(self._opened, self._closed),
+        )
+        return listener.Listener(place, common.shared_key, self._quic, hooks)
+
+    def _use_material(self, loaded: material.Material) -> None:
+        # Connections read it when they open, so open ones are not touched.
+        self._quic.certificate = loaded.certificate
+        self._quic.certificate_chain = list(loaded.chain)
+        self._quic.private_key = loaded.private_key
+
+    def _may_open(self) -> bool:
+        if self._leaving or self._is_out():
+            return False
+        return self._handler.openness().accepts_flows
+
+    def _is_out(self) -> bool:
+        domain = self._settings.common.failure_domain
+        return domain in self._membership.tables.out
+
+    def _opened(self) -> None:
+        self._parts.metrics.count(const.EVENT_OPENED)
+        self._handler.connection_opened()
+
+    def _closed(self) -> None:
+        self._parts.metrics.count(const.EVENT_CLOSED)
+        self._handler.connection_closed()
+
+    def _apply(self, held_now: current.Versioned) -> None:
+        service = documents.service(held_now.document, self._settings.service)
+        if service is None:
+            _LOGGER.warning('service missing', service=self._settings.service)
+            return
+        self._handler.configure(service)
+
+    async def _async_announce(self) -> None:
+        """Announce what this agent can take, whenever that changes."""
+        while not self.should_stop and not self._leaving:
+            if await self._membership.async_wait_ready(const.READY_POLL_S):
+                break
+            _LOGGER.info('waiting for a document')
+        while not self.should_stop and not self._leaving:
+            self._announce()
+            await self.sleep(const.ANNOUNCE_S)
+
+    def _announce(self) -> None:
+        openness = self._handler.openness()
+        own = self._membership.announcer.own
+        self._parts.metrics.gauge(
+            const.GAUGE_FLOWS,
+            len(self._listener.sessions),
+        )
+        is_ready = own.state == members_const.STATE_READY
+        change = abs(openness.weight - own.weight)
+        if is_ready and change < const.WEIGHT_STEP:
+            return
+        self._membership.announcer.update(
+            state=members_const.STATE_READY,
+            weight=openness.weight,
+        )
+
+
+def _quic_configuration() -> quic_configuration.QuicConfiguration:
+    return quic_configuration.QuicConfiguration(
+        is_client=False,
+        alpn_protocols=list(const.ALPN),
+        connection_id_length=id_const.CONNECTION_ID_BYTES,
+        idle_timeout=quic_const.IDLE_TIMEOUT_S,
+        max_data=quic_const.MAX_DATA_BYTES,
+        max_stream_data=quic_const.MAX_STREAM_DATA_BYTES,
+    )
--- /dev/null
+++ b/kumquatport/process/balancer/__main__.py
@@ -0,0 +1,20 @@
+"""Entry point of ``kumquatport-balancer``."""
+
+import sys
+
+from kumquatport.process import program, settings
+from kumquatport.process.balancer import const, service
+
+
+def main() -> int:
+    """Run the balancer; return its exit code."""
+    return program.run(
+        const.PROGRAM,
+        settings.load_balancer,
+        service.Balancer,
+        description=const.DESCRIPTION,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/kumquatport/process/balancer/entries.py
@@ -0,0 +1,194 @@
+"""The entry sockets of a balancer, one for each service in force."""
+
+import typing
+from collections import abc
+
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.connection_id import codec
+from kumquatport.connection.forward import (
+    const,
+    header,
+    outgoing,
+    placement,
+    refused,
+    relay,
+    route,
+)
+from kumquatport.connection.quic import invariants
+from kumquatport.helpers import tags
+from kumquatport.version import document as documents
+from kumquatport.version import table
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Entry(typing.NamedTuple):
+    """One service's way in.
+
+    Attributes:
+        port: UDP port that takes the service's packets from the fabric.
+        relay: Forwards them.
+        candidates: Ranks the service's agents for a flow.
+        stop: Closes the entry socket.
+    """
+
+    port: int
+    relay: relay.Relay
+    candidates: route.Candidates
+    stop: abc.Callable[[], None]
+
+
+class Entries:
+    """Opens, keeps and closes entry sockets as the document says."""
+
+    def __init__(
+        self,
+        address: str,
+        shared_key: bytes,
+        tables: table.TableCache,
+        count_event: abc.Callable[[str], None],
+        is_fresh: abc.Callable[[], bool],
+    ) -> None:
+        """Start without any service.
+
+        Args:
+            address: IPv4 number of the instance.
+            shared_key: The key that all instances share, 32 bytes.
+            tables: Tables of the members' records.
+            count_event: Counts an event by name.
+            is_fresh: Whether the document in force is confirmed.
+        """
+        self._address = address
+        self._tables = tables
+        self._count_event = count_event
+        self._gone = refused.RefusedEndpoints()
+        self._outgoing = outgoing.Outgoing(self._on_refused, count_event)
+        self._decode = codec.make_decoder(shared_key)
+        self._read = header.make_reader(shared_key)
+        self._write = header.make_writer(shared_key)
+        self._tools = relay.Tools(
+            write=self._write,
+            token=codec.make_reset_token(shared_key),
+            outgoing=self._outgoing,
+            count_event=count_event,
+            is_fresh=is_fresh,
+        )
+        self._known = route.Known(frozenset(), frozenset())
+        self._by_tag: dict[int, Entry] = {}
+        self._failed: set[int] = set()
+
+    @property
+    def gone(self) -> refused.RefusedEndpoints:
+        """Agents just seen to be gone."""
+        return self._gone
+
+    def async_setup(self) -> abc.Callable[[], None]:
+        """Bind the socket towards agents.
+
+        Returns:
+            A callable that closes every socket.
+        """
+        stop_outgoing = self._outgoing.async_setup(self._address)
+
+        def stop() -> None:
+            for entry in self._by_tag.values():
+                entry.stop()
+            self._by_tag.clear()
+            stop_outgoing()
+
+        return stop
+
+    def apply(self, document: documents.Document) -> bool:
+        """Bring the entry sockets in line with a document.
+
+        Args:
+            document: The document in force.
+
+        Returns:
+            Whether every service has its entry socket; if not, call again.
+        """
+        self._known = route.make_known(
+            (domain['name'], domain['out'])
+            for domain in document['failure_domains']
+        )
+        wanted = {
+            tags.service_tag(service['name']): service
+            for service in document['services']
+        }
+        for tag, entry in tuple(self._by_tag.items()):
+            if tag not in wanted or wanted[tag]['entry_port'] != entry.port:
+                entry.stop()
+                self._by_tag.pop(tag)
+        opened = [
+            self._open(tag, service)
+            for tag, service in wanted.items()
+            if tag not in self._by_tag
+        ]
+        return all(opened)
+
+    def _open(self, tag: int, service: documents.Service) -> bool:
+        candidates = placement.make_candidates(
+            service['name'],
+            self._tables,
+            self._gone,
+        )
+        chosen = route.make_route(
+            tag,
+            self._decode,
+            lambda: self._known,
+            candidates,
+        )
+        one = relay.Relay(tag, chosen, self._tools)
+        port = service['entry_port']
+        try:
+            stop = one.async_setup(self._address, port)
+        except exceptions.StartError as err:
+            if port not in self._failed:
+                _LOGGER.error('entry socket failed', port=port, error=str(err))
+            self._failed.add(port)
+            return False
+        self._failed.discard(port)
+        self._by_tag[tag] = Entry(port, one, candidates, stop)
+        _LOGGER.info('entry opened', service=service['name'], port=port)
+        return True
+
+    def _on_refused(self, forward_refused: outgoing.Refused) -> None:
+        self._gone.note(forward_refused.endpoint)
+        try:
+            forward = self._read(forward_refused.datagram)
+        except exceptions.FrameError:
+            return
+        entry = self._by_tag.get(forward.service_tag)
+        if entry is None:
+            return
+        if self._is_established(forward):
+            # The process that held the flow is gone, and its state with it.
+            entry.relay.tell_lost(forward.payload, forward.caller)
+            return
+        self._place_again(entry, forward)
+
+    def _is_established(self, forward: header.Forward) -> bool:
+        target = invariants.destination(forward.payload)
+        try:
+            holder = self._decode(target.connection_id)
+        except exceptions.ConnectionIdError:
+            return False
+        return holder.service_tag == forward.service_tag
+
+    def _place_again(self, entry: Entry, forward: header.Forward) -> None:
+        flow = route.flow_hash(forward.caller, forward.service_tag)
+        found = entry.candidates(flow, 1)
+        if not found or forward.hops >= const.MAX_HOPS:
+            self._count_event('dropped.no_agent')
+            return
+        buffer = bytearray(const.PREFIX_BYTES) + forward.payload
+        self._write(
+            buffer,
+            forward.hops + 1,
+            forward.service_tag,
+            forward.caller,
+        )
+        self._count_event('opening_placed_again')
+        self._outgoing.send(buffer, found[0])
--- /dev/null
+++ b/kumquatport/process/balancer/service.py
@@ -0,0 +1,99 @@
+"""The balancer's root service."""
+
+import asyncio
+import typing
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport.process.balancer import const, entries
+from kumquatport.process.instance import parts as instance_parts
+from kumquatport.process.settings import models
+from kumquatport.version import current, members
+from kumquatport.version.members import const as members_const
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Balancer(mode.Service):
+    """Forwards packets, observes agents and spreads what changes."""
+
+    def __init__(self, settings: models.BalancerSettings) -> None:
+        """Build the parts; nothing runs yet.
+
+        Args:
+            settings: Settings of this process.
+        """
+        super().__init__()
+        common = settings.common
+        role = instance_parts.Role(members_const.KIND_BALANCER, '', 0)
+        self._parts = instance_parts.build(common, role)
+        self._membership = self._parts.membership
+        self._entries = entries.Entries(
+            common.address,
+            common.shared_key,
+            self._membership.tables,
+            self._parts.metrics.count,
+            self._membership.freshness.is_fresh,
+        )
+        self._undo: list[abc.Callable[[], None]] = []
+
+    def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
+        """Return the services that run as long as this one."""
+        return self._parts.services
+
+    async def on_started(self) -> None:
+        """Bind the sockets and follow the document in force.
+
+        Raises:
+            StartError: The address cannot be had.
+        """
+        self._undo.append(self._entries.async_setup())
+        self._undo.append(self._membership.current.subscribe(self._apply))
+        self._undo.append(self._membership.registry.subscribe(self._returned))
+        held = self._membership.current.held
+        if held.version:
+            self._apply(held)
+        self.add_future(self._async_announce_ready())
+
+    async def on_stop(self) -> None:
+        """Close the sockets."""
+        while self._undo:
+            self._undo.pop()()
+
+    async def async_drain(self) -> None:
+        """Announce that this balancer leaves, and forward a moment longer.
+
+        It holds no flow, so nothing has to end; the fabric needs the moment
+        to send elsewhere.
+        """
+        await self._membership.async_leave()
+        await asyncio.sleep(const.DRAIN_S)
+
+    async def _async_announce_ready(self) -> None:
+        while not self.should_stop:
+            if await self._membership.async_wait_ready(const.READY_POLL_S):
+                break
+            _LOGGER.info('waiting for a document')
+        self._membership.announcer.update(state=members_const.STATE_READY)
+        _LOGGER.info('ready', version=self._membership.current.version)
+
+    def _apply(self, held: current.Versioned) -> None:
+        if not self._entries.apply(held.document):
+            loop = asyncio.get_running_loop()
+            loop.call_later(const.ENTRY_RETRY_S, self._apply_again, held)
+
+    def _apply_again(self, held: current.Versioned) -> None:
+        is_current = held.version == self._membership.current.version
+        if is_current and not self.should_stop:
+            self._apply(held)
+
+    def _returned(
+        self,
+        record: members.InstanceRecord,
+        previous: members.InstanceRecord | None,
+    ) -> None:
+        is_new = previous is None or record.incarnation > previous.incarnation
+        if is_new and record.kind == members_const.KIND_AGENT:
+            self._entries.gone.forget((record.address, record.data_port))
--- /dev/null
+++ b/kumquatport/process/instance/__init__.py
@@ -0,0 +1,1 @@
+"""What every instance of the fleet has, balancer or agent."""
--- /dev/null
+++ b/kumquatport/process/instance/parts.py
@@ -0,0 +1,162 @@
+"""The services that a balancer and an agent have in common."""
+
+import time
+import typing
+
+import mode
+
+import kumquatport
+from kumquatport.process.metrics import flusher
+from kumquatport.process.metrics import registry as metrics_registry
+from kumquatport.process.platform import client
+from kumquatport.process.settings import models
+from kumquatport.process.status import const as status_const
+from kumquatport.process.status import models as status_models
+from kumquatport.process.status import server
+from kumquatport.version import document as documents
+from kumquatport.version import members
+from kumquatport.version.members import const as members_const
+from kumquatport.version.spread import membership
+
+_MS_PER_S = 1000
+
+
+class Role(typing.NamedTuple):
+    """What sets one instance apart from others.
+
+    Attributes:
+        kind: ``agent`` or ``balancer``.
+        service: Service of an agent, empty for a balancer.
+        data_port: UDP port of an agent that takes forwards, else 0.
+    """
+
+    kind: str
+    service: str
+    data_port: int
+
+
+class Parts(typing.NamedTuple):
+    """Services shared by every instance.
+
+    Attributes:
+        platform: Client of the platform.
+        membership: Records, tables and the document in force.
+        metrics: Counters, gauges and histograms.
+        flusher: Sends the metrics.
+        status: Answers status requests.
+    """
+
+    platform: client.PlatformClient
+    membership: membership.Membership
+    metrics: metrics_registry.Registry
+    flusher: flusher.Flusher
+    status: server.Server
+
+    @property
+    def services(self) -> tuple[mode.Service, ...]:
+        """The parts that run, in the order in which they start."""
+        return (self.platform, self.membership, self.status, self.flusher)
+
+
+def build(common: models.CommonSettings, role: Role) -> Parts:
+    """Build the parts of one instance; nothing runs yet.
+
+    Args:
+        common: Settings that every program has.
+        role: What sets the instance apart.
+    """
+    metrics = metrics_registry.Registry()
+    platform = client.PlatformClient(
+        common.platform.url,
+        common.platform.timeout_s,
+    )
+    member = membership.Membership(
+        _own_record(common, role),
+        tuple(f'{seed.address}:{seed.port}' for seed in common.seeds),
+        common.shared_key,
+        platform,
+        documents.parse,
+    )
+    started_at = time.monotonic()
+
+    def status() -> status_models.Status:
+        return _status(member, metrics, started_at)
+
+    return Parts(
+        platform=platform,
+        membership=member,
+        metrics=metrics,
+        flusher=flusher.Flusher(
+            common.statsd,
+            metrics,
+            role.kind,
+            common.instance,
+        ),
+        status=server.Server(
+            common.address,
+            common.status_port,
+            status,
+            metrics,
+        ),
+    )
+
+
+def _own_record(
+    common: models.CommonSettings,
+    role: Role,
+) -> members.InstanceRecord:
+    return members.InstanceRecord(
+        instance=common.instance,
+        kind=role.kind,
+        region=common.region,
+        failure_domain=common.failure_domain,
+        service=role.service,
+        address=common.address,
+        control_port=common.control_port,
+        data_port=role.data_port,
+        state=members_const.STATE_STARTING,
+        weight=1.0,
+        incarnation=int(time.time() * _MS_PER_S),
+        sequence=1,
+    )
+
+
+def _status(
+    member: membership.Membership,
+    metrics: metrics_registry.Registry,
+    started_at: float,
+) -> status_models.Status:
+    own = member.announcer.own
+    known = member.registry.all_records()
+    counts: dict[str, int] = {}
+    for record in known:
+        label = f'{record.kind}.{record.state}'
+        counts[label] = counts.get(label, 0) + 1
+    return status_models.Status(
+        instance=own.instance,
+        kind=own.kind,
+        failure_domain=own.failure_domain,
+        state=own.state,
+        release=kumquatport.__version__,
+        document_version=member.current.version,
+        uptime_s=time.monotonic() - started_at,
+        member_counts=counts,
+        members=[
+            _member_status(record)
+            for record in known[: status_const.MAX_MEMBERS]
+        ],
+        metrics=metrics.snapshot(),
+    )
+
+
+def _member_status(
+    record: members.InstanceRecord,
+) -> status_models.MemberStatus:
+    return status_models.MemberStatus(
+        instance=record.instance,
+        kind=record.kind,
+        failure_domain=record.failure_domain,
+        service=record.service,
+        state=record.state,
+        weight=record.weight,
+    )
