--- /dev/null
+++ b/bench/bench_forward.py
@@ -0,0 +1,215 @@
+"""A balancer's forwarding against bare relays, in the same run."""
+
+import collections
+import contextlib
+import multiprocessing
+import socket
+import statistics
+import time
+import typing
+from collections import abc
+
+from bench import figure, forward_children
+from kumquatport.connection.forward import const, header
+
+ROUNDS = 3
+ROUND_S = 1.0
+WARM_S = 0.3
+HOST = '127.0.0.1'
+MIN_RATE_SHARE = 0.6
+MIN_NEW_FLOWS_PER_S = 5000
+FEW_FLOWS = 1000
+MANY_FLOWS = 300_000
+MAX_MEMORY_GROWTH = 1.1
+COUNTED_PACKETS = 20_000
+_SPAWN = multiprocessing.get_context('spawn')
+_LONG = b'\xc0\x00\x00\x00\x01\x08'
+
+
+class Child(typing.NamedTuple):
+    """A relay that runs, and the pipe to ask it."""
+
+    pipe: typing.Any
+    endpoint: header.Endpoint
+
+    def usage(self) -> forward_children.Usage:
+        """Return what the relay has done so far."""
+        self.pipe.send(True)
+        return self.pipe.recv()
+
+
+class Rate(typing.NamedTuple):
+    """Packets a second and processor microseconds a packet."""
+
+    packets_per_s: float
+    processor_us: float
+
+
+def run() -> abc.Iterable[figure.Figure]:
+    """Measure rates, processor time, new flows, memory and losses."""
+    yield from _rates()
+    yield from _new_flows()
+    yield from _memory()
+    yield from _losses()
+
+
+def _rates() -> abc.Iterable[figure.Figure]:
+    rates: dict[str, list[Rate]] = collections.defaultdict(list)
+    relays = {
+        'asyncio': forward_children.run_asyncio,
+        'blocking': forward_children.run_blocking,
+        'balancer': forward_children.run_balancer,
+    }
+    for _ in range(ROUNDS):
+        for name, target in relays.items():
+            rates[name].append(_one_rate(target))
+    medians = {
+        name: Rate(*map(statistics.median, zip(*found, strict=True)))
+        for name, found in rates.items()
+    }
+    for name, rate in medians.items():
+        yield _plain(f'forward_rate_{name}', rate.packets_per_s, 'packets/s')
+        yield _plain(f'forward_processor_{name}', rate.processor_us, 'us')
+    balancer = medians['balancer'].packets_per_s
+    share = balancer / medians['asyncio'].packets_per_s
+    yield figure.Figure(
+        'forward_rate_over_asyncio',
+        round(share, 3),
+        'ratio',
+        MIN_RATE_SHARE,
+        share >= MIN_RATE_SHARE,
+    )
+    limit = balancer / medians['blocking'].packets_per_s
+    yield _plain('forward_rate_over_blocking', limit, 'ratio')
+
+
+def _new_flows() -> abc.Iterable[figure.Figure]:
+    with _relay(forward_children.run_balancer) as child:
+        callers = [_socket() for _ in range(200)]
+        before = child.usage()
+        until = time.monotonic() + ROUND_S
+        number = 0
+        while time.monotonic() < until:
+            for caller in callers:
+                number += 1
+                caller.sendto(_opening(number), child.endpoint)
+        after = child.usage()
+    rate = (after.forwarded - before.forwarded) / ROUND_S
+    yield figure.Figure(
+        'new_flows_placed',
+        round(rate),
+        'flows/s',
+        MIN_NEW_FLOWS_PER_S,
+        rate >= MIN_NEW_FLOWS_PER_S,
+    )
+    used = (after.processor_s - before.processor_s) * 1e6
+    per_flow = used / (after.forwarded - before.forwarded)
+    yield _plain('new_flow_processor', per_flow, 'us')
+
+
+def _memory() -> abc.Iterable[figure.Figure]:
+    with _relay(forward_children.run_balancer) as child:
+        resident = [
+            _resident_after(child, flows) for flows in (FEW_FLOWS, MANY_FLOWS)
+        ]
+    growth = resident[1] / resident[0]
+    yield _plain('memory_1000_flows', resident[0], 'bytes')
+    yield figure.Figure(
+        'memory_growth_300000_flows',
+        round(growth, 4),
+        'ratio',
+        MAX_MEMORY_GROWTH,
+        growth <= MAX_MEMORY_GROWTH,
+    )
+
+
+def _resident_after(child: Child, flows: int) -> int:
+    issue = forward_children.issuer((HOST, 1))
+    caller = _socket()
+    for number in range(flows):
+        caller.sendto(b'\x40' + issue() + bytes(100), child.endpoint)
+        if number % 200 == 0:
+            # Slow enough that the relay sees each of them.
+            time.sleep(0.004)
+    return child.usage().resident_bytes
+
+
+def _losses() -> abc.Iterable[figure.Figure]:
+    agent = _socket(HOST)
+    agent.settimeout(1.0)
+    issue = forward_children.issuer(agent.getsockname())
+    read = header.make_reader(forward_children.KEY)
+    seen: collections.Counter[bytes] = collections.Counter()
+    with _relay(forward_children.run_balancer, agent) as child:
+        caller = _socket()
+        for number in range(COUNTED_PACKETS):
+            mark = number.to_bytes(4, 'big')
+            caller.sendto(b'\x40' + issue() + mark, child.endpoint)
+            forward = read(agent.recv(const.MAX_DATAGRAM_BYTES))
+            seen[forward.payload[-4:]] += 1
+    lost = COUNTED_PACKETS - len(seen)
+    doubled = sum(seen.values()) - len(seen)
+    yield figure.Figure('packets_lost', lost, 'packets', 0, lost == 0)
+    yield figure.Figure(
+        'packets_duplicated', doubled, 'packets', 0, doubled == 0
+    )
+
+
+def _one_rate(target: typing.Any) -> Rate:
+    with _relay(target) as child:
+        total_s = WARM_S + ROUND_S + WARM_S
+        sender = _SPAWN.Process(
+            target=forward_children.send,
+            args=(child.endpoint, total_s + 1),
+        )
+        sender.start()
+        time.sleep(WARM_S + 1)
+        started = time.monotonic()
+        before = child.usage()
+        time.sleep(ROUND_S)
+        after = child.usage()
+        elapsed = time.monotonic() - started
+        sender.join()
+    packets = after.forwarded - before.forwarded
+    processor_us = (after.processor_s - before.processor_s) * 1e6
+    return Rate(packets / elapsed, processor_us / packets)
+
+
+@contextlib.contextmanager
+def _relay(
+    target: typing.Any,
+    agent: socket.socket | None = None,
+) -> abc.Iterator[Child]:
+    # An agent that never reads: the kernel drops what is over its buffer.
+    sink = agent or _socket(HOST)
+    probe = _socket(HOST)
+    endpoint = probe.getsockname()
+    probe.close()
+    ours, theirs = _SPAWN.Pipe()
+    process = _SPAWN.Process(
+        target=target,
+        args=(theirs, endpoint, (sink.getsockname(),) * 7),
+    )
+    process.start()
+    ours.recv()
+    try:
+        yield Child(ours, endpoint)
+    finally:
+        ours.send(None)
+        process.join()
+        sink.close()
+
+
+def _socket(host: str = HOST) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind((host, 0))
+    return sock
+
+
+def _opening(number: int) -> bytes:
+    opening = _LONG + number.to_bytes(8, 'big')
+    return opening.ljust(forward_children.DATAGRAM_BYTES, b'\0')
+
+
+def _plain(name: str, measured: float, unit: str) -> figure.Figure:
+    return figure.Figure(name, round(measured, 2), unit, None, True)
--- /dev/null
+++ b/bench/forward_children.py
@@ -0,0 +1,214 @@
+"""Child processes of the forwarding benchmark: relays and a sender."""
+
+import asyncio
+import os
+import resource
+import socket
+import time
+import typing
+from multiprocessing import connection
+
+from kumquatport.connection.connection_id import codec
+from kumquatport.connection.forward import header, outgoing, relay, route
+from kumquatport.helpers import tags
+from kumquatport.version import table
+
+KEY = bytes(range(32))
+SERVICE = 'storefront'
+DOMAIN = 'accra-a'
+DATAGRAM_BYTES = 1200
+BUFFER_BYTES = 8 << 20
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+
+
+class Usage(typing.NamedTuple):
+    """What a relay has done since it started.
+
+    Attributes:
+        forwarded: Packets.
+        processor_s: Processor time, user and system.
+        resident_bytes: Memory now.
+    """
+
+    forwarded: int
+    processor_s: float
+    resident_bytes: int
+
+
+def usage(forwarded: int) -> Usage:
+    """Return what this process has used."""
+    spent = resource.getrusage(resource.RUSAGE_SELF)
+    with open('/proc/self/statm', encoding='ascii') as statm:
+        pages = int(statm.read().split()[1])
+    processor_s = spent.ru_utime + spent.ru_stime
+    return Usage(forwarded, processor_s, pages * PAGE_BYTES)
+
+
+def run_balancer(
+    pipe: connection.Connection,
+    listen: header.Endpoint,
+    agents: tuple[header.Endpoint, ...],
+) -> None:
+    """Run the balancer's relay until the pipe is closed."""
+    asyncio.run(_async_balancer(pipe, listen, agents))
+
+
+def run_asyncio(
+    pipe: connection.Connection,
+    listen: header.Endpoint,
+    agents: tuple[header.Endpoint, ...],
+) -> None:
+    """Run a bare asyncio relay until the pipe is closed."""
+    asyncio.run(_async_bare(pipe, listen, agents[0]))
+
+
+def run_blocking(
+    pipe: connection.Connection,
+    listen: header.Endpoint,
+    agents: tuple[header.Endpoint, ...],
+) -> None:
+    """Run a bare blocking relay; it looks at the pipe now and then."""
+    entry = _bound(listen)
+    entry.settimeout(0.05)
+    target = agents[0]
+    forwarded = 0
+    buffer = bytearray(2 * DATAGRAM_BYTES)
+    view = memoryview(buffer)
+    pipe.send(True)
+    while True:
+        for _ in range(1000):
+            try:
+                size = entry.recv_into(buffer)
+            except TimeoutError:
+                break
+            entry.sendto(view[:size], target)
+            forwarded += 1
+        if pipe.poll():
+            if pipe.recv() is None:
+                return
+            pipe.send(usage(forwarded))
+
+
+def send(target: header.Endpoint, seconds: float) -> None:
+    """Send established packets as fast as one process can."""
+    agent = ('127.0.0.1', 1)
+    issue = issuer(agent)
+    packets = [
+        b'\x40' + issue() + bytes(DATAGRAM_BYTES - 18) for _ in range(64)
+    ]
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for packet in packets:
+            sock.sendto(packet, target)
+
+
+def issuer(agent: header.Endpoint) -> typing.Callable[[], bytes]:
+    """Return what issues connection IDs of an agent of the benchmark."""
+    return codec.make_issuer(
+        KEY,
+        agent,
+        tags.service_tag(SERVICE),
+        tags.failure_domain_tag(DOMAIN),
+    )
+
+
+def _bound(listen: header.Endpoint) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    sock.bind(listen)
+    return sock
+
+
+async def _async_balancer(
+    pipe: connection.Connection,
+    listen: header.Endpoint,
+    agents: tuple[header.Endpoint, ...],
+) -> None:
+    counters: dict[str, int] = {}
+
+    def count_event(name: str) -> None:
+        counters[name] = counters.get(name, 0) + 1
+
+    sending = outgoing.Outgoing(lambda refused: None, count_event)
+    sending.async_setup(listen[0])
+    placed = table.build(
+        SERVICE,
+        [
+            table.Candidate(f'agent-{number}', DOMAIN, *agent, 1.0)
+            for number, agent in enumerate(agents)
+        ],
+    )
+
+    def candidates(
+        flow: int,
+        count: int,
+    ) -> tuple[header.Endpoint, ...]:
+        ranked = placed.rank(flow, count)
+        return tuple((one.address, one.data_port) for one in ranked)
+
+    known = route.make_known([(DOMAIN, False)])
+    tag = tags.service_tag(SERVICE)
+    chosen = route.make_route(
+        tag,
+        codec.make_decoder(KEY),
+        lambda: known,
+        candidates,
+    )
+    tools = relay.Tools(
+        write=header.make_writer(KEY),
+        token=codec.make_reset_token(KEY),
+        outgoing=sending,
+        count_event=count_event,
+        is_fresh=lambda: True,
+    )
+    relay.Relay(tag, chosen, tools).async_setup(*listen)
+
+    def forwarded() -> int:
+        return counters.get('established', 0) + counters.get('opening', 0)
+
+    await _async_report(pipe, forwarded)
+
+
+class _Bare(asyncio.DatagramProtocol):
+    def __init__(self, target: header.Endpoint) -> None:
+        self.forwarded = 0
+        self._target = target
+
+    def connection_made(self, transport: typing.Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: typing.Any) -> None:
+        self._transport.sendto(data, self._target)
+        self.forwarded += 1
+
+
+async def _async_bare(
+    pipe: connection.Connection,
+    listen: header.Endpoint,
+    target: header.Endpoint,
+) -> None:
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_datagram_endpoint(
+        lambda: _Bare(target),
+        sock=_bound(listen),
+    )
+    await _async_report(pipe, lambda: protocol.forwarded)
+
+
+async def _async_report(
+    pipe: connection.Connection,
+    forwarded: typing.Callable[[], int],
+) -> None:
+    loop = asyncio.get_running_loop()
+    done = loop.create_future()
+
+    def answer() -> None:
+        if pipe.recv() is None:
+            done.set_result(None)
+            return
+        pipe.send(usage(forwarded()))
+
+    loop.add_reader(pipe.fileno(), answer)
+    pipe.send(True)
+    await done
