--- a/bench/bench_forward.py
+++ b/bench/bench_forward.py
@@ -197,7 +197,6 @@
     finally:
         ours.send(None)
         process.join()
-        sink.close()
 
 
 def _socket(host: str = HOST) -> socket.socket:
--- a/kumquatport/connection/quic/session.py
+++ b/kumquatport/connection/quic/session.py
@@ -1,6 +1,7 @@
 """One caller's HTTP/3 connection: a task for each of its requests."""
 
 import asyncio
+import functools
 import itertools
 import typing
 from collections import abc
@@ -14,14 +15,13 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.quic import const, issuing, stream
-from kumquatport.request import messages
 
 _LOGGER = structlog.get_logger(__name__)
 _NUMBERS = itertools.count(1)
 _STREAM_STEP = 4
 
 Handle = abc.Callable[
-    [messages.RequestHead, messages.Exchange],
+    [stream.RequestHead, stream.Exchange],
     abc.Awaitable[None],
 ]
 
@@ -169,7 +169,7 @@
     async def _async_run(
         self,
         stream_id: int,
-        head: messages.RequestHead,
+        head: stream.RequestHead,
         inbox: stream.Inbox,
     ) -> None:
         try:
@@ -190,10 +190,8 @@
         self,
         stream_id: int,
         inbox: stream.Inbox,
-    ) -> messages.Exchange:
-        async def async_send_head(
-            status: int, headers: messages.Headers
-        ) -> None:
+    ) -> stream.Exchange:
+        async def async_send_head(status: int, headers: stream.Headers) -> None:
             fields = [(b':status', str(status).encode())]
             fields.extend(
                 (name.encode(), text.encode()) for name, text in headers
@@ -206,10 +204,11 @@
             self.transmit()
             await self._async_wait_for_room(stream_id, inbox)
 
-        return messages.Exchange(
+        return stream.Exchange(
             async_read_body=inbox.async_read,
             async_send_head=async_send_head,
             async_send_body=async_send_body,
+            reset=functools.partial(self._reset, stream_id),
             cancelled=inbox.cancelled,
         )
 
@@ -251,13 +250,13 @@
 def _request_head(
     fields: list[tuple[bytes, bytes]],
     connection: int,
-) -> messages.RequestHead:
+) -> stream.RequestHead:
     headers = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, text in fields
     )
     pseudo = dict(field for field in headers if field[0].startswith(':'))
-    return messages.RequestHead(
+    return stream.RequestHead(
         method=pseudo.get(':method', ''),
         path=pseudo.get(':path', ''),
         authority=pseudo.get(':authority', ''),
--- a/kumquatport/connection/quic/stream.py
+++ b/kumquatport/connection/quic/stream.py
@@ -1,9 +1,13 @@
-"""The body of one request, as it arrives on its stream."""
+"""One request's stream of a connection, as the request handler sees it."""
 
 import asyncio
+import typing
+from collections import abc
 
 from kumquatport import exceptions
 
+Headers = tuple[tuple[str, str], ...]
+
 
 class StreamClosedError(exceptions.KumquatportError):
     """The caller has gone or cancelled; nothing more can be sent."""
@@ -17,6 +21,44 @@
     code = 'KQ-5102'
 
 
+class RequestHead(typing.NamedTuple):
+    """The head of a request.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query.
+        authority: Host the caller addressed.
+        headers: Other header fields, names in lower case.
+        connection: Number unique to the caller's connection in this agent.
+    """
+
+    method: str
+    path: str
+    authority: str
+    headers: Headers
+    connection: int
+
+
+class Exchange(typing.NamedTuple):
+    """What a request handler may do with the caller's stream.
+
+    Attributes:
+        async_read_body: Returns the next part of the body, empty at its end.
+        async_send_head: Sends status and header fields.
+        async_send_body: Sends a part of the body; waits while the caller
+            takes it slower than it comes. The flag ends the answer.
+        reset: Ends the stream at once with an HTTP/3 error code, so that the
+            caller never takes a broken answer for a whole one.
+        cancelled: Set when the caller has gone or cancelled.
+    """
+
+    async_read_body: abc.Callable[[], abc.Awaitable[bytes]]
+    async_send_head: abc.Callable[[int, Headers], abc.Awaitable[None]]
+    async_send_body: abc.Callable[[bytes, bool], abc.Awaitable[None]]
+    reset: abc.Callable[[int], None]
+    cancelled: asyncio.Event
+
+
 class Inbox:
     """Body parts of one request that have arrived and are not read yet."""
 
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -60,7 +60,7 @@
         self._tls = tls_watcher.Watcher(
             settings.tls,
             self._use_material,
-            read_object=self._parts.platform.async_get,
+            read_object=self._async_read_object,
         )
         self._listener = self._make_listener()
         self._undo: list[abc.Callable[[], None]] = []
@@ -100,11 +100,16 @@
             await asyncio.sleep(const.DRAIN_POLL_S)
         await self._handler.async_drain()
 
+    async def _async_read_object(self, key: str) -> bytes:
+        stored = await self._parts.platform.async_get(key)
+        return stored.value
+
     def _make_handler(self) -> handler.Handler:
         metrics = self._parts.metrics
         return handler.Handler(
             self._settings.backend_server,
             messages.Metrics(metrics.count, metrics.gauge, metrics.timing),
+            asyncio.get_running_loop().time,
         )
 
     def _make_listener(self) -> listener.Listener:
