--- a/kumquatport/version/acceptance/audit.py
+++ b/kumquatport/version/acceptance/audit.py
@@ -1,6 +1,7 @@
 """The audit: one entry in the platform for each accepted document."""
 
 import asyncio
+import datetime
 import typing
 from collections import abc
 
@@ -18,8 +19,7 @@
 
 async def async_record(
     client: platform.PlatformClient,
-    before: model.InForce,
-    after: model.InForce,
+    accepted: model.Accepted,
 ) -> bool:
     """Write the entry of an acceptance, and the one before if it is missing.
 
@@ -28,12 +28,14 @@
 
     Args:
         client: Access to the platform.
-        before: What was in force before.
-        after: What was accepted.
+        accepted: What acceptance handed back.
 
     Returns:
         Whether the entry is written.
     """
+    if accepted.written is None:
+        return True
+    before, after = accepted.written
     changes = document.change_lines(
         document.compare(before.document, after.document)
     )
@@ -64,6 +66,20 @@
     }
 
 
+def entry_lines(entry: model.AuditEntry) -> list[str]:
+    """Return an entry as text: a heading, then one line for each change."""
+    when = datetime.datetime.fromtimestamp(
+        entry['submitted_s'], datetime.UTC
+    ).isoformat(' ', 'seconds')
+    heading = f'{entry["version"]} {when} {entry["operator"] or "-"}'
+    if entry['comment']:
+        heading = f'{heading}: {entry["comment"]}'
+    changes = entry['changes']
+    if changes is None:
+        return [heading, '  changes not recorded']
+    return [heading, *(f'  {line}' for line in changes)]
+
+
 async def async_entry(
     client: platform.PlatformClient, version: int
 ) -> model.AuditEntry | None:
