--- a/kumquatport/process/console/forms.py
+++ b/kumquatport/process/console/forms.py
@@ -142,9 +142,7 @@
     }
 
 
-def rule_form(
-    draft: document.Document, posted: FormData = None
-) -> RuleForm:
+def rule_form(draft: document.Document, posted: FormData = None) -> RuleForm:
     """Return the form of one more rule."""
     form = RuleForm(posted, weight=document_const.DEFAULT_WEIGHT)
     form.service.choices = [row['name'] for row in draft['services']]
@@ -156,14 +154,10 @@
 
 def faults(form: wtforms.Form) -> list[str]:
     """Return what does not fit in a form, one line each."""
-    return [
-        f'{path}: {reason}' for path, reason in _faults(form.errors, '')
-    ]
+    return [f'{path}: {reason}' for path, reason in _faults(form.errors, '')]
 
 
-def _faults(
-    found: typing.Any, path: str
-) -> abc.Iterator[tuple[str, str]]:
+def _faults(found: typing.Any, path: str) -> abc.Iterator[tuple[str, str]]:
     """Yield path and reason of each error in a form and its rows."""
     if isinstance(found, dict):
         for key, under in found.items():
--- a/kumquatport/process/console/guard.py
+++ b/kumquatport/process/console/guard.py
@@ -2,7 +2,7 @@
 
 import typing
 from collections import abc
-from urllib import parse
+from urllib import parse as urllib_parse
 
 import structlog
 from aiohttp import web
@@ -70,6 +70,7 @@
     except exceptions.KumquatportError as error:
         return _problem(request, error)
 
+
 async def _async_check(
     request: web.Request, session: sessions.Session | None
 ) -> None:
@@ -100,7 +101,10 @@
     if site not in {'same-origin', 'none'}:
         raise errors.CrossSiteError(f'posted from {site}')
     origin = request.headers.get('Origin')
-    if origin is not None and parse.urlsplit(origin).netloc != request.host:
+    if (
+        origin is not None
+        and urllib_parse.urlsplit(origin).netloc != request.host
+    ):
         raise errors.CrossSiteError('posted from another origin')
 
 
--- a/kumquatport/process/console/pages/reviewing.py
+++ b/kumquatport/process/console/pages/reviewing.py
@@ -37,10 +37,11 @@
         accepted = await acceptance.async_accept(
             parts.of(request).client, submitted, attempt.identifier
         )
-    except acceptance.GuardRailError as held:
-        return await _async_review(request, attempt, held.concerns)
-    except exceptions.DocumentRejectedError as rejected:
-        return await _async_review(request, attempt, rejected.faults)
+    except (
+        acceptance.GuardRailError,
+        exceptions.DocumentRejectedError,
+    ) as held:
+        return await _async_review(request, attempt, held)
     except acceptance.AcceptanceConflictError as conflict:
         return _conflict(request, conflict, attempt.draft)
     except (
@@ -110,7 +111,7 @@
 async def _async_review(
     request: web.Request,
     attempt: Attempt,
-    faults: tuple[typing.Any, ...] = (),
+    held: exceptions.KumquatportError | None = None,
 ) -> web.Response:
     """Show the difference and what speaks against it."""
     shared = parts.of(request)
@@ -129,9 +130,9 @@
         'count': len(changes),
         'concerns': document.concerns(in_force.document, draft, loads),
         'is_load_known': bool(loads),
-        'faults': faults,
+        'held': held,
     }
-    status = web.HTTPUnprocessableEntity.status_code if faults else 200
+    status = web.HTTPUnprocessableEntity.status_code if held else 200
     return parts.page(request, 'review.html', content, status)
 
 
--- a/kumquatport/process/console/passwords.py
+++ b/kumquatport/process/console/passwords.py
@@ -39,9 +39,7 @@
         """Tell whether someone of that name may sign in."""
         return name in self._hashes
 
-    async def async_check(
-        self, name: str, password: str, address: str
-    ) -> None:
+    async def async_check(self, name: str, password: str, address: str) -> None:
         """Check a sign-in.
 
         Args:
@@ -110,5 +108,3 @@
         """Keep the table within its bound."""
         while len(self._failures) >= const.MAX_TRACKED:
             self._failures.pop(next(iter(self._failures)))
-
-
--- a/kumquatport/process/settings/__init__.py
+++ b/kumquatport/process/settings/__init__.py
@@ -57,6 +57,7 @@
         ),
         session_key=checked[const.CONF_SESSION_KEY_FILE],
         tls=models.TlsSettings(**tls) if tls else None,
+        instances=tuple(checked[const.CONF_INSTANCES]),
     )
 
 
--- a/kumquatport/process/settings/models.py
+++ b/kumquatport/process/settings/models.py
@@ -119,6 +119,7 @@
         operators: Who may sign in.
         session_key: 32 bytes that sign the session cookies.
         tls: Certificate and key shown to operators; None serves plain HTTP.
+        instances: Status servers asked for the present load.
     """
 
     common: CommonSettings
@@ -126,3 +127,4 @@
     operators: tuple[OperatorSettings, ...]
     session_key: Secret
     tls: TlsSettings | None
+    instances: tuple[str, ...] = ()
--- a/kumquatport/process/settings/schema.py
+++ b/kumquatport/process/settings/schema.py
@@ -49,6 +49,7 @@
         vol.Required(const.CONF_OPERATORS): vol.All([operator], _operators),
         vol.Required(const.CONF_SESSION_KEY_FILE): files.secret(folder),
         vol.Optional(const.CONF_TLS): _tls(folder),
+        vol.Optional(const.CONF_INSTANCES, default=list): [fields.url],
     }
     return vol.Schema(_common(folder) | _control(required=False) | keys)
 
--- a/kumquatport/version/document/edit.py
+++ b/kumquatport/version/document/edit.py
@@ -115,9 +115,7 @@
 
 def with_rule(document: model.Document, added: model.Rule) -> model.Document:
     """Return a copy in which the rule stands in place of one for its pair."""
-    changed = without_rule(
-        document, added['service'], added['failure_domain']
-    )
+    changed = without_rule(document, added['service'], added['failure_domain'])
     changed['rules'].append(added)
     return changed
 
