Bad input: features, builders of datagrams; contracts of the stand-ins

Truncated, oversized, random, forged, misplaced and replayed datagrams, packets at another service's entry, silent callers and garbage at control ports; each scenario asserts the exact number of counted drops, and that callers are answered.

--- /dev/null
+++ b/tests/builders/datagrams.py
@@ -0,0 +1,61 @@
+"""Builders of datagrams, good and bad."""
+
+import random
+from collections import abc
+
+from aioquic.h3 import connection as h3_connection
+from aioquic.quic import configuration
+from aioquic.quic import connection as quic_connection
+
+from kumquatport.connection.forward import const, header
+from tests.builders import settings
+
+ANYWHERE = ('127.0.0.1', 9)
+MAX_DATAGRAM_BYTES = 60000
+
+
+def opening() -> bytes:
+    """Build the first packet of a new connection, as a caller sends it."""
+    quic = quic_connection.QuicConnection(
+        configuration=configuration.QuicConfiguration(
+            is_client=True,
+            alpn_protocols=h3_connection.H3_ALPN,
+            server_name='storefront',
+        )
+    )
+    quic.connect(ANYWHERE, now=0.0)
+    return quic.datagrams_to_send(now=0.0)[0][0]
+
+
+def truncated(count: int, seed: int) -> abc.Iterator[bytes]:
+    """Yield openings cut short, each of at least one byte."""
+    chosen = random.Random(seed)
+    whole = opening()
+    for _ in range(count):
+        yield whole[: chosen.randrange(1, len(whole))]
+
+
+def oversized(count: int, seed: int) -> abc.Iterator[bytes]:
+    """Yield openings with more behind them than a datagram may hold."""
+    chosen = random.Random(seed)
+    whole = opening()
+    for _ in range(count):
+        more = chosen.randrange(const.MAX_DATAGRAM_BYTES, MAX_DATAGRAM_BYTES)
+        yield whole + bytes(more)
+
+
+def scrambled(count: int, seed: int) -> abc.Iterator[bytes]:
+    """Yield random bytes of random lengths, at least one."""
+    chosen = random.Random(seed)
+    for _ in range(count):
+        yield chosen.randbytes(chosen.randrange(1, 1600))
+
+
+def forward(
+    payload: bytes, service_tag: int, shared_key: str = settings.SHARED_KEY
+) -> bytes:
+    """Build a forward, as a balancer sends it, under any key."""
+    buffer = bytearray(const.PREFIX_BYTES)
+    write = header.make_writer(bytes.fromhex(shared_key))
+    write(buffer, 1, service_tag, ANYWHERE)
+    return bytes(buffer) + payload
--- /dev/null
+++ b/tests/raw_control.py
@@ -0,0 +1,47 @@
+"""Bytes that no peer would send to a control port."""
+
+import os
+import socket
+import struct
+
+import pynng
+
+from kumquatport.connection.control import const, frame, messages
+from tests.builders import settings
+
+SP_HEADER = b'\x00SP\x00\x00\x30\x00\x00'
+HUGE_BYTES = 1 << 40
+TIMEOUT_S = 2.0
+
+
+def send_garbage(address: str, count: int) -> None:
+    """Open connections and send random bytes on each."""
+    for _ in range(count):
+        _send(address, os.urandom(500))
+
+
+def send_huge_length(address: str, count: int) -> None:
+    """Announce a message of a terabyte after a right greeting."""
+    for _ in range(count):
+        _send(address, SP_HEADER + struct.pack('!Q', HUGE_BYTES) + b'x' * 100)
+
+
+def ask_badly_signed(address: str) -> str:
+    """Send a frame under another key; return the code that it gets."""
+    head = bytes((const.PROTOCOL_VERSION, 1))
+    encoded = head + os.urandom(const.NONCE_BYTES + const.MAC_BYTES) + b'\x90'
+    key = frame.control_key(bytes.fromhex(settings.SHARED_KEY))
+    timeout_ms = int(TIMEOUT_S * 1000)
+    with pynng.Req0(send_timeout=timeout_ms, recv_timeout=timeout_ms) as asker:
+        asker.dial(f'tcp://{address}:{settings.CONTROL_PORT}', block=True)
+        asker.send(encoded)
+        reply = frame.decode(asker.recv(), key, frame.tag(encoded))
+    if not isinstance(reply, messages.ErrorReply):
+        return type(reply).__name__
+    return reply.code
+
+
+def _send(address: str, content: bytes) -> None:
+    endpoint = address, settings.CONTROL_PORT
+    with socket.create_connection(endpoint, TIMEOUT_S) as connection:
+        connection.sendall(content)
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -142,6 +142,8 @@
         super().__init__(quic)
         self.lost: errors.CallerError | None = None
         self.ready = asyncio.Event()
+        self.sent: list[bytes] = []
+        self.recording = False
         self._name = name
         self._h3 = _H3(quic)
         self._exchanges: dict[int, Exchange] = {}
@@ -151,6 +153,11 @@
         """Whether the other end asked for no new requests."""
         return self._h3.goaway
 
+    @property
+    def transport(self) -> asyncio.DatagramTransport:
+        """The caller's socket, for tests that send what they like."""
+        return self._transport
+
     @property
     def local_endpoint(self) -> runner.Endpoint:
         return self._transport.get_extra_info('sockname')
@@ -263,8 +270,11 @@
         """Leave socket errors to QUIC's own timers."""
 
     def transmit(self) -> None:
-        if not self._transport.is_closing():
-            super().transmit()
+        if self._transport.is_closing():
+            return
+        if self.recording:
+            self._record()
+        super().transmit()
 
     def quic_event_received(self, event: events.QuicEvent) -> None:
         if isinstance(event, events.HandshakeCompleted):
@@ -282,6 +292,13 @@
         for h3_event in self._h3.handle_event(event):
             self._feed(h3_event.stream_id, h3_event)
 
+    def _record(self) -> None:
+        # What is due now leaves here, so nothing is left for the parent.
+        now = self._loop.time()
+        for data, addr in self._quic.datagrams_to_send(now=now):
+            self.sent.append(data)
+            self._transport.sendto(data, addr)
+
     def _feed(
         self, stream_id: int, event: h3_events.H3Event | Exception
     ) -> None:
@@ -317,6 +334,7 @@
     local: runner.Endpoint = ('127.0.0.1', 0),
     timeout_s: float = HANDSHAKE_TIMEOUT_S,
     idle_timeout_s: float = IDLE_TIMEOUT_S,
+    recording: bool = False,
 ) -> Connection:
     """Open a connection to a service address.
 
@@ -327,6 +345,7 @@
         local: Address and port of the caller; port 0 means any.
         timeout_s: For the handshake; then ``HandshakeTimeoutError``.
         idle_timeout_s: QUIC idle timeout offered.
+        recording: Whether to keep a copy of each datagram sent.
     """
     settings = configuration.QuicConfiguration(
         is_client=True,
@@ -346,6 +365,7 @@
     _, connection = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: Connection(quic, name), sock=sock
     )
+    connection.recording = recording
     connection.connect(endpoint)
     await _async_handshake(connection, timeout_s)
     return connection
