--- a/kumquatport/process/logs/processors.py
+++ b/kumquatport/process/logs/processors.py
@@ -1,5 +1,7 @@
 """Steps that each log line goes through."""
 
+import sys
+
 import structlog
 
 from kumquatport import exceptions
@@ -51,6 +53,8 @@
     if error is not None:
         return error
     info = event_dict.get('exc_info')
+    if info is True:
+        return sys.exception()
     if isinstance(info, tuple):
         return info[1]
     return info
--- a/script/testing/features.py
+++ b/script/testing/features.py
@@ -16,7 +16,7 @@
 JSON_FORMAT: typing.Final = 'json'
 STATUS_PASSED: typing.Final = 'passed'
 
-# Each feature has a loopback block of its own, 127.101 and up.
+# Each feature has a loopback block of its own, from this one up.
 BLOCK_VARIABLE: typing.Final = 'KUMQUATPORT_TEST_BLOCK'
 FIRST_BLOCK: typing.Final = 101
 
--- /dev/null
+++ b/tests/unit/process/program/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of a process's program."""
