--- a/kumquatport/connection/quic/session.py
+++ b/kumquatport/connection/quic/session.py
@@ -1,6 +1,7 @@
 """One caller's HTTP/3 connection: a task for each of its requests."""
 
 import asyncio
+import functools
 import itertools
 import typing
 from collections import abc
@@ -12,6 +13,7 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
 
+from kumquatport import exceptions
 from kumquatport.connection.quic import const, issuing, stream
 
 _LOGGER = structlog.get_logger(__name__)
@@ -174,6 +176,10 @@
             await self._handle(head, self._exchange(stream_id, inbox))
         except stream.StreamClosedError:
             _LOGGER.debug('caller left a request', path=head.path)
+        except exceptions.KumquatportError as err:
+            # A broken answer must not look like a whole one.
+            _LOGGER.info('request broken', code=err.code, path=head.path)
+            self._reset(stream_id, const.INTERNAL_ERROR)
         except Exception:
             _LOGGER.exception('request failed', path=head.path)
             self._reset(stream_id, const.INTERNAL_ERROR)
@@ -198,14 +204,11 @@
             self.transmit()
             await self._async_wait_for_room(stream_id, inbox)
 
-        def reset(error_code: int) -> None:
-            self._reset(stream_id, error_code)
-
         return stream.Exchange(
             async_read_body=inbox.async_read,
             async_send_head=async_send_head,
             async_send_body=async_send_body,
-            reset=reset,
+            reset=functools.partial(self._reset, stream_id),
             cancelled=inbox.cancelled,
         )
 
