--- a/kumquatport/process/platform/client.py
+++ b/kumquatport/process/platform/client.py
@@ -19,8 +19,8 @@
     """One process's access to the platform.
 
     Nothing is retried here: callers know which calls may be repeated and how
-    long they can wait. Writes never share a connection, because the HTTP
-    library silently repeats a PUT whose kept connection was dropped, and a
+    long they can wait. A write leaves this process once: the HTTP library
+    silently repeats a PUT whose connection was dropped, a new one too, and a
     repeated conditional update would conflict with itself.
 
     Attributes:
@@ -170,7 +170,7 @@
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             self._note_unavailable(kind, error)
             raise exceptions.PlatformUnavailableError(
-                f'{kind}: {error!r}'
+                f'{kind}: {type(error).__name__} {error}'
             ) from error
         answers.check_read(answer, str(url))
         self._note_available()
@@ -193,6 +193,7 @@
             headers=headers,
             data=body,
             timeout=limit,
+            middlewares=(_sent_once(),),
         )
         try:
             async with request as response:
@@ -200,12 +201,12 @@
         except aiohttp.ClientConnectorError as unsent:
             self._note_unavailable(kind, unsent)
             raise exceptions.PlatformUnavailableError(
-                f'{kind}: {unsent!r}'
+                f'{kind}: {type(unsent).__name__} {unsent}'
             ) from unsent
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
             self._note_unavailable(kind, error)
             raise exceptions.OutcomeUnknownError(
-                f'{kind}: {error!r}'
+                f'{kind}: {type(error).__name__} {error}'
             ) from error
         answers.check_write(answer, key, body is None)
         self._note_available()
@@ -250,3 +251,19 @@
     if expected == 0:
         return {const.HEADER_IF_NONE_MATCH: '*'}
     return {const.HEADER_IF_MATCH: str(expected)}
+
+
+def _sent_once() -> aiohttp.ClientMiddlewareType:
+    """Build a middleware that lets one request out and no second one."""
+    sent: list[aiohttp.ClientRequest] = []
+
+    async def middleware(
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if sent:
+            raise aiohttp.ClientError('connection dropped before the answer')
+        sent.append(request)
+        return await handler(request)
+
+    return middleware
