Spread: more watchers when the platform answers nobody, refused regions

Cause: three watchers by rank are blind together when just their links to the platform are cut; a reply too long to send ended the server's task; a process whose clock is behind went above a living namesake without superseding it. Heartbeat answers now carry the age of the platform's last answer to anybody; balancers further down the order join in after 10 s without one.

--- a/kumquatport/connection/control/client.py
+++ b/kumquatport/connection/control/client.py
@@ -84,6 +84,7 @@
         Raises:
             PeerRefusedError: The peer answered with an error.
             PeerUnavailableError: There was no valid answer in time.
+            FrameTooLongError: The message would be dropped.
         """
         encoded = frame.encode(message, self._key)
         try:
--- a/kumquatport/connection/control/server.py
+++ b/kumquatport/connection/control/server.py
@@ -97,7 +97,12 @@
     async def _async_exchange(self, context: pynng.Context) -> None:
         encoded = await context.arecv()
         reply = await self._async_reply(encoded)
-        answer = frame.encode(reply, self._key, frame.tag(encoded))
+        bound_to = frame.tag(encoded)
+        try:
+            answer = frame.encode(reply, self._key, bound_to)
+        except exceptions.FrameTooLongError as error:
+            reply = self._refuse(error)
+            answer = frame.encode(reply, self._key, bound_to)
         self._counts.sent(reply, len(answer))
         await context.asend(answer)
 
--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -193,6 +193,12 @@
         self.peer_code = peer_code
 
 
+class RegionMismatchError(KumquatportError):
+    """An instance reports to a balancer of another region."""
+
+    code = 'KQ-4005'
+
+
 class ConnectionIdError(KumquatportError):
     """A connection ID was not issued under the shared key."""
 
--- a/kumquatport/version/spread/announcer.py
+++ b/kumquatport/version/spread/announcer.py
@@ -188,6 +188,7 @@
         asked_at: float,
     ) -> None:
         self._confirmed = self._confirmed or answer.known
+        self._state.contact.learn(answer.platform_age)
         if answer.held is not None:
             self._state.registry.merge(answer.held)
         for record in answer.agents:
@@ -209,12 +210,17 @@
         if record.incarnation > self._own.incarnation and self._confirmed:
             self._give_way(record)
             return
-        # A lapse, or records of an earlier process whose clock was ahead.
-        self._publish(
-            self._own._replace(
-                incarnation=record.incarnation,
-                sequence=record.sequence + 1,
-            ),
+        self._publish(self._above(record))
+
+    def _above(self, record: members.InstanceRecord) -> members.InstanceRecord:
+        """Return this instance's record such that it outranks another."""
+        if _is_same_process(record, self._own):
+            return self._own._replace(sequence=record.sequence + 1)
+        # Of an earlier process whose clock was ahead, which may even live on
+        # and must see that it has been superseded.
+        return self._own._replace(
+            incarnation=record.incarnation + 1,
+            sequence=1,
         )
 
     def _give_way(self, record: members.InstanceRecord) -> None:
@@ -231,6 +237,15 @@
         self._changed.set()
 
 
+def _is_same_process(
+    record: members.InstanceRecord,
+    own: members.InstanceRecord,
+) -> bool:
+    same_start = record.incarnation == own.incarnation
+    same_ports = record.data_port == own.data_port
+    return same_start and same_ports and record.endpoint == own.endpoint
+
+
 def first_record(**fields: typing.Any) -> members.InstanceRecord:
     """Return the first record of a process.
 
--- a/kumquatport/version/spread/const.py
+++ b/kumquatport/version/spread/const.py
@@ -59,7 +59,10 @@
 
 KEY_DOCUMENT: typing.Final = 'config/document'
 WATCHERS: typing.Final = 3
-WATCH_S: typing.Final = 10.0
+WATCH_S: typing.Final = 4.0
+MAX_WATCHERS: typing.Final = 12
+JOIN_AFTER_S: typing.Final = 10.0
+JOIN_S: typing.Final = 600.0
 WATCH_RETRY_S: typing.Final = 0.5
 
 KEY_MEMBERS: typing.Final = 'members'
--- a/kumquatport/version/spread/membership.py
+++ b/kumquatport/version/spread/membership.py
@@ -70,7 +70,12 @@
             own.address, own.control_port, control_key, self.traffic
         )
         self._client = client.ControlClient(control_key, self.traffic)
-        self._state = self._share(own, seeds)
+        self._state = shared.share(
+            own,
+            seeds,
+            shared.Holdings(self.registry, self.current, self.freshness),
+            self._client,
+        )
         self._peers = peers.Peers(self._state)
         self._add_parts(own, platform)
         self.current.subscribe(self._apply)
@@ -114,23 +119,6 @@
         await self.announcer.stop()
         await self._records.async_flush()
 
-    def _share(
-        self,
-        own: members.InstanceRecord,
-        seeds: abc.Iterable[str],
-    ) -> shared.Shared:
-        return shared.Shared(
-            instance=own.instance,
-            region=own.region,
-            endpoint=own.endpoint,
-            is_balancer=own.kind == members.KIND_BALANCER,
-            seeds=tuple(seed for seed in seeds if seed != own.endpoint),
-            registry=self.registry,
-            current=self.current,
-            freshness=self.freshness,
-            client=self._client,
-        )
-
     def _add_parts(
         self,
         own: members.InstanceRecord,
--- a/kumquatport/version/spread/messages.py
+++ b/kumquatport/version/spread/messages.py
@@ -44,6 +44,7 @@
         known: Whether it holds a record of the instance at all.
         agents: The agents of the instance's service, if the digests differ.
         balancers: The observers that the instance should have, if asked.
+        platform_age: Seconds since the platform answered anybody it knows.
     """
 
     version: int
@@ -52,6 +53,7 @@
     known: bool
     agents: Records
     balancers: Records
+    platform_age: float
 
 
 class DocumentFetch(typing.NamedTuple):
--- a/kumquatport/version/spread/observer.py
+++ b/kumquatport/version/spread/observer.py
@@ -71,7 +71,8 @@
         message: messages.Heartbeat,
     ) -> messages.HeartbeatAnswer:
         registry = self._state.registry
-        if message.record is not None and self._is_near(message.record):
+        if message.record is not None:
+            self._check_region(message.record)
             registry.merge(message.record)
         held = registry.get(message.instance)
         if held is not None:
@@ -83,6 +84,7 @@
             known=held is not None and not _is_behind(held, message),
             agents=self._agents(message, held),
             balancers=self._balancers(message),
+            platform_age=self._state.contact.age,
         )
 
     async def _async_on_query(
@@ -100,8 +102,11 @@
             known and clock.now() - heard_at < const.LEASE_S,
         )
 
-    def _is_near(self, record: members.InstanceRecord) -> bool:
-        return record.region == self._state.region
+    def _check_region(self, record: members.InstanceRecord) -> None:
+        if record.region != self._state.region:
+            raise exceptions.RegionMismatchError(
+                f'{record.instance} is of region {record.region}',
+            )
 
     def _hear(
         self,
--- a/kumquatport/version/spread/shared.py
+++ b/kumquatport/version/spread/shared.py
@@ -7,9 +7,24 @@
 from kumquatport.connection.control import client
 from kumquatport.version import current as currents
 from kumquatport.version import members
+from kumquatport.version.spread import contact
 from kumquatport.version.spread import freshness as freshnesses
 
 
+class Holdings(typing.NamedTuple):
+    """What a process holds of the others.
+
+    Attributes:
+        registry: Records known.
+        current: Document in force.
+        freshness: Whether that may be acted on.
+    """
+
+    registry: members.Registry
+    current: currents.Current
+    freshness: freshnesses.Freshness
+
+
 class Shared(typing.NamedTuple):
     """The state of one process that the parts read and change.
 
@@ -23,6 +38,7 @@
         current: Document in force.
         freshness: Whether that may be acted on.
         client: Asks other processes.
+        contact: When the platform last answered anybody.
     """
 
     instance: str
@@ -34,6 +50,7 @@
     current: currents.Current
     freshness: freshnesses.Freshness
     client: client.ControlClient
+    contact: contact.PlatformContact
 
     def other_balancers(self) -> list[members.InstanceRecord]:
         """Return the live balancers but this one."""
@@ -56,6 +73,34 @@
         return record.endpoint if record else None
 
 
+def share(
+    own: members.InstanceRecord,
+    seeds: abc.Iterable[str],
+    holdings: Holdings,
+    asker: client.ControlClient,
+) -> Shared:
+    """Return the state of a process.
+
+    Args:
+        own: Its first record.
+        seeds: Control endpoints from its settings.
+        holdings: What it holds of the others.
+        asker: Asks other processes.
+    """
+    return Shared(
+        instance=own.instance,
+        region=own.region,
+        endpoint=own.endpoint,
+        is_balancer=own.kind == members.KIND_BALANCER,
+        seeds=tuple(seed for seed in seeds if seed != own.endpoint),
+        registry=holdings.registry,
+        current=holdings.current,
+        freshness=holdings.freshness,
+        client=asker,
+        contact=contact.PlatformContact(),
+    )
+
+
 def sample(
     population: abc.Sequence[members.InstanceRecord],
     count: int,
--- a/kumquatport/version/spread/source.py
+++ b/kumquatport/version/spread/source.py
@@ -18,9 +18,9 @@
 class PlatformSource(mode.Service):
     """Watches the platform while this balancer is one of its watchers.
 
-    Attributes:
-        confirmed_at: When the platform last answered, by the process's
-            monotonic clock; 0 for never.
+    The watchers are the first few in an order that all balancers share. When
+    the platform has not answered anybody for a while, which may be due to the
+    links of just those few, more join in for some time.
     """
 
     def __init__(
@@ -37,11 +37,11 @@
             fetcher: Takes new documents and passes them on.
         """
         super().__init__()
-        self.confirmed_at: float = 0
         self._state = state
         self._platform = platform
         self._documents = fetcher
         self._rank_changed = asyncio.Event()
+        self._joined_until: float = 0
         state.registry.subscribe(self._on_record)
 
     @property
@@ -50,7 +50,8 @@
         if not self._state.is_balancer:
             return False
         names = order.ranked(const.KEY_DOCUMENT, self._state.balancer_names())
-        return self._state.instance in names[: const.WATCHERS]
+        place = names.index(self._state.instance)
+        return place < const.WATCHERS or self._joins(place)
 
     async def on_start(self) -> None:
         """Begin to watch when it is this balancer's turn."""
@@ -70,12 +71,22 @@
             async with asyncio.timeout(timeout):
                 stored = await self._platform.async_get(const.KEY_DOCUMENT)
         except exceptions.ObjectMissingError:
+            self._state.contact.seen()
             return True
         except (exceptions.KumquatportError, TimeoutError):
             return False
+        self._state.contact.seen()
         await self._async_take(stored)
         return True
 
+    def _joins(self, place: int) -> bool:
+        """Tell whether a balancer further down watches as well."""
+        now = clock.now()
+        groups = int(self._state.contact.age // const.JOIN_AFTER_S)
+        if place < min(const.WATCHERS * (groups + 1), const.MAX_WATCHERS):
+            self._joined_until = now + const.JOIN_S
+        return now < self._joined_until
+
     async def _async_run(self) -> None:
         while not self.should_stop:
             self._rank_changed.clear()
@@ -84,7 +95,7 @@
             else:
                 await self.wait_first(
                     self._rank_changed.wait(),
-                    timeout=const.WATCH_S,
+                    timeout=const.JOIN_AFTER_S,
                 )
 
     async def _async_watch(self) -> None:
@@ -108,7 +119,7 @@
         return listing
 
     async def _async_take_all(self, listing: model.Listing) -> None:
-        self.confirmed_at = clock.now()
+        self._state.contact.seen()
         for stored in listing.objects:
             if stored.key == const.KEY_DOCUMENT:
                 await self._async_take(stored)
