--- /dev/null
+++ b/tests/unit/test_errors_page.py
@@ -0,0 +1,79 @@
+"""The page of errors: every class is on it, and nothing else."""
+
+import ast
+import pathlib
+import re
+import typing
+import unittest
+
+PAGE = pathlib.Path('docs/ERRORS.md')
+SOURCES = pathlib.Path('kumquatport')
+ROOT = 'KumquatportError'
+_ROW = re.compile(r'^\| (KQ-\d{4}) \| `(\w+)` \|', re.MULTILINE)
+
+
+class Found(typing.NamedTuple):
+    """A class of the sources; its code is empty when it sets none."""
+
+    name: str
+    bases: frozenset[str]
+    code: str
+
+
+def _base(node):
+    return node.attr if isinstance(node, ast.Attribute) else node.id
+
+
+def _code(definition):
+    for node in definition.body:
+        if isinstance(node, ast.Assign | ast.AnnAssign):
+            target = getattr(node, 'target', None) or node.targets[0]
+            if getattr(target, 'id', '') == 'code':
+                return node.value.value
+    return ''
+
+
+def _all_classes():
+    for path in SOURCES.rglob('*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ClassDef):
+                named = [
+                    base
+                    for base in node.bases
+                    if isinstance(base, ast.Attribute | ast.Name)
+                ]
+                bases = frozenset(_base(base) for base in named)
+                yield Found(node.name, bases, _code(node))
+
+
+def _errors():
+    """Return the root and all that derive from it, however far."""
+    classes = list(_all_classes())
+    names = {ROOT}
+    while True:
+        more = {held.name for held in classes if held.bases & names}
+        if more <= names:
+            return [held for held in classes if held.name in names]
+        names |= more
+
+
+class ErrorsPageTest(unittest.TestCase):
+    """Compares the page with the classes of all modules."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.errors = _errors()
+
+    def test_page_and_classes_agree(self):
+        rows = _ROW.findall(PAGE.read_text())
+        self.assertCountEqual(
+            rows, [(held.code, held.name) for held in self.errors]
+        )
+
+    def test_codes_are_unique(self):
+        codes = [held.code for held in self.errors]
+        self.assertEqual(len(codes), len(set(codes)))
+        self.assertNotIn('', codes)
+
+    def test_errors_are_found(self):
+        self.assertGreater(len(self.errors), 20)
