Codes of their own for a lost and for an open attempt at a document

Cause: AcceptanceConflictError and AcceptanceUnknownError bore the codes of their base classes, so the page of errors could not tell them apart; found by the test that compares the page with the classes.

--- a/kumquatport/version/acceptance/model.py
+++ b/kumquatport/version/acceptance/model.py
@@ -68,6 +68,8 @@
         submitted: The document that was refused.
     """
 
+    code = 'KQ-3004'
+
     def __init__(
         self, in_force: InForce, submitted: document.Document | None
     ) -> None:
@@ -93,6 +95,8 @@
         base_version: Version the attempt was made on.
     """
 
+    code = 'KQ-3005'
+
     def __init__(self, identifier: str, base_version: int) -> None:
         """Keep what is needed to ask again.
 
--- a/tests/unit/test_errors_page.py
+++ b/tests/unit/test_errors_page.py
@@ -28,7 +28,8 @@
     for node in definition.body:
         if isinstance(node, ast.Assign | ast.AnnAssign):
             target = getattr(node, 'target', None) or node.targets[0]
-            if getattr(target, 'id', '') == 'code':
+            is_code = getattr(target, 'id', '') == 'code'
+            if is_code and isinstance(node.value, ast.Constant):
                 return node.value.value
     return ''
 
