--- a/kumquatport/connection/control/const.py
+++ b/kumquatport/connection/control/const.py
@@ -21,3 +21,6 @@
 
 TASK_THREADS: typing.Final = 2
 OTHER_THREADS: typing.Final = 1
+
+METRIC_BYTES_SENT: typing.Final = 'control.bytes_sent'
+METRIC_BYTES_RECEIVED: typing.Final = 'control.bytes_received'
--- a/kumquatport/connection/control/traffic.py
+++ b/kumquatport/connection/control/traffic.py
@@ -2,6 +2,11 @@
 
 import collections
 import typing
+from collections import abc
+
+from kumquatport.connection.control import const
+
+Count = abc.Callable[[str, int], None]
 
 
 class Totals(typing.NamedTuple):
@@ -27,6 +32,7 @@
         self._received: collections.Counter[str] = collections.Counter()
         self._bytes_sent = 0
         self._bytes_received = 0
+        self._count: Count = _ignore
 
     @property
     def totals(self) -> Totals:
@@ -47,12 +53,26 @@
             for kind in sorted(kinds)
         }
 
+    def report_to(self, count: Count) -> None:
+        """Count bytes in the process's metrics as well.
+
+        Args:
+            count: Adds an amount to a counter by its name.
+        """
+        self._count = count
+
     def sent(self, message: object, size: int) -> None:
         """Count a message that was sent."""
         self._sent[type(message).__name__] += 1
         self._bytes_sent += size
+        self._count(const.METRIC_BYTES_SENT, size)
 
     def received(self, message: object, size: int) -> None:
         """Count a message that was received."""
         self._received[type(message).__name__] += 1
         self._bytes_received += size
+        self._count(const.METRIC_BYTES_RECEIVED, size)
+
+
+def _ignore(_name: str, _amount: int) -> None:
+    """Leave out the metrics of a process that keeps none."""
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -77,6 +77,7 @@
         platform,
         documents.parse,
     )
+    member.traffic.report_to(metrics.count)
     started_at = time.monotonic()
 
     def status() -> status_models.Status:
@@ -138,7 +139,7 @@
         failure_domain=own.failure_domain,
         state=own.state,
         release=kumquatport.__version__,
-        document_version=member.current.version,
+        document_version=member.shown_version or 0,
         uptime_s=time.monotonic() - started_at,
         member_counts=counts,
         members=[
--- /dev/null
+++ b/tests/version_watch.py
@@ -0,0 +1,106 @@
+"""Follows the document versions that the processes of a deployment show."""
+
+import threading
+import time
+import typing
+from collections import abc
+
+from tests import deployment
+
+POLL_S = 0.1
+
+
+class Shown(typing.NamedTuple):
+    """A version that a process showed, 0 for none."""
+
+    at: float
+    name: str
+    version: int
+
+
+class VersionWatch:
+    """Polls all processes in a thread until it is closed.
+
+    Attributes:
+        shown: All that was shown, in the order of time.
+        skipped: Processes not to be polled, because they are frozen.
+    """
+
+    def __init__(
+        self,
+        deployed: deployment.Deployment,
+        names: abc.Iterable[str],
+    ) -> None:
+        """Start to poll.
+
+        Args:
+            deployed: A started deployment.
+            names: Its processes to follow.
+        """
+        self.shown: list[Shown] = []
+        self.skipped: set[str] = set()
+        self._deployed = deployed
+        self._names = tuple(names)
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop to poll."""
+        self._ended.set()
+        self._thread.join()
+
+    def forget(self, name: str) -> None:
+        """Wait for what a process shows from now on, as after its start."""
+        self.shown.append(Shown(time.monotonic(), name, 0))
+
+    def behind(self, version: int, names: abc.Iterable[str]) -> list[str]:
+        """Return those whose last shown version is lower."""
+        latest = {shown.name: shown.version for shown in self.shown}
+        return [name for name in names if latest.get(name, 0) < version]
+
+    def wait_for(
+        self,
+        version: int,
+        names: abc.Collection[str],
+        timeout_s: float,
+    ) -> float:
+        """Wait until all show a version; return the seconds it took."""
+        started = time.monotonic()
+        while self.behind(version, names):
+            waited = time.monotonic() - started
+            if waited > timeout_s:
+                late = self.behind(version, names)
+                raise AssertionError(
+                    f'not in force after {waited:.2f} s: {late}'
+                )
+            time.sleep(POLL_S / 4)
+        return time.monotonic() - started
+
+    def steps_back(self) -> list[tuple[Shown, Shown]]:
+        """Return where a process showed a lower version than before."""
+        highest: dict[str, Shown] = {}
+        found = []
+        for shown in self.shown:
+            before = highest.get(shown.name, shown)
+            if 0 < shown.version < before.version:
+                found.append((before, shown))
+            if shown.version >= before.version:
+                highest[shown.name] = shown
+        return found
+
+    def _run(self) -> None:
+        while not self._ended.wait(POLL_S):
+            for name in self._names:
+                self._poll(name)
+
+    def _poll(self, name: str) -> None:
+        process = self._deployed.processes[name]
+        if not process.running or name in self.skipped:
+            return
+        try:
+            status = self._deployed.status(name)
+        except (OSError, ValueError):
+            return
+        version = status['document_version']
+        self.shown.append(Shown(time.monotonic(), name, version))
