Claims of idempotency keys: rosters, replicas, handover, coordinator

Cause: an order must run at most once wherever and however often it is sent; several hundred platform writes a second do not carry a write for each order. Ways weighed: a conditional create on the platform for each key (rate too low, and an outage would stop all orders), claims in batches (two batches of two agents do not meet), one home for each key (a crash of the home forgets, a stale view of the members gives two homes). Kept: three replicas for each slot of keys, two of three must grant; the replicas of a slot change by a roster on the platform (conditional update, only at a change of members), and a new generation serves only after sealing enough of the one before. A process that was restarted is another replica; one that was paused confirms first; claims whose majority is gone are refused as unknown for the retention.

--- /dev/null
+++ b/kumquatport/request/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys, agreed between the agents of a service."""
--- /dev/null
+++ b/kumquatport/request/idempotency/rostering.py
@@ -0,0 +1,230 @@
+"""Keeping the roster of one service in step with its agents."""
+
+import random
+import time
+import typing
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.process.platform import client
+from kumquatport.request.idempotency import const, messages, replica, roster
+from kumquatport.version import members
+from kumquatport.version.members import const as members_const
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Surroundings(typing.NamedTuple):
+    """What the roster is kept in step with.
+
+    Attributes:
+        service: Name of the service.
+        agents: Returns the records of the service's agents.
+        out: Returns the failure domains that are taken out.
+        platform: Client of the platform.
+        ask: Sends a control message to an endpoint.
+    """
+
+    service: str
+    agents: abc.Callable[[], abc.Sequence[members.InstanceRecord]]
+    out: abc.Callable[[], abc.Container[str]]
+    platform: client.PlatformClient
+    ask: replica.Ask
+
+
+class Rostering(mode.Service):
+    """Holds the highest roster seen, and changes it where it does not fit.
+
+    Only the first of the service's agents, by name, reads and writes the
+    platform; the others learn the roster from each other. Two that both take
+    themselves for the first do no harm: the conditional update lets one win.
+    """
+
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        local: replica.Replica,
+    ) -> None:
+        """Start without a roster.
+
+        Args:
+            surroundings: What the roster is kept in step with.
+            local: The replica in this process.
+        """
+        super().__init__()
+        self._surroundings = surroundings
+        self._local = local
+        self._roster = roster.NO_ROSTER
+        self._misfit_since: float | None = None
+        self._confirmed_at = -const.ROSTER_CONFIRM_S
+        self._asked_at: float = 0
+
+    @property
+    def current(self) -> roster.Roster:
+        """The highest roster seen."""
+        return self._roster
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether any slot's claims are kept by this process."""
+        return any(
+            self._local.own in generations[0].replicas
+            for generations in self._roster.slots
+        )
+
+    def offer(self, found: roster.Roster) -> None:
+        """Take a roster if it is higher than the one held."""
+        if found.service != self._surroundings.service:
+            return
+        if found.epoch <= self._roster.epoch:
+            return
+        self._roster = found
+        self._misfit_since = None
+        _LOGGER.info('roster adopted', epoch=found.epoch)
+        self._local.adopt(found)
+
+    async def async_answer(
+        self,
+        asked: messages.RosterAsk,
+    ) -> messages.RosterReply:
+        """Answer another agent that asks for a newer roster."""
+        is_newer = self._roster.epoch > asked.epoch
+        is_same = asked.service == self._surroundings.service
+        if is_newer and is_same:
+            return messages.RosterReply(self._roster)
+        return messages.RosterReply(None)
+
+    async def async_learn(self, endpoint: str) -> None:
+        """Ask another agent for its roster."""
+        asked = messages.RosterAsk(
+            self._surroundings.service,
+            self._roster.epoch,
+        )
+        try:
+            reply = await self._surroundings.ask(
+                endpoint,
+                asked,
+                const.ASK_TIMEOUT_S,
+            )
+        except exceptions.KumquatportError:
+            return
+        if isinstance(reply, messages.RosterReply) and reply.found:
+            self.offer(reply.found)
+
+    @mode.Service.task
+    async def _async_follow(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._async_look()
+            except exceptions.KumquatportError as err:
+                # The platform is away: the present roster goes on.
+                _LOGGER.debug('roster not changed', code=err.code)
+            await self.sleep(const.ROSTER_LOOK_S)
+
+    async def _async_look(self) -> None:
+        ready = [
+            record
+            for record in self._surroundings.agents()
+            if record.state == members_const.STATE_READY
+        ]
+        now = time.monotonic()
+        is_needed = self._local.is_suspended or bool(self._local.stuck)
+        if is_needed or self._is_first(ready):
+            await self._async_lead(ready, now)
+            return
+        others = [
+            record
+            for record in ready
+            if record.instance != self._local.own.instance
+        ]
+        if others and now - self._asked_at > const.ROSTER_ASK_S:
+            self._asked_at = now
+            peer = random.choice(others)
+            await self.async_learn(f'{peer.address}:{peer.control_port}')
+
+    def _is_first(self, ready: abc.Sequence[members.InstanceRecord]) -> bool:
+        if not ready:
+            return False
+        first = min(record.instance for record in ready)
+        return first == self._local.own.instance
+
+    async def _async_lead(
+        self,
+        ready: abc.Sequence[members.InstanceRecord],
+        now: float,
+    ) -> None:
+        is_due = now - self._confirmed_at > const.ROSTER_CONFIRM_S
+        if self._local.is_suspended or is_due:
+            await self._async_read()
+            self._confirmed_at = now
+            self._local.confirm()
+        if self._propose(ready, may_lose=True) is None:
+            self._misfit_since = None
+            return
+        if self._misfit_since is None:
+            self._misfit_since = now
+        misfit_s = now - self._misfit_since
+        if misfit_s >= const.ROSTER_SETTLE_S:
+            may_lose = misfit_s >= const.LOST_SETTLE_S
+            await self._async_change(ready, may_lose=may_lose)
+
+    def _propose(
+        self,
+        ready: abc.Sequence[members.InstanceRecord],
+        *,
+        may_lose: bool,
+    ) -> roster.Roster | None:
+        out = self._surroundings.out()
+        eligible = [
+            roster.Eligible(_replica(record), record.failure_domain)
+            for record in ready
+            if record.failure_domain not in out
+        ]
+        return roster.propose(
+            self._roster,
+            self._surroundings.service,
+            roster.Wanted(
+                eligible,
+                time.time(),
+                may_lose,
+                self._local.stuck,
+            ),
+        )
+
+    async def _async_read(self) -> int:
+        key = const.ROSTER_PREFIX + self._surroundings.service
+        try:
+            stored = await self._surroundings.platform.async_get(key)
+        except exceptions.ObjectMissingError:
+            return 0
+        self.offer(roster.decode(stored.value))
+        return stored.version
+
+    async def _async_change(
+        self,
+        ready: abc.Sequence[members.InstanceRecord],
+        *,
+        may_lose: bool,
+    ) -> None:
+        version = await self._async_read()
+        proposed = self._propose(ready, may_lose=may_lose)
+        if proposed is None:
+            return
+        key = const.ROSTER_PREFIX + self._surroundings.service
+        await self._surroundings.platform.async_put(
+            key,
+            roster.encode(proposed),
+            version,
+        )
+        self.offer(proposed)
+
+
+def _replica(record: members.InstanceRecord) -> roster.Replica:
+    return roster.Replica(
+        record.instance,
+        record.incarnation,
+        f'{record.address}:{record.control_port}',
+    )
--- /dev/null
+++ b/kumquatport/request/idempotency/slot.py
@@ -0,0 +1,129 @@
+"""The claims that a replica keeps of one slot in one generation."""
+
+import typing
+from collections import abc
+
+from kumquatport.request.idempotency import const, messages
+
+# What an attempt was told last says more than that it was made.
+_SAME_ATTEMPT = (
+    const.STATE_ANSWERED,
+    const.STATE_UNKNOWN,
+    const.STATE_RELEASED,
+    const.STATE_CLAIMED,
+)
+# One that did not run says nothing of another that may have.
+_OTHER_ATTEMPT = (
+    const.STATE_ANSWERED,
+    const.STATE_UNKNOWN,
+    const.STATE_CLAIMED,
+    const.STATE_RELEASED,
+)
+
+
+class _Kept(typing.NamedTuple):
+    entry: messages.Entry
+    since: float
+
+
+class Slot:
+    """Keys of one slot and who holds them."""
+
+    def __init__(self, clock: abc.Callable[[], float]) -> None:
+        """Start without keys.
+
+        Args:
+            clock: Monotonic time in seconds.
+        """
+        self._clock = clock
+        self._kept: dict[bytes, _Kept] = {}
+
+    def __len__(self) -> int:
+        """Return the number of keys that are kept."""
+        return len(self._kept)
+
+    def claim(self, asked: messages.Claim) -> messages.Entry | None:
+        """Give a key to an attempt if nobody holds it.
+
+        Args:
+            asked: The claim; asking again for the same attempt is harmless.
+
+        Returns:
+            The entry of whoever holds the key; nothing if it is granted.
+        """
+        attempt = asked.claimant.attempt
+        kept = self._kept.get(asked.key)
+        if kept is not None:
+            if kept.entry.attempt == attempt:
+                is_held = kept.entry.state != const.STATE_CLAIMED
+                return kept.entry if is_held else None
+            if kept.entry.state != const.STATE_RELEASED:
+                return kept.entry
+        entry = messages.Entry(
+            key=asked.key,
+            request=asked.request,
+            attempt=attempt,
+            state=const.STATE_CLAIMED,
+            answer=b'',
+            age_s=0,
+        )
+        self._kept[asked.key] = _Kept(entry, self._clock())
+        return None
+
+    def settle(self, told: messages.Settle) -> bool:
+        """Note what became of an attempt; tell whether it held the key."""
+        kept = self._kept.get(told.key)
+        if kept is None or kept.entry.attempt != told.attempt:
+            return False
+        entry = kept.entry._replace(state=told.state, answer=told.answer)
+        self._kept[told.key] = _Kept(entry, kept.since)
+        return True
+
+    def entries(self) -> tuple[messages.Entry, ...]:
+        """Return all entries with their ages, to be handed over."""
+        now = self._clock()
+        return tuple(
+            kept.entry._replace(age_s=now - kept.since)
+            for kept in self._kept.values()
+        )
+
+    def merge(self, entries: abc.Iterable[messages.Entry]) -> None:
+        """Take entries of an earlier generation over.
+
+        Where two replicas differ, what says most of the outcome counts; two
+        attempts that both may have run leave the outcome unknown.
+        """
+        for entry in entries:
+            kept = self._kept.get(entry.key)
+            since = self._clock() - entry.age_s
+            if kept is not None:
+                since = max(since, kept.since)
+                entry = _merged(kept.entry, entry)
+            self._kept[entry.key] = _Kept(entry, since)
+
+    def expire(self) -> None:
+        """Forget what is older than the retention."""
+        now = self._clock()
+        for key, kept in tuple(self._kept.items()):
+            is_released = kept.entry.state == const.STATE_RELEASED
+            limit = const.RELEASED_S if is_released else const.RETENTION_S
+            if now - kept.since > limit:
+                self._kept.pop(key)
+
+
+def _merged(one: messages.Entry, other: messages.Entry) -> messages.Entry:
+    if one.attempt == other.attempt:
+        return _best(one, other, _SAME_ATTEMPT)
+    best = _best(one, other, _OTHER_ATTEMPT)
+    states = {one.state, other.state}
+    if states == {const.STATE_CLAIMED}:
+        return best._replace(state=const.STATE_UNKNOWN)
+    return best
+
+
+def _best(
+    one: messages.Entry,
+    other: messages.Entry,
+    order: tuple[str, ...],
+) -> messages.Entry:
+    return min((one, other), key=lambda entry: order.index(entry.state))
--- /dev/null
+++ b/tests/builders/claims.py
@@ -0,0 +1,138 @@
+"""Agents of one service that keep claims, joined by a faulty network."""
+
+import asyncio
+import random
+import time
+import typing
+
+from kumquatport import exceptions
+from kumquatport.connection.quic import stream
+from kumquatport.request.idempotency import (
+    coordinator,
+    messages,
+    replica,
+    roster,
+    rostering,
+)
+
+SERVICE = 'desk'
+DOMAINS = ('duluth', 'kenosha', 'saginaw')
+
+
+class Member(typing.NamedTuple):
+    """One agent process."""
+
+    replica: replica.Replica
+    rosters: rostering.Rostering
+    coordinator: coordinator.Coordinator
+    failure_domain: str
+
+
+class Service:
+    """Agents of one service; messages may be lost in either direction."""
+
+    def __init__(self, agents: int, seed: int, loss: float = 0) -> None:
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.members: dict[str, Member] = {}
+        self.roster = roster.NO_ROSTER
+        self.counts: dict[str, int] = {}
+        self._incarnation = 0
+        self._agents = agents
+
+    async def async_start(self) -> None:
+        for number in range(self._agents):
+            await self.async_join(f'agent-{number}')
+
+    async def async_stop(self) -> None:
+        for name in tuple(self.members):
+            await self.async_kill(name)
+
+    async def async_join(self, name: str) -> None:
+        self._incarnation += 1
+        own = roster.Replica(name, self._incarnation, name)
+        local = replica.Replica(own, self._async_ask, self._count)
+        surroundings = rostering.Surroundings(
+            SERVICE,
+            lambda: (),
+            lambda: (),
+            typing.cast(typing.Any, None),
+            self._async_ask,
+        )
+        rosters = rostering.Rostering(surroundings, local)
+        asks = coordinator.Coordinator(
+            SERVICE,
+            rosters,
+            local,
+            self._async_ask,
+            self._count,
+        )
+        domain = DOMAINS[int(name[-1]) % len(DOMAINS)]
+        self.members[name] = Member(local, rosters, asks, domain)
+        await local.start()
+        rosters.offer(self.roster)
+
+    async def async_kill(self, name: str) -> None:
+        member = self.members.pop(name)
+        await member.replica.stop()
+
+    def change_roster(self, *, may_lose: bool = False) -> bool:
+        """Propose and accept a roster that fits; tell whether it changed."""
+        eligible = [
+            roster.Eligible(member.replica.own, member.failure_domain)
+            for member in self.members.values()
+        ]
+        stuck = frozenset().union(
+            *(member.replica.stuck for member in self.members.values()),
+        )
+        wanted = roster.Wanted(eligible, time.time(), may_lose, stuck)
+        proposed = roster.propose(self.roster, SERVICE, wanted)
+        if proposed is None:
+            return False
+        self.roster = proposed
+        return True
+
+    def tell_roster(self, share: float = 1) -> None:
+        """Tell the roster to a random share of the members."""
+        for member in self.members.values():
+            if self.random.random() < share:
+                member.rosters.offer(self.roster)
+
+    async def async_claim(self, name: str, key: str) -> typing.Any:
+        deadline_at = asyncio.get_running_loop().time() + 2
+        member = self.members[name]
+        return await member.coordinator.async_claim(head(key), deadline_at)
+
+    def _count(self, name: str, amount: int = 1) -> None:
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    async def _async_ask(
+        self,
+        endpoint: str,
+        message: typing.Any,
+        timeout: float,
+    ) -> typing.Any:
+        await asyncio.sleep(self.random.random() / 500)
+        self._maybe_lose()
+        member = self.members.get(endpoint)
+        if member is None:
+            raise exceptions.PeerUnavailableError(endpoint)
+        handlers = {
+            messages.Claim: member.replica.async_claim,
+            messages.Settle: member.replica.async_settle,
+            messages.Seal: member.replica.async_seal,
+            messages.RosterAsk: member.rosters.async_answer,
+        }
+        reply = await handlers[type(message)](message)
+        self._maybe_lose()
+        return reply
+
+    def _maybe_lose(self) -> None:
+        if self.random.random() < self.loss:
+            raise exceptions.PeerUnavailableError('lost')
+
+
+def head(key: str, path: str = '/orders') -> stream.RequestHead:
+    """Build the head of an order with an idempotency key."""
+    headers = (('idempotency-key', key), ('x-tenant', 'guild'))
+    return stream.RequestHead('POST', path, 'desk', headers, 1)
--- /dev/null
+++ b/tests/unit/request/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lives for one request."""
--- /dev/null
+++ b/tests/unit/request/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the claims of idempotency keys."""
--- /dev/null
+++ b/tests/unit/request/idempotency/test_claims.py
@@ -0,0 +1,148 @@
+"""Tests of claims under restarts, handovers and lost messages."""
+
+import asyncio
+import collections
+import random
+import unittest
+
+from kumquatport import exceptions
+from kumquatport.request import claims
+from kumquatport.request.idempotency import const, coordinator
+from tests.builders import claims as builders
+
+RECEIPT = claims.Answer(201, (), b'receipt')
+ANSWERED = claims.Settlement(claims.SETTLED_ANSWERED, RECEIPT)
+NOT_RUN = claims.Settlement(claims.SETTLED_NOT_RUN, None)
+SEED = 20261204
+
+
+class ClaimsTest(unittest.IsolatedAsyncioTestCase):
+    """A key runs at most once, wherever and however often it is sent."""
+
+    async def asyncSetUp(self):
+        self.service = builders.Service(agents=5, seed=SEED)
+        await self.service.async_start()
+        self.service.change_roster()
+        self.service.tell_roster()
+        await asyncio.sleep(0.05)
+
+    async def asyncTearDown(self):
+        await self.service.async_stop()
+
+    async def test_repeat_elsewhere_gets_the_receipt(self):
+        verdict = await self.service.async_claim('agent-0', 'key')
+        self.assertIsNone(verdict.answer)
+        await verdict.async_settle(ANSWERED)
+        repeat = await self.service.async_claim('agent-3', 'key')
+        self.assertEqual(repeat.answer, RECEIPT)
+
+    async def test_repeat_while_the_first_runs_is_told(self):
+        await self.service.async_claim('agent-0', 'key')
+        with self.assertRaises(coordinator.KeyInUseError):
+            await self.service.async_claim('agent-1', 'key')
+
+    async def test_what_did_not_run_may_run_elsewhere(self):
+        verdict = await self.service.async_claim('agent-0', 'key')
+        await verdict.async_settle(NOT_RUN)
+        again = await self.service.async_claim('agent-1', 'key')
+        self.assertIsNone(again.answer)
+
+    async def test_key_of_another_request_is_refused(self):
+        verdict = await self.service.async_claim('agent-0', 'key')
+        await verdict.async_settle(ANSWERED)
+        member = self.service.members['agent-1']
+        deadline_at = asyncio.get_running_loop().time() + 1
+        with self.assertRaises(coordinator.KeyReusedError):
+            await member.coordinator.async_claim(
+                builders.head('key', '/other'),
+                deadline_at,
+            )
+
+    async def test_claims_outlive_a_crash_of_any_one_replica(self):
+        verdict = await self.service.async_claim('agent-0', 'key')
+        await verdict.async_settle(ANSWERED)
+        for name in ('agent-1', 'agent-2', 'agent-3', 'agent-4'):
+            await self.service.async_kill(name)
+            await self.service.async_join(name)
+            self.assertTrue(self.service.change_roster())
+            self.service.tell_roster()
+            await asyncio.sleep(0.1)
+        repeat = await self.service.async_claim('agent-2', 'key')
+        self.assertEqual(repeat.answer, RECEIPT)
+
+    async def test_lost_majority_is_never_taken_for_fresh(self):
+        await self.service.async_claim('agent-0', 'key')
+        for name in ('agent-1', 'agent-2', 'agent-3', 'agent-4'):
+            await self.service.async_kill(name)
+            await self.service.async_join(name)
+        self.service.change_roster()
+        self.service.tell_roster()
+        await asyncio.sleep(0.1)
+        with self.assertRaises(exceptions.KumquatportError):
+            await self.service.async_claim('agent-1', 'key')
+
+    async def test_paused_replica_grants_nothing_until_confirmed(self):
+        for member in self.service.members.values():
+            member.replica._ticked_at -= const.PAUSE_NOTICED_S + 1
+        with self.assertRaises(coordinator.ClaimsUnavailableError):
+            await self.service.async_claim('agent-0', 'key')
+        for member in self.service.members.values():
+            member.replica.confirm()
+        verdict = await self.service.async_claim('agent-0', 'key')
+        self.assertIsNone(verdict.answer)
+
+
+class RandomFaultsTest(unittest.IsolatedAsyncioTestCase):
+    """Random restarts, roster changes and lost messages, many callers."""
+
+    async def test_no_key_runs_twice(self):
+        for seed in range(SEED, SEED + 3):
+            with self.subTest(seed=seed):
+                await self._async_one(seed)
+
+    async def _async_one(self, seed):
+        self.service = builders.Service(agents=7, seed=seed, loss=0.05)
+        await self.service.async_start()
+        self.service.change_roster()
+        self.service.tell_roster()
+        await asyncio.sleep(0.05)
+        self.runs = collections.Counter()
+        self.random = random.Random(seed)
+        callers = [self._async_caller(number) for number in range(20)]
+        faults = asyncio.create_task(self._async_faults())
+        await asyncio.gather(*callers)
+        faults.cancel()
+        await self.service.async_stop()
+        doubled = [key for key, count in self.runs.items() if count > 1]
+        self.assertEqual(doubled, [])
+        self.assertGreater(len(self.runs), 20)
+
+    async def _async_caller(self, number):
+        for order in range(6):
+            key = f'{number // 2}-{order}'
+            for _ in range(3):
+                await self._async_try(key)
+
+    async def _async_try(self, key):
+        name = self.random.choice(tuple(self.service.members))
+        try:
+            verdict = await self.service.async_claim(name, key)
+        except exceptions.KumquatportError:
+            return
+        if verdict.answer is not None:
+            return
+        await asyncio.sleep(self.random.random() / 100)
+        if self.random.random() < 0.2:
+            await verdict.async_settle(NOT_RUN)
+            return
+        self.runs[key] += 1
+        await verdict.async_settle(ANSWERED)
+
+    async def _async_faults(self):
+        while True:
+            name = self.random.choice(tuple(self.service.members))
+            await self.service.async_kill(name)
+            await self.service.async_join(name)
+            self.service.change_roster(may_lose=self.random.random() < 0.1)
+            self.service.tell_roster(self.random.random())
+            await asyncio.sleep(self.random.random() / 2)
