--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -15,10 +15,7 @@
 from kumquatport.process.status import server
 from kumquatport.version import document as documents
 from kumquatport.version import members
-from kumquatport.version.members import const as members_const
-from kumquatport.version.spread import membership
-
-_MS_PER_S = 1000
+from kumquatport.version.spread import announcer, membership
 
 
 class Role(typing.NamedTuple):
@@ -105,7 +102,7 @@
     common: models.CommonSettings,
     role: Role,
 ) -> members.InstanceRecord:
-    return members.InstanceRecord(
+    return announcer.first_record(
         instance=common.instance,
         kind=role.kind,
         region=common.region,
@@ -114,10 +111,6 @@
         address=common.address,
         control_port=common.control_port,
         data_port=role.data_port,
-        state=members_const.STATE_STARTING,
-        weight=1.0,
-        incarnation=int(time.time() * _MS_PER_S),
-        sequence=1,
     )
 
 
