Agent claims idempotency keys; agents serve their share before they are ready

Ruled out: lost messages, the replicas had no roster at all. Now an agent that starts is listed and takes its claims over before it announces ready (bounded, the platform may be away). Also: a control reply no longer goes to a context that was closed while its handler ran (TypeError at a stop, seen once).

--- a/kumquatport/connection/control/server.py
+++ b/kumquatport/connection/control/server.py
@@ -103,6 +103,9 @@
         except exceptions.FrameTooLongError as error:
             reply = self._refuse(error)
             answer = frame.encode(reply, self._key, bound_to)
+        if self.should_stop:
+            # The context was closed while the handler ran.
+            return
         self._counts.sent(reply, len(answer))
         await context.asend(answer)
 
--- /dev/null
+++ b/kumquatport/process/agent/claiming.py
@@ -0,0 +1,109 @@
+"""The agent's part in the claims of idempotency keys."""
+
+import asyncio
+import typing
+from collections import abc
+
+import mode
+
+from kumquatport.connection.control import server
+from kumquatport.request import claims
+from kumquatport.request import messages as request_messages
+from kumquatport.request.idempotency import (
+    const,
+    coordinator,
+    messages,
+    replica,
+    roster,
+    rostering,
+)
+from kumquatport.version.spread import membership
+
+_POLL_S = 0.2
+
+
+class Claiming(mode.Service):
+    """Keeps claims for the service, and claims keys for own requests."""
+
+    def __init__(
+        self,
+        service: str,
+        member: membership.Membership,
+        platform: typing.Any,
+        count_event: abc.Callable[[str], None],
+    ) -> None:
+        """Build the parts; nothing runs yet.
+
+        Args:
+            service: Service of this agent.
+            member: Records, tables and control messages.
+            platform: Client of the platform.
+            count_event: Counts an event by name.
+        """
+        super().__init__()
+        own = member.announcer.own
+        self._replica = replica.Replica(
+            roster.Replica(own.instance, own.incarnation, own.endpoint),
+            member.async_ask,
+            count_event,
+        )
+        self._rosters = rostering.Rostering(
+            rostering.Surroundings(
+                service=service,
+                agents=lambda: member.registry.agents(service),
+                out=lambda: member.tables.out,
+                platform=platform,
+                ask=member.async_ask,
+            ),
+            self._replica,
+        )
+        self._coordinator = coordinator.Coordinator(
+            service,
+            self._rosters,
+            self._replica,
+            member.async_ask,
+            count_event,
+        )
+        self._register(member.server)
+
+    def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
+        """Return the services that run as long as this one."""
+        return (self._replica, self._rosters)
+
+    async def async_claim(
+        self,
+        head: request_messages.RequestHead,
+        deadline_at: float,
+    ) -> claims.Verdict:
+        """Claim the key of a request; see ``Coordinator.async_claim``."""
+        return await self._coordinator.async_claim(head, deadline_at)
+
+    async def async_wait_settled(self, timeout: float) -> bool:
+        """Wait until this process serves its share of the claims.
+
+        Args:
+            timeout: Longest wait in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while not self._rosters.is_settled and loop.time() < deadline:
+            await asyncio.sleep(_POLL_S)
+        return self._rosters.is_settled
+
+    async def async_leave(self) -> None:
+        """Wait until others keep the claims that this process has kept.
+
+        With the platform away nobody can take over; the wait is bounded then,
+        because two more replicas of each slot have the claims too.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + const.LEAVE_TIMEOUT_S
+        while self._rosters.is_listed and loop.time() < deadline:
+            await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(const.LEAVE_GRACE_S)
+
+    def _register(self, control: server.ControlServer) -> None:
+        control.handle(messages.Claim, self._replica.async_claim)
+        control.handle(messages.Settle, self._replica.async_settle)
+        control.handle(messages.Seal, self._replica.async_seal)
+        control.handle(messages.RosterAsk, self._rosters.async_answer)
--- a/kumquatport/process/agent/const.py
+++ b/kumquatport/process/agent/const.py
@@ -3,6 +3,7 @@
 PROGRAM = 'kumquatport-agent'
 DESCRIPTION = 'Own the flows of the backend server beside this process.'
 READY_POLL_S = 5.0
+SETTLE_S = 5.0
 ANNOUNCE_S = 0.5
 WEIGHT_STEP = 0.05
 DRAIN_POLL_S = 0.2
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -12,7 +12,7 @@
 from kumquatport.connection.quic import const as quic_const
 from kumquatport.connection.quic import held, listener
 from kumquatport.helpers import tags
-from kumquatport.process.agent import const, passing
+from kumquatport.process.agent import claiming, const, passing
 from kumquatport.process.instance import parts as instance_parts
 from kumquatport.process.settings import models
 from kumquatport.process.tls import material
@@ -47,6 +47,12 @@
         )
         self._membership = self._parts.membership
         self._leaving = False
+        self._claiming = claiming.Claiming(
+            settings.service,
+            self._membership,
+            self._parts.platform,
+            self._parts.metrics.count,
+        )
         self._handler = self._make_handler()
         own = (common.address, settings.data_port)
         self._passing = passing.Passing(
@@ -67,7 +73,12 @@
 
     def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
         """Return the services that run as long as this one."""
-        return (*self._parts.services, self._tls, self._handler)
+        return (
+            *self._parts.services,
+            self._claiming,
+            self._tls,
+            self._handler,
+        )
 
     async def on_started(self) -> None:
         """Bind the sockets and follow the document in force.
@@ -99,6 +110,7 @@
         while any(one.requests_in_progress for one in self._listener.sessions):
             await asyncio.sleep(const.DRAIN_POLL_S)
         await self._handler.async_drain()
+        await self._claiming.async_leave()
 
     async def _async_read_object(self, key: str) -> bytes:
         stored = await self._parts.platform.async_get(key)
@@ -110,6 +122,7 @@
             self._settings.backend_server,
             messages.Metrics(metrics.count, metrics.gauge, metrics.timing),
             asyncio.get_running_loop().time,
+            claim=self._claiming.async_claim,
         )
 
     def _make_listener(self) -> listener.Listener:
@@ -165,6 +178,9 @@
             if await self._membership.async_wait_ready(const.READY_POLL_S):
                 break
             _LOGGER.info('waiting for a document')
+        # With the platform away there may be no roster for long; flows and
+        # requests without a key do not wait for it.
+        await self._claiming.async_wait_settled(const.SETTLE_S)
         while not self.should_stop and not self._leaving:
             self._announce()
             await self.sleep(const.ANNOUNCE_S)
--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -77,6 +77,11 @@
         """This process, as rosters list it."""
         return self._own
 
+    @property
+    def is_taking_over(self) -> bool:
+        """Whether claims of any slot are still being taken over."""
+        return bool(self._since)
+
     @property
     def stuck(self) -> frozenset[int]:
         """Slots whose claims could not be taken over for a long time."""
--- a/kumquatport/request/idempotency/rostering.py
+++ b/kumquatport/request/idempotency/rostering.py
@@ -15,6 +15,10 @@
 from kumquatport.version.members import const as members_const
 
 _LOGGER = structlog.get_logger(__name__)
+# An agent that starts takes claims over before it takes requests.
+_ABLE_STATES = frozenset(
+    (members_const.STATE_STARTING, members_const.STATE_READY),
+)
 
 
 class Surroundings(typing.NamedTuple):
@@ -75,6 +79,11 @@
             for generations in self._roster.slots
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the roster is known and this process serves its share."""
+        return bool(self._roster.slots) and not self._local.is_taking_over
+
     def offer(self, found: roster.Roster) -> None:
         """Take a roster if it is higher than the one held."""
         if found.service != self._surroundings.service:
@@ -125,19 +134,19 @@
             await self.sleep(const.ROSTER_LOOK_S)
 
     async def _async_look(self) -> None:
-        ready = [
+        able = [
             record
             for record in self._surroundings.agents()
-            if record.state == members_const.STATE_READY
+            if record.state in _ABLE_STATES
         ]
         now = time.monotonic()
         is_needed = self._local.is_suspended or bool(self._local.stuck)
-        if is_needed or self._is_first(ready):
-            await self._async_lead(ready, now)
+        if is_needed or self._is_first(able):
+            await self._async_lead(able, now)
             return
         others = [
             record
-            for record in ready
+            for record in able
             if record.instance != self._local.own.instance
         ]
         if others and now - self._asked_at > const.ROSTER_ASK_S:
@@ -145,15 +154,15 @@
             peer = random.choice(others)
             await self.async_learn(f'{peer.address}:{peer.control_port}')
 
-    def _is_first(self, ready: abc.Sequence[members.InstanceRecord]) -> bool:
-        if not ready:
+    def _is_first(self, able: abc.Sequence[members.InstanceRecord]) -> bool:
+        if not able:
             return False
-        first = min(record.instance for record in ready)
+        first = min(record.instance for record in able)
         return first == self._local.own.instance
 
     async def _async_lead(
         self,
-        ready: abc.Sequence[members.InstanceRecord],
+        able: abc.Sequence[members.InstanceRecord],
         now: float,
     ) -> None:
         is_due = now - self._confirmed_at > const.ROSTER_CONFIRM_S
@@ -161,7 +170,7 @@
             await self._async_read()
             self._confirmed_at = now
             self._local.confirm()
-        if self._propose(ready, may_lose=True) is None:
+        if self._propose(able, may_lose=True) is None:
             self._misfit_since = None
             return
         if self._misfit_since is None:
@@ -169,18 +178,18 @@
         misfit_s = now - self._misfit_since
         if misfit_s >= const.ROSTER_SETTLE_S:
             may_lose = misfit_s >= const.LOST_SETTLE_S
-            await self._async_change(ready, may_lose=may_lose)
+            await self._async_change(able, may_lose=may_lose)
 
     def _propose(
         self,
-        ready: abc.Sequence[members.InstanceRecord],
+        able: abc.Sequence[members.InstanceRecord],
         *,
         may_lose: bool,
     ) -> roster.Roster | None:
         out = self._surroundings.out()
         eligible = [
             roster.Eligible(_replica(record), record.failure_domain)
-            for record in ready
+            for record in able
             if record.failure_domain not in out
         ]
         return roster.propose(
@@ -205,12 +214,12 @@
 
     async def _async_change(
         self,
-        ready: abc.Sequence[members.InstanceRecord],
+        able: abc.Sequence[members.InstanceRecord],
         *,
         may_lose: bool,
     ) -> None:
         version = await self._async_read()
-        proposed = self._propose(ready, may_lose=may_lose)
+        proposed = self._propose(able, may_lose=may_lose)
         if proposed is None:
             return
         key = const.ROSTER_PREFIX + self._surroundings.service
