--- /dev/null
+++ b/tests/browser.py
@@ -0,0 +1,124 @@
+"""An operator's browser without scripts: cookies, forms, headings."""
+
+import html.parser
+import typing
+from collections import abc
+
+import aiohttp
+
+TIMEOUT_S = 60.0
+
+
+class Page(typing.NamedTuple):
+    """A page as the browser got it.
+
+    Attributes:
+        status: HTTP status code.
+        path: Where it was shown, after redirections.
+        text: Its HTML.
+        heading: Its first heading.
+        hidden: Names and values of its hidden fields.
+        headers: Of the answer.
+    """
+
+    status: int
+    path: str
+    text: str
+    heading: str
+    hidden: dict[str, str]
+    headers: abc.Mapping[str, str]
+
+
+class _Reader(html.parser.HTMLParser):
+    """Reads the heading and the fields of a page."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.heading = ''
+        self.hidden: dict[str, str] = {}
+        self._in_heading = False
+
+    def handle_starttag(
+        self, tag: str, attrs: list[tuple[str, str | None]]
+    ) -> None:
+        self._in_heading = tag == 'h1'
+        named = dict(attrs)
+        if tag == 'input' and named.get('type') == 'hidden':
+            self.hidden[named['name'] or ''] = named['value'] or ''
+
+    def handle_data(self, data: str) -> None:
+        if self._in_heading:
+            self.heading += data.strip()
+
+
+class Browser:
+    """One operator's browser, at one console after another."""
+
+    def __init__(self, url: str) -> None:
+        """Open at a console; cookies are kept for all of its address."""
+        self.url = url
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.CookieJar(unsafe=True),
+            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+        )
+
+    async def async_close(self) -> None:
+        await self._session.close()
+
+    async def async_get(self, path: str) -> Page:
+        return await self._async_ask('GET', path)
+
+    async def async_post(
+        self,
+        path: str,
+        fields: abc.Mapping[str, str],
+        headers: abc.Mapping[str, str] | None = None,
+    ) -> Page:
+        return await self._async_ask(
+            'POST', path, data=fields, headers=headers or {}
+        )
+
+    async def async_sign_in(self, name: str, password: str) -> Page:
+        page = await self.async_get('/sign-in')
+        fields = {**page.hidden, 'name': name, 'password': password}
+        return await self.async_post('/sign-in', fields)
+
+    async def async_review(self, *actions: str) -> Page:
+        """Edit what is in force and go on to the review page."""
+        page = await self.async_get('/edit')
+        for action in actions:
+            page = await self.async_post(
+                '/edit', {**page.hidden, 'action': action}
+            )
+        return await self.async_post('/review', page.hidden)
+
+    async def async_rule(
+        self, page: Page, service: str, domain: str, weight: float
+    ) -> Page:
+        """Set a rule in the draft that a page carries."""
+        fields = {
+            **page.hidden,
+            'action': 'set',
+            'service': service,
+            'failure_domain': domain,
+            'weight': str(weight),
+        }
+        return await self.async_post('/rules', fields)
+
+    async def _async_ask(
+        self, method: str, path: str, **options: typing.Any
+    ) -> Page:
+        async with self._session.request(
+            method, f'{self.url}{path}', **options
+        ) as response:
+            text = await response.text()
+        reader = _Reader()
+        reader.feed(text)
+        return Page(
+            response.status,
+            response.url.path,
+            text,
+            reader.heading,
+            reader.hidden,
+            response.headers,
+        )
--- /dev/null
+++ b/tests/builders/broken_documents.py
@@ -0,0 +1,230 @@
+"""Documents that are broken by construction, as bytes."""
+
+import copy
+import json
+import typing
+from collections import abc
+
+from hypothesis import strategies
+
+from tests.builders import documents
+
+DOMAINS = ('accra-a', 'accra-b', 'accra-c')
+SERVICES = ('storefront', 'manuals', 'desk')
+
+Path = tuple[str | int, ...]
+
+REQUIRED: tuple[Path, ...] = (
+    ('schema',),
+    ('failure_domains',),
+    ('services',),
+    ('failure_domains', 0, 'name'),
+    ('failure_domains', -1, 'region'),
+    ('services', 0, 'name'),
+    ('services', 0, 'address'),
+    ('services', -1, 'entry_port'),
+    ('services', -1, 'classes', 0, 'name'),
+    ('services', 0, 'classes', -1, 'methods'),
+    ('services', 0, 'tenants', 0, 'name'),
+    ('rules', 0, 'service'),
+    ('rules', -1, 'failure_domain'),
+)
+OBJECTS: tuple[Path, ...] = (
+    (),
+    ('failure_domains', 0),
+    ('services', -1),
+    ('services', 0, 'classes', 1),
+    ('services', 0, 'tenants', 0),
+    ('services', 0, 'limits'),
+    ('services', -1, 'ramp'),
+    ('rules', 0),
+)
+NUMBERS: dict[Path, tuple[float, ...]] = {
+    ('schema',): (0, 2, 1.5),
+    ('base_version',): (-1, 0.5),
+    ('services', 0, 'entry_port'): (0, -1, 65536, 1.5),
+    ('services', 0, 'classes', 0, 'deadline_s'): (0, -1, 1e300),
+    ('services', 0, 'tenants', 0, 'share'): (0, -3, 1e300),
+    ('services', 0, 'limits', 'slots'): (0, -5, 2.5, 10**30),
+    ('services', 0, 'limits', 'connections'): (0, -1, 10**30),
+    ('services', -1, 'limits', 'queue_s'): (-0.1, 1e9),
+    ('services', -1, 'limits', 'retry_budget'): (-0.1, 1.1),
+    ('services', -1, 'limits', 'queue_length'): (-1, 0.5),
+    ('services', 0, 'ramp', 'start_share'): (0, -0.1, 1.1),
+    ('services', 0, 'ramp', 'double_s'): (0, -2, 1e9),
+    ('rules', 0, 'weight'): (-1, 1e300),
+}
+NAMES: tuple[Path, ...] = (
+    ('failure_domains', 0, 'name'),
+    ('failure_domains', 0, 'region'),
+    ('services', 0, 'name'),
+    ('services', 0, 'classes', 0, 'name'),
+    ('services', 0, 'tenants', 0, 'name'),
+    ('rules', 0, 'service'),
+)
+BAD_NAMES = ('', 'A', 'a b', '-a', 'é', 'a\n', 'a/b', 'x' * 64, '\ud800')
+TEXTS: dict[Path, tuple[str, ...]] = {
+    ('services', 0, 'address'): (
+        '',
+        '127.0.0.1',
+        '127.0.0.1:0',
+        '127.0.0.1:65536',
+        '127.0.0.1:080',
+        '[::1]:443',
+        'host:443',
+        '127.0.0.256:443',
+        '127.0.0.1:443 ',
+    ),
+    ('services', 0, 'classes', 0, 'path_prefix'): ('', 'orders', '/a b', '/é'),
+    ('services', 0, 'classes', 0, 'methods', 0): ('post', 'FETCH', ''),
+    ('comment',): ('two\nlines', 'x' * 501, '\x00'),
+    ('operator',): ('two words', '-', 'x' * 64),
+    ('identifier',): ('a b', 'x' * 65, 'é'),
+}
+TYPED: tuple[Path, ...] = (
+    *NUMBERS,
+    *TEXTS,
+    *REQUIRED[1:3],
+    ('failure_domains', 0),
+    ('services', 0),
+    ('services', 0, 'classes'),
+    ('services', 0, 'classes', 0, 'methods'),
+    ('services', 0, 'tenants', 0),
+    ('services', 0, 'limits'),
+    ('services', 0, 'ramp'),
+    ('rules',),
+    ('rules', 0),
+)
+FLAGS: dict[Path, tuple[typing.Any, ...]] = {
+    ('failure_domains', 0, 'out'): (0, 1, 'true', None, []),
+    ('services', 0, 'classes', 0, 'repeatable'): (0, 'false', None),
+    ('services', 0, 'classes', 0, 'holds_slot'): (1, 'yes', None),
+}
+REPEATED: tuple[Path, ...] = (
+    ('failure_domains',),
+    ('services',),
+    ('services', 0, 'classes'),
+    ('services', 0, 'tenants'),
+    ('rules',),
+)
+RAW = (
+    b'',
+    b'null',
+    b'[]',
+    b'"document"',
+    b'\xff\xfe',
+    b'\xef\xbb\xbf{}',
+    b'[' * 100000,
+    b'x\x9c',
+    b'\x78\x9c\x00',
+    b'{"schema": NaN}',
+)
+
+
+def broken() -> strategies.SearchStrategy[bytes]:
+    """Return a strategy of documents with at least one fault each."""
+    return strategies.one_of(
+        _changed(_without, strategies.sampled_from(REQUIRED)),
+        _changed(_with_unknown, strategies.sampled_from(OBJECTS)),
+        _changed(_with_value, _values(NUMBERS)),
+        _changed(_with_value, _values(TEXTS)),
+        _changed(_with_value, _values(FLAGS)),
+        _changed(_with_value, _names()),
+        _changed(_with_value, _wrong_types()),
+        _changed(_with_repeat, strategies.sampled_from(REPEATED)),
+        _changed(_with_stranger, strategies.sampled_from(DOMAINS)),
+        _raw(),
+    )
+
+
+def valid() -> strategies.SearchStrategy[documents.Entry]:
+    """Return a strategy of valid documents of several sizes."""
+    return strategies.builds(
+        _document, strategies.integers(1, 3), strategies.integers(1, 3)
+    )
+
+
+def _document(domains: int, services: int) -> documents.Entry:
+    rows = [
+        documents.service(name, f'127.30.0.{index + 1}:4433', 20001 + index)
+        for index, name in enumerate(SERVICES[:services])
+    ]
+    built = documents.document('accra', DOMAINS[:domains], rows)
+    return copy.deepcopy({**built, 'identifier': 'fixed'})
+
+
+def _changed(
+    change: abc.Callable[[documents.Entry, typing.Any], None],
+    subjects: strategies.SearchStrategy[typing.Any],
+) -> strategies.SearchStrategy[bytes]:
+    def build(entry: documents.Entry, subject: typing.Any) -> bytes:
+        change(entry, subject)
+        return json.dumps(entry).encode()
+
+    return strategies.builds(build, valid(), subjects)
+
+
+def _values(
+    table: abc.Mapping[Path, abc.Sequence[typing.Any]],
+) -> strategies.SearchStrategy[typing.Any]:
+    return strategies.sampled_from(
+        [(path, value) for path, values in table.items() for value in values]
+    )
+
+
+def _names() -> strategies.SearchStrategy[typing.Any]:
+    return strategies.tuples(
+        strategies.sampled_from(NAMES), strategies.sampled_from(BAD_NAMES)
+    )
+
+
+def _wrong_types() -> strategies.SearchStrategy[typing.Any]:
+    anything = strategies.sampled_from((True, [None], {'a': 1}, [[]]))
+    return strategies.tuples(strategies.sampled_from(TYPED), anything)
+
+
+def _without(entry: documents.Entry, path: Path) -> None:
+    del _at(entry, path[:-1])[path[-1]]
+
+
+def _with_unknown(entry: documents.Entry, path: Path) -> None:
+    _at(entry, path)['unknown'] = 1
+
+
+def _with_value(
+    entry: documents.Entry, subject: tuple[Path, typing.Any]
+) -> None:
+    path, value = subject
+    _at(entry, path[:-1])[path[-1]] = value
+
+
+def _with_repeat(entry: documents.Entry, path: Path) -> None:
+    rows = _at(entry, path)
+    rows.append(copy.deepcopy(rows[0]))
+
+
+def _with_stranger(entry: documents.Entry, name: str) -> None:
+    entry['rules'].append(
+        {'service': 'archive', 'failure_domain': name, 'weight': 1.0}
+    )
+
+
+def _raw() -> strategies.SearchStrategy[bytes]:
+    def cut(entry: documents.Entry, share: float) -> bytes:
+        whole = json.dumps(entry).encode()
+        return whole[: int(len(whole) * share)]
+
+    def twice(entry: documents.Entry) -> bytes:
+        return json.dumps(entry).encode()[:-1] + b', "schema": 1}'
+
+    return strategies.one_of(
+        strategies.sampled_from(RAW),
+        strategies.builds(cut, valid(), strategies.floats(0, 0.999)),
+        strategies.builds(twice, valid()),
+    )
+
+
+def _at(entry: typing.Any, path: Path) -> typing.Any:
+    for part in path:
+        entry = entry[part]
+    return entry
--- /dev/null
+++ b/tests/consoles.py
@@ -0,0 +1,191 @@
+"""Consoles as real processes, with the platform stand-in behind them."""
+
+import json
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import urllib.error
+import urllib.request
+
+import argon2
+
+from tests import network, processes
+from tests.builders import documents, settings
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+FIRST_PORT = 8443
+FIRST_STATUS_PORT = 7101
+FIRST_LINK_PORT = 31000
+KEY = 'config/document'
+OPERATORS = {'ama': 'a first password', 'kofi': 'a second password'}
+DOMAINS = ('accra-a', 'accra-b', 'accra-c')
+
+
+class Consoles:
+    """Starts and ends a platform, a fault proxy and consoles."""
+
+    def __init__(self) -> None:
+        """Claim addresses."""
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kumquatport-'))
+        self.network = network.Network()
+        self.processes: dict[str, processes.Process] = {}
+        settings.write_keys(self.folder)
+        address, port = self.network.platform
+        self.platform_url = f'http://{address}:{port}'
+        self.start(
+            'platform',
+            'tests.standins.platform',
+            ['--listen', f'{address}:{port}'],
+            f'{self.platform_url}/control/counts',
+        )
+
+    def start(
+        self, name: str, module: str, options: list[str], url: str
+    ) -> None:
+        """Start one process and wait until it answers."""
+        process = processes.Process(
+            name, module, options, self.folder / f'{name}.log'
+        )
+        self.processes[name] = process
+        process.start()
+        processes.wait_ready(process, url, READY_TIMEOUT_S)
+
+    def add_console(self, platform_url: str, instances: list[str] = []) -> str:
+        """Start one more console; return its URL."""
+        number = len(self._consoles())
+        name = f'console-{number + 1}'
+        common = settings.Common('accra', platform_url, self.network.statsd, ())
+        address = self.network.console
+        entries = settings.console(
+            common, name, DOMAINS[0], address, _operators()
+        )
+        entries.pop('tls')
+        entries['listen']['port'] = FIRST_PORT + number
+        entries['status_port'] = FIRST_STATUS_PORT + number
+        entries['instances'] = instances
+        entries.pop('control_port')
+        path = settings.write(self.folder, entries)
+        self.start(
+            name,
+            'kumquatport.process.console',
+            ['--settings', str(path)],
+            f'http://{address}:{entries["status_port"]}/status',
+        )
+        return f'http://{address}:{FIRST_PORT + number}'
+
+    def add_fault_proxy(self, links: int, jitter_s: float) -> list[str]:
+        """Start a proxy with links to the platform; return their URLs."""
+        host = self.network.faults
+        control = f'{host}:{network.HTTP_PORT}'
+        self.start(
+            'faults',
+            'tests.standins.fault_proxy',
+            ['--control', control],
+            f'http://{control}/control/counts',
+        )
+        ports = range(FIRST_LINK_PORT, FIRST_LINK_PORT + links)
+        target = self.platform_url.removeprefix('http://')
+        order = {
+            'links': {
+                f'link-{port}': {
+                    'protocol': 'tcp',
+                    'listen': f'{host}:{port}',
+                    'target': target,
+                }
+                for port in ports
+            },
+            'rules': {'*': {'both': {'jitter_s': jitter_s}}},
+        }
+        processes.post_json(f'http://{control}/control', order)
+        return [f'http://{host}:{port}' for port in ports]
+
+    def document(self) -> documents.Entry:
+        """Build a document of two services in three failure domains."""
+        services = [
+            documents.service('storefront', '127.30.0.1:4433', 20001),
+            documents.service('manuals', '127.30.0.2:4433', 20002),
+        ]
+        return documents.document('accra', DOMAINS, services)
+
+    def put(self, value: bytes) -> int:
+        """Put a document in force, past all checks."""
+        request = urllib.request.Request(
+            f'{self.platform_url}/v1/objects/{KEY}', value, method='PUT'
+        )
+        with urllib.request.urlopen(request, timeout=5.0) as answer:
+            return int(answer.headers['X-Object-Version'])
+
+    def in_force(self) -> tuple[int, bytes]:
+        """Return version and bytes of what is in force."""
+        url = f'{self.platform_url}/v1/objects/{KEY}'
+        try:
+            with urllib.request.urlopen(url, timeout=5.0) as answer:
+                version = int(answer.headers['X-Object-Version'])
+                return version, answer.read()
+        except urllib.error.HTTPError:
+            return 0, b''
+
+    def control(self, order: dict) -> dict:
+        """Send an order to the platform stand-in."""
+        return processes.post_json(f'{self.platform_url}/control', order)
+
+    def ctl(
+        self, *arguments: str, stdin: bytes = b''
+    ) -> 'subprocess.CompletedProcess[bytes]':
+        """Run kumquatportctl to its end."""
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'kumquatport.process.ctl',
+                '--platform',
+                self.platform_url,
+                *arguments,
+            ],
+            input=stdin,
+            capture_output=True,
+            cwd=processes.ROOT,
+            env={'PYTHONPATH': str(processes.ROOT), 'PATH': ''},
+            timeout=60.0,
+            check=False,
+        )
+
+    def write(self, name: str, value: bytes) -> str:
+        """Write a file for kumquatportctl; return its path."""
+        path = self.folder / name
+        path.write_bytes(value)
+        return str(path)
+
+    def stop(self) -> None:
+        """End everything, consoles first."""
+        consoles = [self.processes[name] for name in self._consoles()]
+        processes.end_all(consoles, STOP_TIMEOUT_S)
+        processes.end_all(self.processes.values(), STOP_TIMEOUT_S)
+        self.network.close()
+
+    def check_logs(self) -> None:
+        """Fail when a process wrote a traceback."""
+        for process in self.processes.values():
+            assert 'Traceback' not in process.log_text(), process.log_text()
+
+    def remove(self) -> None:
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _consoles(self) -> list[str]:
+        return [name for name in self.processes if name.startswith('console')]
+
+
+def decoded(value: bytes) -> documents.Entry:
+    """Decode a small document as stored."""
+    return json.loads(value)
+
+
+def _operators() -> list[settings.Settings]:
+    hasher = argon2.PasswordHasher(time_cost=1, memory_cost=1024, parallelism=1)
+    return [
+        {'name': name, 'password_hash': hasher.hash(password)}
+        for name, password in OPERATORS.items()
+    ]
--- /dev/null
+++ b/tests/standins/update_relay.py
@@ -0,0 +1,146 @@
+"""Relay between a process and the platform that spoils updates of one key."""
+
+import asyncio
+import json
+import typing
+from collections import abc
+
+import aiohttp
+from aiohttp import web
+
+KEY = 'config/document'
+LATE_S = 0.3
+PASSED_HEADERS = ('If-Match', 'If-None-Match')
+HEADER_VERSION = 'X-Object-Version'
+
+Hook = abc.Callable[[], abc.Awaitable[object]]
+
+
+class Plan(typing.NamedTuple):
+    """What happens to the next update.
+
+    Attributes:
+        forwards: How often it reaches the platform.
+        answers: Whether the caller gets the last answer.
+        before: Runs before it reaches the platform.
+        after: Runs before the caller learns anything.
+        late: It reaches the platform after its connection broke.
+        silent: From then on no call is answered, until healed.
+    """
+
+    forwards: int = 1
+    answers: bool = True
+    before: Hook | None = None
+    after: Hook | None = None
+    late: bool = False
+    silent: bool = False
+
+
+class Update(typing.NamedTuple):
+    """One update that reached the platform."""
+
+    identifier: str
+    status: int
+
+
+class UpdateRelay:
+    """Passes calls on; the plan applies to the next update of the key."""
+
+    def __init__(self, platform_url: str) -> None:
+        """Keep where calls go."""
+        self.plan = Plan()
+        self.updates: list[Update] = []
+        self._url = platform_url
+        self._silent = False
+        self._late: set[asyncio.Task[Update]] = set()
+
+    def application(self) -> web.Application:
+        app = web.Application(client_max_size=2 << 20)
+        app.router.add_route('*', '/{path:.*}', self._async_pass)
+        return app
+
+    def heal(self) -> None:
+        """Answer again, and spoil nothing more."""
+        self._silent = False
+        self.plan = Plan()
+
+    async def async_idle(self) -> None:
+        """Wait until late updates have arrived."""
+        if self._late:
+            await asyncio.wait(self._late)
+
+    def took_effect(self, identifier: str) -> bool:
+        """Tell what the platform said to the updates of an attempt."""
+        return Update(identifier, web.HTTPOk.status_code) in self.updates
+
+    async def _async_pass(self, request: web.Request) -> web.StreamResponse:
+        if self._silent:
+            return _break(request)
+        body = await request.read()
+        if request.method == 'PUT' and request.path.endswith(KEY):
+            return await self._async_spoil(request, body)
+        status, headers, answer = await self._async_send(request, body)
+        return web.Response(status=status, headers=headers, body=answer)
+
+    async def _async_spoil(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        plan, self.plan = self.plan, Plan()
+        if plan.late:
+            task = asyncio.create_task(
+                self._async_update(request, body, LATE_S)
+            )
+            self._late.add(task)
+        if plan.before is not None:
+            await plan.before()
+        status, headers = 0, {}
+        for _ in range(plan.forwards):
+            status, headers, _body = await self._async_send(request, body)
+            self.updates.append(Update(_identifier(body), status))
+        if plan.after is not None:
+            await plan.after()
+        self._silent = plan.silent
+        if not plan.answers:
+            return _break(request)
+        return web.Response(status=status, headers=headers)
+
+    async def _async_update(
+        self, request: web.Request, body: bytes, delay_s: float
+    ) -> Update:
+        await asyncio.sleep(delay_s)
+        status, _headers, _body = await self._async_send(request, body)
+        update = Update(_identifier(body), status)
+        self.updates.append(update)
+        return update
+
+    async def _async_send(
+        self, request: web.Request, body: bytes
+    ) -> tuple[int, dict[str, str], bytes]:
+        headers = {
+            name: request.headers[name]
+            for name in PASSED_HEADERS
+            if name in request.headers
+        }
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                request.method,
+                f'{self._url}{request.path_qs}',
+                headers=headers,
+                data=body,
+            ) as response,
+        ):
+            answer = await response.read()
+        version = response.headers.get(HEADER_VERSION)
+        named = {} if version is None else {HEADER_VERSION: version}
+        return response.status, named, answer
+
+
+def _identifier(body: bytes) -> str:
+    return json.loads(body)['identifier']
+
+
+def _break(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=web.HTTPServiceUnavailable.status_code)
