--- a/tests/browser.py
+++ b/tests/browser.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 import aiohttp
+import yarl
 
 TIMEOUT_S = 60.0
 
@@ -18,6 +19,7 @@
         text: Its HTML.
         heading: Its first heading.
         hidden: Names and values of its hidden fields.
+        fields: Names and values of all fields, as a browser sends them.
         headers: Of the answer.
     """
 
@@ -26,6 +28,7 @@
     text: str
     heading: str
     hidden: dict[str, str]
+    fields: dict[str, str]
     headers: abc.Mapping[str, str]
 
 
@@ -36,6 +39,7 @@
         super().__init__()
         self.heading = ''
         self.hidden: dict[str, str] = {}
+        self.fields: dict[str, str] = {}
         self._in_heading = False
 
     def handle_starttag(
@@ -43,8 +47,14 @@
     ) -> None:
         self._in_heading = tag == 'h1'
         named = dict(attrs)
-        if tag == 'input' and named.get('type') == 'hidden':
-            self.hidden[named['name'] or ''] = named['value'] or ''
+        if tag != 'input' or not named.get('name'):
+            return
+        name, typed = named['name'], named.get('value') or ''
+        if named.get('type') == 'checkbox' and 'checked' not in named:
+            return
+        self.fields[name] = typed
+        if named.get('type') == 'hidden':
+            self.hidden[name] = typed
 
     def handle_data(self, data: str) -> None:
         if self._in_heading:
@@ -57,13 +67,7 @@
     def __init__(self, url: str) -> None:
         """Open at a console; cookies are kept for all of its address."""
         self.url = url
-        self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.CookieJar(unsafe=True),
-            timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
-        )
-
-    async def async_close(self) -> None:
-        await self._session.close()
+        self._jar = aiohttp.CookieJar(unsafe=True)
 
     async def async_get(self, path: str) -> Page:
         return await self._async_ask('GET', path)
@@ -78,6 +82,15 @@
             'POST', path, data=fields, headers=headers or {}
         )
 
+    def change_cookie(self, change: abc.Callable[[str], str]) -> None:
+        """Change the value of the session cookie."""
+        held = {cookie.key: cookie.value for cookie in self._jar}
+        self._jar.clear()
+        url = yarl.URL(self.url)
+        self._jar.update_cookies(
+            {name: change(token) for name, token in held.items()}, url
+        )
+
     async def async_sign_in(self, name: str, password: str) -> Page:
         page = await self.async_get('/sign-in')
         fields = {**page.hidden, 'name': name, 'password': password}
@@ -108,9 +121,13 @@
     async def _async_ask(
         self, method: str, path: str, **options: typing.Any
     ) -> Page:
-        async with self._session.request(
-            method, f'{self.url}{path}', **options
-        ) as response:
+        limit = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with (
+            aiohttp.ClientSession(
+                cookie_jar=self._jar, timeout=limit
+            ) as session,
+            session.request(method, f'{self.url}{path}', **options) as response,
+        ):
             text = await response.text()
         reader = _Reader()
         reader.feed(text)
@@ -120,5 +137,6 @@
             text,
             reader.heading,
             reader.hidden,
+            reader.fields,
             response.headers,
         )
--- /dev/null
+++ b/tests/builders/statuses.py
@@ -0,0 +1,41 @@
+"""Builders of instances' statuses."""
+
+import typing
+
+
+def agent(
+    instance: str, service: str, failure_domain: str, in_progress: int
+) -> dict[str, typing.Any]:
+    """Build the status of a ready agent.
+
+    Args:
+        instance: Its name.
+        service: Its service.
+        failure_domain: Where it is.
+        in_progress: Requests in progress.
+    """
+    return {
+        'instance': instance,
+        'kind': 'agent',
+        'failure_domain': failure_domain,
+        'state': 'ready',
+        'release': '0',
+        'document_version': 1,
+        'uptime_s': 1.0,
+        'member_counts': {'agent.ready': 1},
+        'members': [
+            {
+                'instance': instance,
+                'kind': 'agent',
+                'failure_domain': failure_domain,
+                'service': service,
+                'state': 'ready',
+                'weight': 1.0,
+            }
+        ],
+        'metrics': {
+            'counters': {},
+            'gauges': {'requests.in_progress': in_progress},
+            'histograms': [],
+        },
+    }
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -80,7 +80,6 @@
         await _async_race(context.consoles, browsers, number, draw)
         for number in range(count)
     ]
-    await asyncio.gather(*(one.async_close() for one in browsers))
     return races
 
 
@@ -179,27 +178,13 @@
     system = _start(context)
     context.relay = update_relay.UpdateRelay(system.platform_url)
     endpoint = (system.network.faults, RELAY_PORT)
-    context.run(_async_serve(context, endpoint))
+    context.config_served = context.run(
+        standin_runner.async_hold(context.relay.application(), endpoint)
+    )
     url = f'http://{endpoint[0]}:{endpoint[1]}'
     context.urls = [system.add_console(url)]
 
 
-async def _async_serve(
-    context: runner.Context, endpoint: tuple[str, int]
-) -> None:
-    """Serve the relay until the scenario ends and cancels all tasks."""
-    serving = asyncio.Event()
-
-    async def _async_hold() -> None:
-        app = context.relay.application()
-        async with standin_runner.async_serve(app, endpoint):
-            serving.set()
-            await asyncio.Event().wait()
-
-    context.config_served = asyncio.create_task(_async_hold())
-    await serving.wait()
-
-
 @behave.when('{count:d} updates meet the fault "{fault}"')
 def spoil(context: runner.Context, count: int, fault: str) -> None:
     context.told = context.run(_async_spoil(context, count, fault))
@@ -219,7 +204,6 @@
         for number in range(count)
     ]
     await other.async_stop()
-    await one.async_close()
     return told
 
 
--- a/tests/standins/runner.py
+++ b/tests/standins/runner.py
@@ -59,6 +59,26 @@
         await runner.cleanup()
 
 
+async def async_hold(
+    app: web.Application, endpoint: Endpoint
+) -> 'asyncio.Task[None]':
+    """Serve an application from now on until the task is cancelled."""
+    serving = asyncio.Event()
+
+    async def _async_serve() -> None:
+        async with async_serve(app, endpoint):
+            serving.set()
+            await asyncio.Event().wait()
+
+    task = asyncio.create_task(_async_serve())
+    waiting = asyncio.create_task(serving.wait())
+    await asyncio.wait({task, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    if task.done():
+        waiting.cancel()
+        task.result()
+    return task
+
+
 def control_app(
     apply: abc.Callable[[dict], None],
     counts: abc.Callable[[], dict],
