--- a/kumquatport/connection/control/server.py
+++ b/kumquatport/connection/control/server.py
@@ -98,6 +98,9 @@
         encoded = await context.arecv()
         reply = await self._async_reply(encoded)
         answer = frame.encode(reply, self._key, frame.tag(encoded))
+        if self._socket is None:
+            # Stopped while the reply was made; its context is closed.
+            return
         self._counts.sent(reply, len(answer))
         await context.asend(answer)
 
--- a/kumquatport/connection/forward/relay.py
+++ b/kumquatport/connection/forward/relay.py
@@ -13,6 +13,7 @@
 _BATCH = 64
 _RECEIVE_BUFFER_BYTES = 8 << 20
 _FIRST_HOP = 1
+_FULL_BYTES = const.MAX_DATAGRAM_BYTES - const.PREFIX_BYTES
 
 
 class Tools(typing.NamedTuple):
@@ -118,6 +119,10 @@
                 self._tools.count_event('dropped.not_fresh')
 
     def _forward(self, size: int, caller: header.Endpoint) -> None:
+        if size == _FULL_BYTES:
+            # It filled the buffer, so its end may be missing.
+            self._tools.count_event('dropped.oversized')
+            return
         packet = self._packet[:size]
         decision = self._route(packet, caller)
         self._tools.count_event(decision.reason)
--- a/kumquatport/request/health/hint.py
+++ b/kumquatport/request/health/hint.py
@@ -5,7 +5,6 @@
 lowers the weight announced. The load is only shown.
 """
 
-import asyncio
 import typing
 from collections import abc
 
@@ -18,7 +17,13 @@
 from kumquatport.request.proxy import client
 
 _LOGGER = structlog.get_logger(__name__)
-_FAULTS = (aiohttp.ClientError, OSError, ValueError, errors.RequestLostError)
+_FAULTS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    errors.RequestLostError,
+    errors.BackendServerUnreachableError,
+)
 
 
 class Report(typing.NamedTuple):
@@ -95,7 +100,7 @@
     async def _async_poll_on(self) -> None:
         while not self.should_stop:
             await self.async_poll()
-            await asyncio.sleep(const.POLL_S)
+            await self.sleep(const.POLL_S)
 
     def _note(self, answer: typing.Any) -> None:
         if not self.reachable:
--- a/kumquatport/request/proxy/client.py
+++ b/kumquatport/request/proxy/client.py
@@ -153,7 +153,7 @@
 def _started(
     session: aiohttp.ClientSession | None,
 ) -> aiohttp.ClientSession:
-    if session is None:
+    if session is None or session.closed:
         raise _unreachable()
     return session
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,6 +1,7 @@
 """What holds for every scenario: a running loop, deployments that end."""
 
 import asyncio
+import logging
 import threading
 import typing
 from collections import abc
@@ -11,6 +12,11 @@
 LOOP_JOIN_S = 5.0
 
 
+def before_all(context: runner.Context) -> None:
+    """Keep the caller's library quiet."""
+    logging.getLogger('quic').setLevel(logging.WARNING)
+
+
 def before_scenario(context: runner.Context, scenario: model.Scenario) -> None:
     """Start an event loop that runs between steps too.
 
