--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -23,7 +23,7 @@
 from kumquatport.request.admission import admission, feeds
 from kumquatport.request.budget import budget
 from kumquatport.request.health import hint
-from kumquatport.request.limit import gradient, limit, sample
+from kumquatport.request.limit import gradient, lag, limit, sample
 from kumquatport.request.proxy import body, carrier, client, headers, job
 
 _LOGGER = structlog.get_logger(__name__)
@@ -58,6 +58,7 @@
         self._policy: policy.Policy | None = None
         self._client = client.BackendServerClient(server)
         self._hint = hint.HealthHint(self._client, clock)
+        self._lag = lag.LoopLag(clock)
         self._limit = limit.Limit(limit.bounds_of(limits), clock, step)
         self._retries = budget.RetryBudget(limits.retry_budget)
         self._gate = admission.Admission(self._limit, clock)
@@ -65,7 +66,11 @@
         self._parts = serving.Parts(
             gate=self._gate,
             carrier=carrier.Carrier(
-                self._client, self._limit, self._retries, clock
+                self._client,
+                self._limit,
+                self._retries,
+                clock,
+                lambda: self._lag.lag_s,
             ),
             claim=claim,
             answering=self._note_answering,
@@ -100,6 +105,7 @@
         """Make the client; start to poll health."""
         await self._client.async_setup()
         await self.add_runtime_dependency(self._hint)
+        await self.add_runtime_dependency(self._lag)
 
     async def on_stop(self) -> None:
         """Close the connections to the backend server."""
--- a/kumquatport/request/limit/const.py
+++ b/kumquatport/request/limit/const.py
@@ -8,10 +8,18 @@
 RATIO_SLOW = 2
 STREAK_SLOW = 3
 
+# Answers after which a suspicion is upheld or dropped.
+TRIAL_SAMPLES = 5
+RATIO_NORMAL = 1.5
+
+# Answers over which a mean is taken before a step is judged.
+BLOCK_SAMPLES = 25
+MIN_BLOCK_SAMPLES = 8
+
 FIRST_SAMPLES = 8
-RATIO_TOLERANCE = 1.15
+RATIO_TOLERANCE = 1.25
 RATIO_STEP_FAILED = 1.25
-RATIO_STABLE = 0.1
+RATIO_STABLE = 0.15
 
 # How fast the normal latency follows the measured one.
 FOLLOW_NORMAL_S = 30.0
--- a/kumquatport/request/limit/gradient.py
+++ b/kumquatport/request/limit/gradient.py
@@ -28,9 +28,11 @@
     else:
         return _back_off(state, observed, bounds)
     if state.streak >= const.STREAK_SLOW and state.value > bounds.start:
-        return restart(state, observed.at, bounds)
+        return _suspect(state, observed, bounds)
     if observed.result is sample.Result.overdue:
         return state
+    if state.suspended:
+        state = _try_out(state, observed)
     if state.confirmed:
         return _follow(state, observed, bounds)
     return _explore(state, observed, bounds)
@@ -45,7 +47,7 @@
     ratio = float(1)
     references = state.references
     if state.confirmed:
-        ratio = bounds.slots * const.RATIO_TOLERANCE / bounds.start
+        ratio = _cold_ratio(bounds)
     else:
         references = {}
     return state._replace(
@@ -57,7 +59,46 @@
         ratio=ratio,
         settled_ratio=ratio,
         settled_at=now,
+        block=(),
+        block_ratio=ratio,
         streak=0,
+        suspended=0,
+        trial=(),
+    )
+
+
+def _suspect(
+    state: sample.State,
+    observed: sample.Sample,
+    bounds: sample.Bounds,
+) -> sample.State:
+    """Start slowly, and remember where from: it may be a passing stall."""
+    restarted = restart(state, observed.at, bounds)
+    if not state.confirmed:
+        return restarted
+    return restarted._replace(suspended=max(state.value, state.suspended))
+
+
+def _try_out(
+    state: sample.State,
+    observed: sample.Sample,
+) -> sample.State:
+    """Judge a suspicion by requests that were sent after it."""
+    known = state.references.get(observed.class_name)
+    sent_at = observed.at - observed.latency_s
+    if known is None or sent_at < state.restarted_at:
+        return state
+    trial = (*state.trial, observed.latency_s / known.latency_s)
+    if len(trial) < const.TRIAL_SAMPLES:
+        return state._replace(trial=trial)
+    ratio = _mean(trial)
+    if ratio > const.RATIO_NORMAL:
+        return state._replace(suspended=0, trial=())
+    return state._replace(
+        value=state.suspended,
+        ratio=ratio,
+        suspended=0,
+        trial=(),
     )
 
 
@@ -118,15 +159,15 @@
     bounds: sample.Bounds,
 ) -> sample.State:
     """Grow step by step while no normal latency is known."""
-    failed = state.settled_ratio * const.RATIO_STEP_FAILED
-    if state.ratio > failed and state.value > state.previous:
+    state = _fill_block(state, observed)
+    if _step_failed(state):
         return _settle(state, observed.at, state.previous)
-    warmed = min(bounds.start / state.ratio, bounds.slots)
+    warmed = bounds.start * const.RATIO_TOLERANCE / state.ratio
     if warmed > state.value:
-        state = state._replace(value=warmed)
+        state = state._replace(value=min(warmed, bounds.slots))
     if observed.at - state.settled_at < bounds.double_s:
         return state
-    change = abs(state.ratio / state.settled_ratio - 1)
+    change = abs(_block_ratio(state) / state.settled_ratio - 1)
     if change > const.RATIO_STABLE:
         return _settle(state, observed.at, state.value)
     if state.value >= bounds.slots:
@@ -136,22 +177,53 @@
     return _settle(state, observed.at, min(state.value * 2, bounds.slots))
 
 
+def _fill_block(
+    state: sample.State,
+    observed: sample.Sample,
+) -> sample.State:
+    known = state.references[observed.class_name]
+    block = (*state.block, observed.latency_s / known.latency_s)
+    if len(block) < const.BLOCK_SAMPLES:
+        return state._replace(block=block)
+    return state._replace(block=(), block_ratio=_mean(block))
+
+
+def _step_failed(state: sample.State) -> bool:
+    """Tell whether a whole block since the last step up is slower."""
+    if state.block or state.value <= state.previous:
+        return False
+    return state.block_ratio > state.settled_ratio * const.RATIO_STEP_FAILED
+
+
+def _block_ratio(state: sample.State) -> float:
+    if len(state.block) < const.MIN_BLOCK_SAMPLES:
+        return state.block_ratio
+    return _mean(state.block)
+
+
+def _mean(ratios: tuple[float, ...]) -> float:
+    return sum(ratios) / len(ratios)
+
+
 def _settle(
     state: sample.State,
     now: float,
     value: float,
 ) -> sample.State:
+    ratio = _block_ratio(state)
     return state._replace(
         value=value,
         previous=min(state.value, value),
-        settled_ratio=state.ratio,
+        settled_ratio=ratio,
         settled_at=now,
+        block=(),
+        block_ratio=ratio,
     )
 
 
 def _confirm(state: sample.State) -> sample.State:
     return state._replace(
-        references=_scaled(state.references, state.ratio),
+        references=_scaled(state.references, _block_ratio(state)),
         ratio=1,
         confirmed=True,
     )
@@ -176,8 +248,14 @@
     if observed.at - state.backed_off_at < observed.latency_s:
         return state
     value = max(state.value * const.BACK_OFF, bounds.start)
+    worst = max(_cold_ratio(bounds), state.ratio)
     return _settle(state, observed.at, value)._replace(
         grown_at=observed.at,
         backed_off_at=observed.at,
-        ratio=state.ratio / const.BACK_OFF,
+        ratio=min(state.ratio / const.BACK_OFF, worst),
     )
+
+
+def _cold_ratio(bounds: sample.Bounds) -> float:
+    """Return the ratio that speaks for the start of a slow start."""
+    return bounds.slots * const.RATIO_TOLERANCE / bounds.start
--- a/kumquatport/request/limit/sample.py
+++ b/kumquatport/request/limit/sample.py
@@ -69,11 +69,15 @@
         previous: The value before the last step up.
         references: Normal latency of each class.
         ratio: Recent latency over normal latency, all classes together.
-        settled_ratio: The same when last checked.
-        settled_at: When it was last checked.
+        settled_ratio: Mean ratio when growth was last decided.
+        settled_at: When it was last decided.
+        block: Ratios since then, at most ``BLOCK_SAMPLES`` of them.
+        block_ratio: Mean of the last full block.
         confirmed: Whether the references are those of a warm server.
         streak: Slow answers in a row.
         backed_off_at: When it last shrank upon a failure.
+        suspended: The value before a suspicion, 0 if there is none.
+        trial: Ratios of the answers to requests sent since the suspicion.
     """
 
     value: float
@@ -84,9 +88,13 @@
     ratio: float = 1
     settled_ratio: float = 1
     settled_at: float = 0
+    block: tuple[float, ...] = ()
+    block_ratio: float = 1
     confirmed: bool = False
     streak: int = 0
     backed_off_at: float = 0
+    suspended: float = 0
+    trial: tuple[float, ...] = ()
 
 
 class Bounds(typing.NamedTuple):
--- a/kumquatport/request/proxy/carrier.py
+++ b/kumquatport/request/proxy/carrier.py
@@ -28,8 +28,10 @@
         learnt: limit.Limit,
         retries: budget.RetryBudget,
         clock: abc.Callable[[], float],
+        lag_s: abc.Callable[[], float],
     ) -> None:
         """Send nothing yet."""
+        self._lag_s = lag_s
         self._server = server
         self._limit = learnt
         self._retries = retries
@@ -70,7 +72,9 @@
         tries: int,
     ) -> aiohttp.ClientResponse:
         now = self._clock()
-        watched = watch.Watch(asked, self._limit, self._clock, in_progress)
+        watched = watch.Watch(
+            asked, self._limit, self._clock, in_progress, self._lag_s
+        )
         watched.begin()
         try:
             response = await self._server.async_open(
--- a/kumquatport/request/proxy/watch.py
+++ b/kumquatport/request/proxy/watch.py
@@ -16,6 +16,7 @@
         learnt: limit.Limit,
         clock: abc.Callable[[], float],
         in_progress: int,
+        lag_s: abc.Callable[[], float],
     ) -> None:
         """Take the time.
 
@@ -24,7 +25,9 @@
             learnt: The limit to tell.
             clock: Monotonic seconds.
             in_progress: Requests in progress, this one included.
+            lag_s: How late this process's event loop is now.
         """
+        self._lag_s = lag_s
         self._class = asked.request_class
         self._limit = learnt
         self._clock = clock
@@ -55,18 +58,29 @@
             self._timer = None
 
     def _report_overdue(self) -> None:
-        self._observe(sample.Result.overdue)
         self._overdue = True
+        self._observe(sample.Result.overdue)
 
     def _observe(self, result: sample.Result) -> None:
         now = self._clock()
+        latency_s = now - self._began_at
+        if self._is_own_delay(latency_s):
+            return
         self._limit.observe(
             sample.Sample(
                 class_name=self._class.name,
-                latency_s=now - self._began_at,
+                latency_s=latency_s,
                 in_progress=self._in_progress,
                 result=result,
                 at=now,
                 overdue=self._overdue,
             ),
         )
+
+    def _is_own_delay(self, latency_s: float) -> bool:
+        """Tell whether only this process's own delay makes a try slow."""
+        slow_after_s = self._limit.slow_after_s(self._class.name)
+        if slow_after_s is None or latency_s < slow_after_s:
+            return False
+        # Both the sending and the receiving wait for their turn in the loop.
+        return latency_s - 2 * self._lag_s() < slow_after_s
--- /dev/null
+++ b/tests/beside.py
@@ -0,0 +1,155 @@
+"""A request handler in this process beside a real backend server process."""
+
+import asyncio
+import collections
+import contextlib
+import pathlib
+import statistics
+import tempfile
+import time
+import typing
+from collections import abc
+
+from kumquatport.request import handler, messages
+from kumquatport.request.limit import gradient, sample
+from tests import processes
+from tests.builders import documents, exchanges
+
+READY_TIMEOUT_S = 10.0
+
+Make = abc.Callable[[int], messages.RequestHead]
+
+
+class Endpoint(typing.NamedTuple):
+    """Where a backend server listens."""
+
+    address: str
+    port: int
+
+
+class Call(typing.NamedTuple):
+    """One request and what its caller got."""
+
+    answer: exchanges.Recorded
+    began_at: float
+    took_s: float
+
+    @property
+    def good(self) -> bool:
+        """Whether it was answered whole."""
+        return self.answer.status == 200 and self.answer.ended
+
+
+class Beside:
+    """The handler, its backend server and what they counted."""
+
+    def __init__(self, endpoint: Endpoint, options: abc.Sequence[str]) -> None:
+        """Prepare the process; ``options`` are the stand-in's."""
+        self.folder = tempfile.TemporaryDirectory(prefix='kumquatport-beside-')
+        self.endpoint = endpoint
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.server = processes.Process(
+            'server',
+            'tests.standins.backend_server',
+            ['--listen', f'{endpoint.address}:{endpoint.port}', *options],
+            pathlib.Path(self.folder.name) / 'server.log',
+        )
+        self.handler: handler.Handler
+
+    @property
+    def url(self) -> str:
+        return f'http://{self.endpoint.address}:{self.endpoint.port}'
+
+    async def async_start_server(self) -> None:
+        self.server.start()
+        await asyncio.to_thread(
+            processes.wait_ready,
+            self.server,
+            f'{self.url}/control/counts',
+            READY_TIMEOUT_S,
+        )
+
+    async def async_control(self, **order: typing.Any) -> dict:
+        """Give the backend server an order; return its counts."""
+        return await asyncio.to_thread(
+            processes.post_json, f'{self.url}/control', order
+        )
+
+    async def async_report(self) -> dict:
+        return await self.async_control()
+
+    async def async_call(
+        self,
+        head: messages.RequestHead,
+        body: abc.Sequence[bytes] = (),
+    ) -> Call:
+        """Make one request and return once it is over."""
+        recorded = exchanges.Recorded(body)
+        began_at = time.monotonic()
+        await self.handler.async_handle(head, recorded.exchange)
+        return Call(recorded, began_at, time.monotonic() - began_at)
+
+    async def async_open_loop(
+        self,
+        rate: float,
+        duration_s: float,
+        make: Make,
+    ) -> list[Call]:
+        """Make requests at a steady rate, whatever becomes of them."""
+        began_at = time.monotonic()
+        tasks = []
+        for number in range(int(rate * duration_s)):
+            due_s = began_at + number / rate - time.monotonic()
+            if due_s > 0:
+                await asyncio.sleep(due_s)
+            call = self.async_call(make(number))
+            tasks.append(asyncio.create_task(call))
+        return await asyncio.gather(*tasks)
+
+
+@contextlib.asynccontextmanager
+async def async_beside(
+    endpoint: Endpoint,
+    options: abc.Sequence[str] = (),
+    step: sample.Step = gradient.step,
+    **service: typing.Any,
+) -> abc.AsyncIterator[Beside]:
+    """Run both; ``service`` are changes to the document's service."""
+    beside = Beside(endpoint, options)
+    beside.handler = handler.Handler(
+        endpoint,
+        messages.Metrics(_counting(beside.counts), _forget, _forget),
+        time.monotonic,
+        step=step,
+    )
+    entry = documents.service('storefront', '127.0.0.1:4433', 1, **service)
+    try:
+        await beside.async_start_server()
+        beside.handler.configure(entry)
+        async with beside.handler:
+            yield beside
+    finally:
+        processes.end_all([beside.server], 1.0)
+        beside.folder.cleanup()
+
+
+def goodput(calls: abc.Sequence[Call], since: float, until: float) -> float:
+    """Return whole answers a second that ended in a span of time."""
+    ended = [call.began_at + call.took_s for call in calls if call.good]
+    return sum(since <= moment < until for moment in ended) / (until - since)
+
+
+def p99_s(calls: abc.Sequence[Call]) -> float:
+    """Return the 99th percentile of the time of good answers."""
+    taken = [call.took_s for call in calls if call.good]
+    return statistics.quantiles(taken, n=100)[-1]
+
+
+def _counting(
+    counts: collections.Counter[str],
+) -> abc.Callable[[str, int], None]:
+    return lambda name, amount: counts.update({name: amount})
+
+
+def _forget(*ignored: object) -> None:
+    """Drop a gauge or duration."""
