--- a/kumquatport/version/acceptance/model.py
+++ b/kumquatport/version/acceptance/model.py
@@ -20,6 +20,13 @@
     value: bytes
 
 
+class Written(typing.NamedTuple):
+    """One acceptance: what was in force before it and what is after it."""
+
+    before: InForce
+    after: InForce
+
+
 class Accepted(typing.NamedTuple):
     """A document that took effect.
 
@@ -28,11 +35,13 @@
         identifier: Of the attempt that took effect.
         latest_version: The version in force when this was learned; higher
             when others were accepted on top meanwhile.
+        written: For the audit; None when this call wrote nothing.
     """
 
     version: int
     identifier: str
     latest_version: int
+    written: Written | None = None
 
 
 class AuditEntry(typing.TypedDict):
@@ -59,6 +68,8 @@
         submitted: The document that was refused.
     """
 
+    code = 'KQ-3004'
+
     def __init__(
         self, in_force: InForce, submitted: document.Document | None
     ) -> None:
@@ -84,6 +95,8 @@
         base_version: Version the attempt was made on.
     """
 
+    code = 'KQ-3005'
+
     def __init__(self, identifier: str, base_version: int) -> None:
         """Keep what is needed to ask again.
 
