Control's bytes and processor time in the metrics of every instance

Cause: the budget of a node for control is bytes and processor time, and neither could be read from a running process.

Tasks of the platform client and of the membership are charged step by step where mode starts them; the control sockets' threads count in full.

--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -6,7 +6,7 @@
 import mode
 
 import kumquatport
-from kumquatport.process.metrics import flusher
+from kumquatport.process.metrics import control, flusher
 from kumquatport.process.metrics import registry as metrics_registry
 from kumquatport.process.platform import client
 from kumquatport.process.settings import models
@@ -74,6 +74,11 @@
         platform,
         documents.parse,
     )
+    control.observe(
+        metrics,
+        (platform, member),
+        lambda: member.traffic.totals,
+    )
     started_at = time.monotonic()
 
     def status() -> status_models.Status:
--- a/kumquatport/process/metrics/const.py
+++ b/kumquatport/process/metrics/const.py
@@ -18,6 +18,7 @@
 COUNT_CONTROL_BYTES_RECEIVED: typing.Final = 'control.bytes_received'
 
 GAUGE_CONTROL_CPU_S: typing.Final = 'control.cpu_s'
+GAUGE_CONTROL_LOOP_CPU_S: typing.Final = 'control.loop_cpu_s'
 GAUGE_CPU_S: typing.Final = 'cpu_s'
 GAUGE_FLOWS_OPEN: typing.Final = 'flows.open'
 GAUGE_REQUESTS_IN_PROGRESS: typing.Final = 'requests.in_progress'
--- a/kumquatport/process/metrics/flusher.py
+++ b/kumquatport/process/metrics/flusher.py
@@ -36,6 +36,7 @@
         self._settings = settings
         self._prefix = f'{settings.prefix}.{kind}.{_safe(instance)}'
         self._client: statsd.StatsClient | None = None
+        metrics.add_sampler(lambda: usage.update(metrics))
 
     async def on_start(self) -> None:
         """Open the socket."""
@@ -63,7 +64,7 @@
         """Send counters, gauges and recent percentiles."""
         if self._client is None:
             return
-        usage.update(self._metrics)
+        self._metrics.sample()
         pipe = self._client.pipeline()
         self._add_counters(pipe)
         for name, amount in self._metrics.gauges.items():
--- a/kumquatport/process/metrics/registry.py
+++ b/kumquatport/process/metrics/registry.py
@@ -2,6 +2,7 @@
 
 import collections
 import typing
+from collections import abc
 
 from kumquatport.process.metrics import histograms
 
@@ -25,6 +26,7 @@
         self.gauges: dict[str, float] = {}
         self.total = histograms.Histograms()
         self.recent = histograms.Histograms()
+        self._samplers: list[abc.Callable[[], None]] = []
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter.
@@ -50,8 +52,18 @@
         self.total.record(tenant, kind, seconds)
         self.recent.record(tenant, kind, seconds)
 
+    def add_sampler(self, sampler: abc.Callable[[], None]) -> None:
+        """Have a function set counters and gauges before they are read."""
+        self._samplers.append(sampler)
+
+    def sample(self) -> None:
+        """Bring counters and gauges up to date."""
+        for sampler in self._samplers:
+            sampler()
+
     def snapshot(self) -> 'Snapshot':
-        """Return a copy of everything, for status."""
+        """Return a copy of everything, up to date, for status."""
+        self.sample()
         return {
             'counters': dict(self.counters),
             'gauges': dict(self.gauges),
--- a/tests/unit/process/metrics/test_metrics.py
+++ b/tests/unit/process/metrics/test_metrics.py
@@ -5,8 +5,12 @@
 import time
 import unittest
 
+import mode
+
+from kumquatport.connection.control import traffic
 from kumquatport.process.metrics import (
     const,
+    control,
     flusher,
     histograms,
     registry,
@@ -67,9 +71,9 @@
             await asyncio.sleep(0.2)
             return 'done'
 
-        ended = await usage.async_charge_control(metrics, work())
+        ended = await control.async_charge(metrics, work())
         self.assertEqual(ended, 'done')
-        spent = metrics.gauges[const.GAUGE_CONTROL_CPU_S]
+        spent = metrics.gauges[const.GAUGE_CONTROL_LOOP_CPU_S]
         self.assertGreaterEqual(spent, 0.02)
         self.assertLess(spent, 0.1)
 
@@ -81,7 +85,7 @@
             raise KeyError
 
         with self.assertRaises(KeyError):
-            await usage.async_charge_control(metrics, fail())
+            await control.async_charge(metrics, fail())
         cleaned = asyncio.Event()
 
         async def wait():
@@ -90,13 +94,40 @@
             finally:
                 cleaned.set()
 
-        task = asyncio.create_task(usage.async_charge_control(metrics, wait()))
+        task = asyncio.create_task(control.async_charge(metrics, wait()))
         await asyncio.sleep(0.01)
         task.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await task
         self.assertTrue(cleaned.is_set())
 
+    async def test_tasks_of_services_and_children_are_charged(self):
+        metrics = registry.Registry()
+
+        class Busy(mode.Service):
+            @mode.Service.task
+            async def _async_burn(self):
+                for _ in range(4):
+                    end = time.thread_time() + 0.005
+                    while time.thread_time() < end:
+                        pass
+                    await asyncio.sleep(0)
+
+        parent, child = Busy(), Busy()
+        parent.add_dependency(child)
+        control.observe(
+            metrics, (parent,), lambda: traffic.Totals(1, 2, 30, 40)
+        )
+        await parent.start()
+        await asyncio.sleep(0.2)
+        await parent.stop()
+        found = metrics.snapshot()
+        self.assertGreater(found['gauges'][const.GAUGE_CONTROL_CPU_S], 0.04)
+        self.assertEqual(
+            found['counters'],
+            {'control.bytes_sent': 30, 'control.bytes_received': 40},
+        )
+
     def test_resident_memory_is_plausible(self):
         self.assertGreater(usage.resident_bytes(), 5_000_000)
 
