--- a/kumquatport/connection/control/server.py
+++ b/kumquatport/connection/control/server.py
@@ -103,9 +103,9 @@
         except exceptions.FrameTooLongError as error:
             reply = self._refuse(error)
             answer = frame.encode(reply, self._key, bound_to)
-        if self.should_stop:
-            # The context was closed while the handler was at work.
-            raise pynng.Closed('stopping', 0)
+        if self._socket is None:
+            # Stopped while the reply was made; its context is closed.
+            return
         self._counts.sent(reply, len(answer))
         await context.asend(answer)
 
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -6,7 +6,7 @@
 import mode
 
 import kumquatport
-from kumquatport.process.metrics import flusher
+from kumquatport.process.metrics import control, flusher
 from kumquatport.process.metrics import registry as metrics_registry
 from kumquatport.process.platform import client
 from kumquatport.process.settings import models
@@ -15,10 +15,7 @@
 from kumquatport.process.status import server
 from kumquatport.version import document as documents
 from kumquatport.version import members
-from kumquatport.version.members import const as members_const
-from kumquatport.version.spread import membership
-
-_MS_PER_S = 1000
+from kumquatport.version.spread import announcer, membership
 
 
 class Role(typing.NamedTuple):
@@ -77,7 +74,11 @@
         platform,
         documents.parse,
     )
-    member.traffic.report_to(metrics.count)
+    control.observe(
+        metrics,
+        (platform, member),
+        lambda: member.traffic.totals,
+    )
     started_at = time.monotonic()
 
     def status() -> status_models.Status:
@@ -106,7 +107,7 @@
     common: models.CommonSettings,
     role: Role,
 ) -> members.InstanceRecord:
-    return members.InstanceRecord(
+    return announcer.first_record(
         instance=common.instance,
         kind=role.kind,
         region=common.region,
@@ -115,10 +116,6 @@
         address=common.address,
         control_port=common.control_port,
         data_port=role.data_port,
-        state=members_const.STATE_STARTING,
-        weight=1.0,
-        incarnation=int(time.time() * _MS_PER_S),
-        sequence=1,
     )
 
 
