--- a/tests/network.py
+++ b/tests/network.py
@@ -1,5 +1,7 @@
 """Loopback addresses of one run, claimed so that runs don't meet."""
 
+import atexit
+import functools
 import os
 import socket
 
@@ -48,6 +50,11 @@
         """Tell the fault proxy's stand-in address of an instance."""
         return self._host(int(address.rsplit('.', 1)[1]) + 100)
 
+    @property
+    def prefix(self) -> str:
+        """The first three numbers of its addresses."""
+        return self._net
+
     def close(self) -> None:
         self._claim.close()
 
@@ -55,6 +62,18 @@
         return f'{self._net}.{number}'
 
 
+@functools.cache
+def held(name: str) -> Network:
+    """Claim a network for a test module, until this process ends.
+
+    Args:
+        name: What it is for; the same name gives the same network.
+    """
+    claimed = Network()
+    atexit.register(claimed.close)
+    return claimed
+
+
 def _below(index: int, limit: int) -> int:
     if index >= limit:
         raise NoNetworkError(f'at most {limit} of them')
