--- a/kumquatport/version/members/registry.py
+++ b/kumquatport/version/members/registry.py
@@ -16,6 +16,9 @@
 ]
 
 
+Defender = abc.Callable[[records.InstanceRecord], bool]
+
+
 class _Entry(typing.NamedTuple):
     record: records.InstanceRecord
     fingerprint: int
@@ -45,6 +48,7 @@
         ]
         self._digests = [0 for _ in range(const.DIGEST_BUCKETS)]
         self._total = 0
+        self._defender: Defender | None = None
         self._listeners: listeners.Listeners[Listener] = listeners.Listeners()
 
     def __len__(self) -> int:
@@ -110,10 +114,21 @@
             return False
         if held is not None and not _outranks(record, held.record):
             return False
+        if record.state == const.STATE_LAPSED and self._is_defended(record):
+            return False
         self._replace(held, record)
         self._listeners.notify(record, held.record if held else None)
         return True
 
+    def lapsed_balancers(self) -> tuple[records.InstanceRecord, ...]:
+        """Return the balancers whose lease lapsed; they may be cut off."""
+        return tuple(
+            record
+            for record in self._sorted(self._tombstones)
+            if record.kind == const.KIND_BALANCER
+            and record.state == const.STATE_LAPSED
+        )
+
     def departed(self, service: str) -> tuple[records.InstanceRecord, ...]:
         """Return the tombstones of the agents of a service."""
         return tuple(
@@ -132,13 +147,22 @@
         """Return a 64-bit digest of all live records."""
         return self._total
 
+    def defend_with(self, defender: Defender) -> None:
+        """Have lapses refused that this process knows to be wrong.
+
+        Args:
+            defender: Tells whether the instance of a lapse is alive.
+        """
+        self._defender = defender
+
     def expire(self) -> int:
         """Drop the tombstones that are due; return how many."""
-        limit = self._clock() - const.TOMBSTONE_S
+        now = self._clock()
+        tombstones = [self._entries[name] for name in self._tombstones]
         due = [
-            self._entries[instance]
-            for instance in self._tombstones
-            if self._entries[instance].departed_at <= limit
+            entry
+            for entry in tombstones
+            if entry.departed_at + _kept_s(entry.record) <= now
         ]
         for entry in due:
             self._remove(entry)
@@ -152,6 +176,9 @@
         """
         return self._listeners.subscribe(callback)
 
+    def _is_defended(self, lapse: records.InstanceRecord) -> bool:
+        return self._defender is not None and self._defender(lapse)
+
     def _sorted(
         self,
         instances: abc.Iterable[str],
@@ -213,3 +240,10 @@
     held: records.InstanceRecord,
 ) -> bool:
     return records.precedence(record) > records.precedence(held)
+
+
+def _kept_s(record: records.InstanceRecord) -> float:
+    """Return how long the tombstone of a departed instance is kept."""
+    if record.state == const.STATE_LAPSED:
+        return const.LAPSED_S
+    return const.TOMBSTONE_S
--- a/kumquatport/version/spread/const.py
+++ b/kumquatport/version/spread/const.py
@@ -15,6 +15,7 @@
 KIND_EXCHANGE_ANSWER: typing.Final = 12
 KIND_SEEN_QUERY: typing.Final = 13
 KIND_SEEN_ANSWER: typing.Final = 14
+KIND_ACCUSATION: typing.Final = 15
 
 HEARTBEAT_S: typing.Final = 1.0
 HEARTBEAT_TIMEOUT_S: typing.Final = 0.6
@@ -26,6 +27,7 @@
 MAX_SLICE_RECORDS: typing.Final = 64
 
 LEASE_S: typing.Final = 3.0
+AUDIBLE_S: typing.Final = 2.0
 LEASE_TICK_S: typing.Final = 0.25
 SEEN_TIMEOUT_S: typing.Final = 0.5
 SEEN_RANDOM_PEERS: typing.Final = 2
@@ -44,6 +46,7 @@
 
 REPAIR_S: typing.Final = 1.0
 REPAIR_TIMEOUT_S: typing.Final = 0.6
+DISTANT_EVERY: typing.Final = 4
 MAX_EXCHANGE_BUCKETS: typing.Final = 16
 MAX_EXCHANGES: typing.Final = 16
 
@@ -62,6 +65,7 @@
 WATCH_S: typing.Final = 4.0
 MAX_WATCHERS: typing.Final = 12
 JOIN_AFTER_S: typing.Final = 10.0
+JOIN_POLL_S: typing.Final = 2.0
 JOIN_S: typing.Final = 600.0
 WATCH_RETRY_S: typing.Final = 0.5
 
@@ -72,5 +76,6 @@
 SNAPSHOT_S: typing.Final = 10.0
 RECORDS_PER_SHARD: typing.Final = 500
 HINTS_AFTER_S: typing.Final = 1.0
+HINTS_KNOWN_S: typing.Final = 300.0
 MAX_HINTS_RETRY_S: typing.Final = 60.0
 MAX_HINTS: typing.Final = 16
--- a/kumquatport/version/spread/membership.py
+++ b/kumquatport/version/spread/membership.py
@@ -127,8 +127,11 @@
         state = self._state
         fetcher = documents.Documents(state, self.server)
         self._records = records.RecordSpread(state, self.server)
-        self._repair = repair.Repair(state, self.server, fetcher, self._records)
+        self._repair = repair.Repair(
+            state, self.server, fetcher, self._records, self._peers
+        )
         watch = source.PlatformSource(state, platform, fetcher)
+        self._platform_source = watch
         self._confirmer = confirmer.Confirmer(
             state, self._peers, fetcher, watch
         )
--- a/kumquatport/version/spread/messages.py
+++ b/kumquatport/version/spread/messages.py
@@ -147,6 +147,13 @@
     heard: bool
 
 
+class Accusation(typing.NamedTuple):
+    """Tell a live instance that its lapse is being spread."""
+
+    lapse: records.InstanceRecord
+
+
+frame.register(const.KIND_ACCUSATION, Accusation)
 frame.register(const.KIND_HEARTBEAT, Heartbeat)
 frame.register(const.KIND_HEARTBEAT_ANSWER, HeartbeatAnswer)
 frame.register(const.KIND_DOCUMENT_FETCH, DocumentFetch)
--- a/kumquatport/version/spread/observer.py
+++ b/kumquatport/version/spread/observer.py
@@ -1,6 +1,7 @@
 """Leases of the instances that report to this balancer."""
 
 import asyncio
+import typing
 
 import mode
 import structlog
@@ -23,6 +24,16 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
+class _Lease(typing.NamedTuple):
+    """Since when an instance's lease runs, and when it was last heard.
+
+    The two differ when the lease was granted without hearing the instance.
+    """
+
+    since: float
+    heard_at: float
+
+
 class Observer(mode.Service):
     """Answers heartbeats and judges instances that fell silent.
 
@@ -48,17 +59,20 @@
         super().__init__()
         self._state = state
         self._documents = fetcher
-        self._heard: dict[str, float] = {}
+        self._leases: dict[str, _Lease] = {}
         self._suspects: set[str] = set()
         self._ticked_at = clock.now()
+        self._accused: set[str] = set()
         control.handle(messages.SeenQuery, self._async_on_query)
+        control.handle(messages.Accusation, self._async_on_accusation)
+        state.registry.defend_with(self._defends)
         if state.is_balancer:
             control.handle(messages.Heartbeat, self._async_on_heartbeat)
 
     @property
     def observed(self) -> int:
         """Return how many instances this one keeps a lease of."""
-        return len(self._heard)
+        return len(self._leases)
 
     async def on_start(self) -> None:
         """Begin to watch leases, in a balancer."""
@@ -95,13 +109,46 @@
             own = self._state.registry.get(message.instance)
             alive = own is None or own.incarnation <= message.incarnation
             return messages.SeenAnswer(alive)
-        heard_at = self._heard.get(message.instance, 0)
+        lease = self._leases.get(message.instance)
         held = self._state.registry.get(message.instance)
-        known = held is not None and not members.is_departed(held)
+        if lease is None or held is None or members.is_departed(held):
+            return messages.SeenAnswer(False)
         return messages.SeenAnswer(
-            known and clock.now() - heard_at < const.LEASE_S,
+            clock.now() - lease.heard_at < const.LEASE_S,
         )
 
+    async def _async_on_accusation(
+        self,
+        message: messages.Accusation,
+    ) -> messages.SeenAnswer:
+        """Refute: the announcer goes above any lapse of its own record."""
+        own = message.lapse.instance == self._state.instance
+        if own:
+            self._state.registry.merge(message.lapse)
+        return messages.SeenAnswer(own)
+
+    def _defends(self, lapse: members.InstanceRecord) -> bool:
+        """Refuse the lapse of an instance that reports here, and tell it."""
+        lease = self._leases.get(lapse.instance)
+        if lease is None or clock.now() - lease.heard_at > const.LEASE_S:
+            return False
+        if lapse.instance not in self._accused and not self.should_stop:
+            self._accused.add(lapse.instance)
+            self.add_future(self._async_accuse(lapse))
+        return True
+
+    async def _async_accuse(self, lapse: members.InstanceRecord) -> None:
+        try:
+            await self._state.client.async_ask(
+                lapse.endpoint,
+                messages.Accusation(lapse),
+                const.SEEN_TIMEOUT_S,
+            )
+        except exceptions.PeerUnavailableError as error:
+            _LOGGER.debug('accusation not answered', error=str(error))
+        finally:
+            self._accused.discard(lapse.instance)
+
     def _check_region(self, record: members.InstanceRecord) -> None:
         if record.region != self._state.region:
             raise exceptions.RegionMismatchError(
@@ -114,10 +161,11 @@
         held: members.InstanceRecord,
     ) -> None:
         if members.is_departed(held):
-            self._heard.pop(message.instance, None)
+            self._leases.pop(message.instance, None)
             return
         if message.incarnation >= held.incarnation:
-            self._heard[message.instance] = clock.now()
+            now = clock.now()
+            self._leases[message.instance] = _Lease(now, now)
         if self._documents.wants(message.version):
             self._documents.fetch_soon(held.endpoint)
 
@@ -150,7 +198,8 @@
             now = clock.now()
             if now - self._ticked_at > const.PAUSE_S:
                 # It was this process that was away: wait a lease first.
-                self._heard = dict.fromkeys(self._heard, now)
+                for instance in self._leases:
+                    self._grant(instance)
             self._ticked_at = now
             for instance in self._expired(now):
                 self._suspects.add(instance)
@@ -162,20 +211,26 @@
         room = const.MAX_SUSPICIONS - len(self._suspects)
         due = [
             instance
-            for instance, heard_at in self._heard.items()
-            if heard_at < limit and instance not in self._suspects
+            for instance, lease in self._leases.items()
+            if lease.since < limit and instance not in self._suspects
         ]
         return due[: max(room, 0)]
 
+    def _grant(self, instance: str) -> None:
+        """Start a lease of an instance that was not heard just now."""
+        before = self._leases.get(instance)
+        heard_at = before.heard_at if before else 0
+        self._leases[instance] = _Lease(clock.now(), heard_at)
+
     async def _async_judge(self, instance: str) -> None:
         held = self._state.registry.get(instance)
-        silent_since = self._heard.get(instance, 0)
+        lease = self._leases.get(instance)
         try:
             if held is None or members.is_departed(held):
-                self._heard.pop(instance, None)
+                self._leases.pop(instance, None)
             elif await self._async_is_alive(held):
                 self._spare(instance)
-            elif self._heard.get(instance, 0) == silent_since:
+            elif self._leases.get(instance) == lease:
                 self._lapse(held)
         finally:
             self._suspects.discard(instance)
@@ -188,9 +243,9 @@
         )
         names = [record.instance for record in proper[: const.OBSERVERS]]
         if self._state.instance in names:
-            self._heard[instance] = clock.now()
+            self._grant(instance)
         else:
-            self._heard.pop(instance, None)
+            self._leases.pop(instance, None)
 
     async def _async_is_alive(self, held: members.InstanceRecord) -> bool:
         """Ask the instance and its other observers; in doubt it is alive."""
@@ -212,14 +267,13 @@
         return not answered and self._is_cut_off(held.instance, asked_at)
 
     def _is_cut_off(self, suspect: str, asked_at: float) -> bool:
-        """Tell whether this process heard nobody at all for a lease."""
-        limit = asked_at - const.LEASE_S
+        """Tell whether this process hears nobody any more."""
         others = [
-            heard_at
-            for instance, heard_at in self._heard.items()
+            lease.heard_at
+            for instance, lease in self._leases.items()
             if instance != suspect
         ]
-        return bool(others) and max(others) < limit
+        return bool(others) and max(others) < asked_at - const.AUDIBLE_S
 
     def _jury(self, instance: str) -> list[members.InstanceRecord]:
         known = self._state.other_balancers()
@@ -243,7 +297,7 @@
         return bool(answer.heard)
 
     def _lapse(self, held: members.InstanceRecord) -> None:
-        self._heard.pop(held.instance, None)
+        self._leases.pop(held.instance, None)
         lapsed = held._replace(state=members_const.STATE_LAPSED)
         if self._state.registry.merge(lapsed):
             _LOGGER.warning(
@@ -259,7 +313,7 @@
             names = self._state.balancer_names()
             for record in self._state.registry.all_records():
                 if self._is_duty(record, names):
-                    self._heard.setdefault(record.instance, clock.now())
+                    self._grant(record.instance)
             await self.sleep(const.DUTY_SCAN_S)
 
     def _is_duty(
@@ -268,7 +322,7 @@
         names: list[str],
     ) -> bool:
         own = self._state.instance
-        if record.instance in self._heard or record.instance == own:
+        if record.instance in self._leases or record.instance == own:
             return False
         if members.is_departed(record):
             return False
--- a/kumquatport/version/spread/peers.py
+++ b/kumquatport/version/spread/peers.py
@@ -75,6 +75,17 @@
             endpoints += self._hints
         return list(dict.fromkeys(endpoints))[: const.MAX_HINTS]
 
+    def distant(self) -> list[str]:
+        """Return endpoints of balancers that are not among the live ones."""
+        live = {record.endpoint for record in self._state.other_balancers()}
+        lapsed = self._state.registry.lapsed_balancers()
+        maybe = {
+            *(record.endpoint for record in lapsed),
+            *self._state.seeds,
+            *self._hints,
+        }
+        return sorted(maybe - live - {self._state.endpoint})
+
     def avoid(self, endpoint: str) -> None:
         """Note that a peer did not answer."""
         self._avoided[endpoint] = self._now() + const.AVOID_S
--- a/kumquatport/version/spread/repair.py
+++ b/kumquatport/version/spread/repair.py
@@ -13,6 +13,7 @@
     const,
     documents,
     messages,
+    peers,
     records,
     shared,
 )
@@ -33,6 +34,7 @@
         control: server.ControlServer,
         fetcher: documents.Documents,
         spread: records.RecordSpread,
+        known: peers.Peers,
     ) -> None:
         """Answer comparisons.
 
@@ -41,12 +43,15 @@
             control: Where the handlers are added.
             fetcher: Fetches newer documents.
             spread: Merges what was repaired.
+            known: Whom to ask.
         """
         super().__init__()
         self.compared = asyncio.Event()
         self._state = state
         self._documents = fetcher
         self._spread = spread
+        self._peers = known
+        self._rounds = 0
         control.handle(messages.Compare, self._async_on_compare)
         control.handle(messages.Exchange, self._async_on_exchange)
 
@@ -64,9 +69,17 @@
             await self.sleep(const.REPAIR_S)
 
     def _pick(self) -> str | None:
-        others = self._state.other_balancers()
-        endpoints = [record.endpoint for record in others]
-        return random.choice(endpoints or self._state.seeds or (None,))
+        """Pick a peer, now and then one that seems to be gone.
+
+        Two sides that lapsed each other while they were parted would else
+        never ask each other again.
+        """
+        self._rounds += 1
+        near = [record.endpoint for record in self._state.other_balancers()]
+        if not near or self._rounds % const.DISTANT_EVERY == 0:
+            distant = self._peers.distant()
+            return random.choice(distant or near or [None])
+        return random.choice(near)
 
     async def _async_repair(self, endpoint: str) -> None:
         try:
--- a/kumquatport/version/spread/snapshots.py
+++ b/kumquatport/version/spread/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshots of the members at the platform, by which peers are found."""
 
+import math
 import random
 
 import mode
@@ -151,15 +152,25 @@
         }
 
     async def _async_find_peers(self) -> None:
+        """Read the snapshots: soon when alone, else now and then."""
         delay = const.HINTS_AFTER_S
+        read_at = clock.now()
         while not self.should_stop:
-            await self.sleep(delay * random.uniform(1, 1.5))
-            if self._state.other_balancers():
+            await self.sleep(const.HINTS_AFTER_S * random.uniform(1, 1.5))
+            alone = not self._state.other_balancers()
+            if not alone:
                 delay = const.HINTS_AFTER_S
+            if clock.now() - read_at < self._hint_wait(delay, alone=alone):
                 continue
             await self._async_read_hints()
+            read_at = clock.now()
             delay = min(delay * 2, const.MAX_HINTS_RETRY_S)
 
+    def _hint_wait(self, delay: float, *, alone: bool) -> float:
+        if alone:
+            return delay
+        return const.HINTS_KNOWN_S if self._state.is_balancer else math.inf
+
     async def _async_read_hints(self) -> None:
         try:
             listing = await self._platform.async_list(self._prefix)
--- a/kumquatport/version/spread/source.py
+++ b/kumquatport/version/spread/source.py
@@ -95,7 +95,7 @@
             else:
                 await self.wait_first(
                     self._rank_changed.wait(),
-                    timeout=const.JOIN_AFTER_S,
+                    timeout=const.JOIN_POLL_S,
                 )
 
     async def _async_watch(self) -> None:
--- a/tests/unit/version/spread/test_membership.py
+++ b/tests/unit/version/spread/test_membership.py
@@ -1,71 +1,17 @@
 """Memberships of several processes, over real sockets in one process."""
 
-import asyncio
-import unittest
-
 from kumquatport.connection.control import client, frame, traffic
-from kumquatport.helpers import clock
 from kumquatport.version import members
 from kumquatport.version.spread import const, publish
 from tests import network
 from tests.builders import memberships
+from tests.unit.version.spread import cluster
 
-SEEDS = (f'{memberships.BALANCERS}.1:7000',)
 ELSEWHERE = network.held('elsewhere').prefix
-SERVICE = 'storefront'
-
-
-class MembershipTest(unittest.IsolatedAsyncioTestCase):
-    """Four balancers, three agents."""
-
-    async def asyncSetUp(self):
-        self.platform = memberships.MemoryPlatform()
-        await self.platform.async_put(
-            const.KEY_DOCUMENT, memberships.document(1), 0
-        )
-        self.balancers = [
-            memberships.balancer(number, self.platform, SEEDS)
-            for number in range(1, 5)
-        ]
-        self.agents = [
-            memberships.agent(number, self.platform, SEEDS)
-            for number in range(1, 4)
-        ]
-        for each in self.everyone():
-            await self.async_begin(each)
-        await self.async_until(self.settled, 8)
 
-    def everyone(self):
-        return [*self.balancers, *self.agents]
 
-    async def async_begin(self, each):
-        await each.start()
-        self.addAsyncCleanup(each.stop)
-        each.announcer.update(state='ready')
-
-    async def async_until(self, check, seconds):
-        """Wait for a condition; fail when it takes longer."""
-        deadline = clock.now() + seconds
-        while not check():
-            self.assertLess(clock.now(), deadline, 'took too long')
-            await asyncio.sleep(0.02)
-
-    def settled(self):
-        return all(
-            len(each.tables.table(SERVICE)) == len(self.agents)
-            and each.freshness.is_fresh()
-            and each.current.version
-            for each in self.everyone()
-        )
-
-    def states(self, instance):
-        held = [each.registry.get(instance) for each in self.balancers]
-        return {record and record.state for record in held}
-
-    async def async_crash(self, each):
-        """Stop without a word."""
-        each.announcer.superseded = True
-        await each.stop()
+class MembershipTest(cluster.ClusterCase):
+    """What happens to records and documents."""
 
     async def test_document_reaches_all_and_stays(self):
         await self.platform.async_put(
@@ -76,7 +22,7 @@
             4,
         )
         for each in self.everyone():
-            self.assertEqual(len(each.tables.table(SERVICE)), 0)
+            self.assertEqual(len(each.tables.table(cluster.SERVICE)), 0)
             self.assertFalse(each.current.offer(1, memberships.document(1)))
 
     async def test_document_published_in_an_outage(self):
@@ -86,7 +32,7 @@
         await asker.start()
         self.addAsyncCleanup(asker.stop)
         held = await publish.async_publish(
-            asker, SEEDS, 9, memberships.document(9)
+            asker, cluster.SEEDS, 9, memberships.document(9)
         )
         self.assertEqual(held, 1)
         await self.async_until(
@@ -101,7 +47,7 @@
     async def test_crash_lapses_and_return_refutes(self):
         await self.async_crash(self.agents[0])
         await self.async_until(lambda: self.states('agent-1') == {'lapsed'}, 6)
-        back = memberships.agent(1, self.platform, SEEDS)
+        back = memberships.agent(1, self.platform, cluster.SEEDS)
         await self.async_begin(back)
         await self.async_until(lambda: self.states('agent-1') == {'ready'}, 3)
         # Its clock gave the same incarnation: it went above what was held.
@@ -137,19 +83,19 @@
     async def test_restart_in_an_outage_asks_peers(self):
         self.platform.down = True
         await self.balancers[1].stop()
-        back = memberships.balancer(2, self.platform, SEEDS)
+        back = memberships.balancer(2, self.platform, cluster.SEEDS)
         self.assertIsNone(back.shown_version)
         await self.async_begin(back)
         self.assertTrue(await back.async_wait_ready(4))
         self.assertEqual(back.shown_version, 1)
-        self.assertEqual(len(back.registry.agents(SERVICE)), 3)
+        self.assertEqual(len(back.registry.agents(cluster.SERVICE)), 3)
 
     async def test_all_balancers_restart_in_an_outage(self):
         self.platform.down = True
         for each in self.balancers:
             await self.async_crash(each)
         self.balancers = [
-            memberships.balancer(number, self.platform, SEEDS)
+            memberships.balancer(number, self.platform, cluster.SEEDS)
             for number in range(1, 5)
         ]
         for each in self.balancers:
@@ -166,7 +112,9 @@
         await self.async_until(lambda: self.states('agent-9') == {'ready'}, 10)
 
     async def test_younger_process_of_the_same_name_wins(self):
-        young = memberships.agent(1, self.platform, SEEDS, net=ELSEWHERE)
+        young = memberships.agent(
+            1, self.platform, cluster.SEEDS, net=ELSEWHERE
+        )
         own = young.announcer.own
         young.announcer._publish(own._replace(incarnation=2))
         await self.async_begin(young)
