--- a/kumquatport/process/console/const.py
+++ b/kumquatport/process/console/const.py
@@ -36,7 +36,7 @@
 MAX_DRAFT_BYTES: typing.Final = 16777216
 MAX_SHOWN_ROWS: typing.Final = 50
 MAX_SHOWN_CHANGES: typing.Final = 500
-SHUTDOWN_S: typing.Final = 5.0
+SHUTDOWN_S: typing.Final = 25.0
 
 ATTEMPT_WINDOW_S: typing.Final = 60.0
 MAX_ATTEMPTS: typing.Final = 5
--- a/tests/features/console.feature
+++ b/tests/features/console.feature
@@ -74,6 +74,12 @@
     And she takes out "accra-a" and applies
     Then the console holds the draft back because 20 slots are left for 24
 
+  Scenario: A console that is stopped finishes what it was asked
+    When ama signs in at the first console
+    And she takes out "accra-a" at a slow platform while the console stops
+    Then the console says accepted before it ends with exit code 0
+    And the audit names the change of "accra-a"
+
   Scenario: Pages work on a phone without scripts
     When ama signs in at the first console
     Then every console page fits a phone and has no script
--- a/tests/features/ctl.feature
+++ b/tests/features/ctl.feature
@@ -32,6 +32,7 @@
 
   Scenario: Shells that take failure domains out at once all succeed
     Given a document of version 1 that kumquatportctl applied
+    When each call of the platform takes 0.5 s
     Then 2 shells that take out different failure domains both exit with 0
 
   Scenario: A failure domain leaves and returns by one command
--- a/tests/features/steps/console.py
+++ b/tests/features/steps/console.py
@@ -15,6 +15,7 @@
 from tests.standins import runner as standin_runner
 
 AGENT_PORT = 7200
+APPLY_BEGUN_S = 0.5
 
 
 def _sign_in(context: runner.Context, name: str, url: str) -> browser.Browser:
@@ -396,6 +397,39 @@
     assert context.consoles.in_force() == context.config_before
 
 
+@behave.when(
+    'she takes out "{domain}" at a slow platform while the console stops'
+)
+def stops_meanwhile(context: runner.Context, domain: str) -> None:
+    system = context.consoles
+
+    async def _async_apply() -> browser.Page:
+        review = await context.ama.async_review(f'out:{domain}')
+        await asyncio.to_thread(system.control, {'mode': 'slow', 'delay_s': 1})
+        apply = asyncio.create_task(
+            context.ama.async_post('/apply', review.hidden)
+        )
+        await asyncio.sleep(APPLY_BEGUN_S)
+        system.processes['console-1'].term()
+        return await apply
+
+    context.page = context.run(_async_apply())
+
+
+@behave.then('the console says accepted before it ends with exit code {code:d}')
+def ends_gracefully(context: runner.Context, code: int) -> None:
+    assert context.page.heading == 'Accepted', context.page.text
+    assert context.consoles.processes['console-1'].wait() == code
+    context.consoles.control({'mode': 'up'})
+
+
+@behave.then('the audit names the change of "{domain}"')
+def audit_names(context: runner.Context, domain: str) -> None:
+    done = context.consoles.ctl('--json', 'history')
+    changes = json.loads(done.stdout)['entries'][0]['changes']
+    assert changes == [f'failure_domains[{domain}].out: false -> true'], done
+
+
 def _pages(context: runner.Context) -> list[browser.Page]:
     """Open one of each page."""
 
