Guard rails checked on what is read for the update; large documents made quick

With 16,000 services and as many rules, kumquatportctl domain out took 47 s: the guard rails searched all rules once for each service. They now group rules and loads first, and equal limits, classes and tenants are checked once and held once. The check runs on the document that the update is made on, which saves a read.

--- a/kumquatport/process/console/pages/reviewing.py
+++ b/kumquatport/process/console/pages/reviewing.py
@@ -32,10 +32,17 @@
     """Put a draft in force, or tell why it is not."""
     attempt = await _async_attempt(request)
     try:
-        submitted = await asyncio.to_thread(_submitted, request, attempt)
-        await _async_check_guard_rails(request, attempt, submitted)
+        submitted = document.submitted(
+            attempt.draft,
+            parts.operator(request),
+            attempt.comment,
+            attempt.identifier,
+        )
         accepted = await acceptance.async_accept(
-            parts.of(request).client, submitted, attempt.identifier
+            parts.of(request).client,
+            submitted,
+            _check(request, confirmed=attempt.confirmed),
+            attempt.identifier,
         )
     except (
         acceptance.GuardRailError,
@@ -80,32 +87,14 @@
     )
 
 
-def _submitted(request: web.Request, attempt: Attempt) -> document.Document:
-    """Return the draft as this operator submits it.
-
-    Raises:
-        DocumentRejectedError: The comment or the identifier does not fit.
-    """
-    submitted = attempt.draft.copy()
-    submitted['operator'] = parts.operator(request)
-    submitted['comment'] = attempt.comment
-    submitted['identifier'] = attempt.identifier
-    return document.check(submitted)
-
-
-async def _async_check_guard_rails(
-    request: web.Request, attempt: Attempt, submitted: document.Document
-) -> None:
-    """Hold a draft back that may do harm and is not confirmed."""
-    if attempt.confirmed:
-        return
-    shared = parts.of(request)
-    in_force, loads = await asyncio.gather(
-        acceptance.async_in_force(shared.client),
-        source.async_loads(shared.instances),
+def _check(request: web.Request, *, confirmed: bool) -> acceptance.Check:
+    """Start to ask for the present load; return the check that uses it."""
+    if confirmed:
+        return acceptance.async_confirmed
+    instances = parts.of(request).instances
+    return acceptance.checked(
+        asyncio.create_task(source.async_loads(instances))
     )
-    if in_force.version == submitted['base_version']:
-        acceptance.check_guard_rails(in_force, submitted, loads)
 
 
 async def _async_review(
--- a/kumquatport/process/ctl/output.py
+++ b/kumquatport/process/ctl/output.py
@@ -80,7 +80,7 @@
         lines = [f'{fault.path}: {fault.reason}' for fault in error.faults]
     elif isinstance(error, acceptance.GuardRailError):
         answer['concerns'] = list(error.concerns)
-        lines.append('nothing changed; repeat with --confirm to do it anyway')
+        lines.append('nothing was sent; repeat with --confirm to do it anyway')
     elif isinstance(error, acceptance.AcceptanceUnknownError):
         lines.append(_add_unknown(answer, error))
     elif isinstance(error, acceptance.AcceptanceConflictError):
--- a/kumquatport/process/ctl/verbs.py
+++ b/kumquatport/process/ctl/verbs.py
@@ -1,5 +1,6 @@
 """Verbs about whole documents: check, compare, apply, show, history."""
 
+import asyncio
 import pathlib
 import sys
 import typing
@@ -112,14 +113,13 @@
     confirmed: bool,
 ) -> int:
     """Put a document in force."""
-    submitted = read_document(file)
-    submitted['operator'] = call.operator
-    if comment is not None:
-        submitted['comment'] = comment
-    submitted = document.check(submitted)
-    if not confirmed:
-        await _async_check(call, submitted)
-    accepted = await acceptance.async_accept(call.client, submitted, identifier)
+    parsed = read_document(file)
+    if comment is None:
+        comment = parsed['comment']
+    submitted = document.submitted(parsed, call.operator, comment, identifier)
+    accepted = await acceptance.async_accept(
+        call.client, submitted, check(call, confirmed=confirmed), identifier
+    )
     return await async_finish(call, accepted)
 
 
@@ -167,14 +167,9 @@
     return await async_finish(call, accepted)
 
 
-async def _async_check(call: Call, submitted: document.Document) -> None:
-    """Hold a document back that may do harm.
-
-    Raises:
-        GuardRailError: It has to be confirmed.
-    """
-    in_force = await acceptance.async_in_force(call.client)
-    if in_force.version != submitted['base_version']:
-        return
-    loads = await source.async_loads(call.instances)
-    acceptance.check_guard_rails(in_force, submitted, loads)
+def check(call: Call, *, confirmed: bool) -> acceptance.Check:
+    """Start to ask for the present load; return the check that uses it."""
+    if confirmed:
+        return acceptance.async_confirmed
+    asked = asyncio.create_task(source.async_loads(call.instances))
+    return acceptance.checked(asked)
--- a/kumquatport/version/acceptance/accept.py
+++ b/kumquatport/version/acceptance/accept.py
@@ -11,6 +11,7 @@
     const,
     lineage,
     model,
+    rails,
     settle,
     store,
 )
@@ -28,6 +29,7 @@
 async def async_accept(
     client: platform.PlatformClient,
     submitted: document.Document,
+    check: rails.Check,
     identifier: str = '',
 ) -> model.Accepted:
     """Put a document in force as a whole, or leave everything as it is.
@@ -39,6 +41,7 @@
         client: Access to the platform.
         submitted: The checked document; its ``base_version`` is the version
             that the operator started from.
+        check: Raises when the document must not be put in force.
         identifier: Of an attempt that may have been sent before; a fresh one
             otherwise.
 
@@ -52,9 +55,10 @@
         before = await store.async_in_force(client)
         if before.version != submitted['base_version']:
             raise model.AcceptanceConflictError(before, submitted)
+        await check(before, submitted)
         return await _async_write(client, before, prepare(before, submitted))
     try:
-        return await _async_again(client, submitted, identifier)
+        return await _async_again(client, submitted, check, identifier)
     except exceptions.PlatformUnavailableError as error:
         # An earlier call with this identifier may have been sent.
         raise model.AcceptanceUnknownError(
@@ -65,7 +69,7 @@
 async def async_change(
     client: platform.PlatformClient,
     edit: Edit,
-    check: Check,
+    check: rails.Check,
 ) -> model.Accepted:
     """Apply one small change to whatever is in force, over conflicts.
 
@@ -96,26 +100,6 @@
     raise last
 
 
-def check_guard_rails(
-    in_force: model.InForce,
-    submitted: document.Document,
-    loads: abc.Sequence[document.DomainLoad],
-) -> None:
-    """Hold a document back that may do harm.
-
-    Args:
-        in_force: What is in force now.
-        submitted: The new document.
-        loads: Present load; empty when it is not known.
-
-    Raises:
-        GuardRailError: The document has to be confirmed.
-    """
-    concerns = document.concerns(in_force.document, submitted, loads)
-    if concerns:
-        raise model.GuardRailError(concerns)
-
-
 def prepare(
     before: model.InForce,
     submitted: document.Document,
@@ -139,6 +123,7 @@
 async def _async_again(
     client: platform.PlatformClient,
     submitted: document.Document,
+    check: rails.Check,
     identifier: str,
 ) -> model.Accepted:
     """Send a document that may have been sent, unless its base has passed."""
@@ -148,6 +133,7 @@
         return await settle.async_ask(
             client, identifier, base_version, submitted
         )
+    await check(before, submitted)
     prepared = prepare(before, submitted, identifier)
     return await _async_write(client, before, prepared)
 
--- a/kumquatport/version/document/__init__.py
+++ b/kumquatport/version/document/__init__.py
@@ -17,6 +17,7 @@
 decode = codec.decode
 encode = codec.encode
 parse = codec.parse
+submitted = codec.submitted
 
 Change = difference.Change
 change_lines = difference.lines
@@ -36,6 +37,7 @@
 DomainLoad = guard.DomainLoad
 concerns = guard.concerns
 
+all_failure_domains = lookup.all_failure_domains
 class_of = lookup.class_of
 failure_domain = lookup.failure_domain
 failure_domains_of = lookup.failure_domains_of
--- a/kumquatport/version/document/codec.py
+++ b/kumquatport/version/document/codec.py
@@ -50,6 +50,29 @@
     return typing.cast(model.Document, checked)
 
 
+def submitted(
+    draft: model.Document, operator: str, comment: str, identifier: str = ''
+) -> model.Document:
+    """Return a checked draft as an operator submits it.
+
+    Args:
+        draft: A checked document.
+        operator: Who submits it.
+        comment: Why.
+        identifier: Of the attempt; empty for a fresh one.
+
+    Raises:
+        DocumentRejectedError: One of the texts does not fit.
+    """
+    changed = draft.copy()
+    changed['operator'] = operator
+    changed['comment'] = comment
+    changed['identifier'] = identifier
+    # The rest is checked already, and may be large.
+    check({**changed, 'failure_domains': [], 'services': [], 'rules': []})
+    return changed
+
+
 def encode(document: model.Document) -> bytes:
     """Encode a document; equal documents have equal bytes.
 
--- a/kumquatport/version/document/fields.py
+++ b/kumquatport/version/document/fields.py
@@ -6,6 +6,7 @@
 import typing
 from collections import abc
 
+import msgspec
 import voluptuous
 
 from kumquatport.version.document import const
@@ -136,6 +137,34 @@
     return functools.partial(_check_rows, validator, high, low)
 
 
+def shared(validator: Validator) -> Validator:
+    """Return a validator that checks equal values once and shares the result.
+
+    Thousands of services have the same limits and classes; what is shared is
+    checked faster and held once. Checked documents are never changed in place.
+
+    Args:
+        validator: Checks one value; its result must depend on that alone.
+    """
+    return functools.partial(_check_shared, validator, {})
+
+
+def _check_shared(
+    validator: Validator, known: dict[bytes, typing.Any], value: typing.Any
+) -> typing.Any:
+    try:
+        key = msgspec.msgpack.encode(value)
+    except (ValueError, OverflowError, RecursionError):
+        return validator(value)
+    found = known.get(key)
+    if found is None:
+        found = validator(value)
+        if len(known) >= const.MAX_SHARED:
+            known.clear()
+        known[key] = found
+    return found
+
+
 def _check_integer(low: int, high: int, value: typing.Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise voluptuous.Invalid('expected a whole number')
--- a/kumquatport/version/document/guard.py
+++ b/kumquatport/version/document/guard.py
@@ -49,50 +49,52 @@
         after: The new document.
         loads: Present work; empty when it is not known.
     """
+    old = _index(before)
+    new = _index(after)
+    by_service: dict[str, list[DomainLoad]] = {}
+    for load in loads:
+        by_service.setdefault(load.service, []).append(load)
     found = []
-    for name in lookup.services_named(before):
-        reason = _reason(name, before, after, loads)
+    for name in old.services:
+        reason = _reason(name, old, new, by_service.get(name, []))
         if reason:
             found.append(Concern(name, reason))
     return tuple(found)
 
 
+class _Index(typing.NamedTuple):
+    """A document's services and where they may run, by name."""
+
+    services: dict[str, model.Service]
+    domains: dict[str, dict[str, float]]
+
+
+def _index(document: model.Document) -> _Index:
+    return _Index(
+        lookup.services_named(document), lookup.all_failure_domains(document)
+    )
+
+
 def _reason(
-    name: str,
-    before: model.Document,
-    after: model.Document,
-    loads: abc.Sequence[DomainLoad],
+    name: str, old: _Index, new: _Index, loads: abc.Sequence[DomainLoad]
 ) -> str:
     """Return why the change endangers one service, or an empty string."""
-    own = [load for load in loads if load.service == name]
-    busy = sum(load.busy for load in own)
-    if name not in lookup.services_named(after):
+    busy = sum(load.busy for load in loads)
+    if name not in new.services:
         return f'removed with {busy:g} requests in progress' if busy else ''
-    if _loses_last_domain(name, before, after):
+    if old.domains[name] and not new.domains[name]:
         return 'no failure domain is left to take its work'
-    room = _room(name, after, own)
-    if busy > room and room < _room(name, before, own):
+    room = _room(name, new, loads)
+    if busy > room and room < _room(name, old, loads):
         return f'the rest has {room:g} slots for {busy:g} in use'
     return ''
 
 
-def _loses_last_domain(
-    name: str, before: model.Document, after: model.Document
-) -> bool:
-    """Tell whether a service that had failure domains has none left."""
-    had = lookup.failure_domains_of(before, name)
-    has = lookup.failure_domains_of(after, name)
-    return bool(had) and not has
-
-
-def _room(
-    name: str, document: model.Document, loads: abc.Sequence[DomainLoad]
-) -> int:
+def _room(name: str, index: _Index, loads: abc.Sequence[DomainLoad]) -> int:
     """Return the slots of the backend servers that may take work."""
-    slots = lookup.service(document, name)['limits']['slots']
-    domains = lookup.failure_domains_of(document, name)
+    slots = index.services[name]['limits']['slots']
     return sum(
         load.backend_servers * slots
         for load in loads
-        if load.failure_domain in domains
+        if load.failure_domain in index.domains[name]
     )
--- a/kumquatport/version/document/lookup.py
+++ b/kumquatport/version/document/lookup.py
@@ -1,5 +1,7 @@
 """Look-ups in a checked document."""
 
+from collections import abc
+
 from kumquatport import exceptions
 from kumquatport.version.document import const, model
 
@@ -84,13 +86,46 @@
 
     Failure domains that are out or have weight 0 are not among them.
     """
-    weights = {
+    rules = [
+        rule for rule in document['rules'] if rule['service'] == service_name
+    ]
+    return _weighted(_usual_weights(document), rules)
+
+
+def all_failure_domains(
+    document: model.Document,
+) -> dict[str, dict[str, float]]:
+    """Return what ``failure_domains_of`` returns, for every service at once.
+
+    Services without rules share one dictionary.
+    """
+    usual = _usual_weights(document)
+    rules: dict[str, list[model.Rule]] = {}
+    for rule in document['rules']:
+        rules.setdefault(rule['service'], []).append(rule)
+    return {
+        row['name']: _weighted(usual, rules.get(row['name'], ()))
+        for row in document['services']
+    }
+
+
+def _usual_weights(document: model.Document) -> dict[str, float]:
+    """Return the weights that hold without a rule."""
+    return {
         row['name']: const.DEFAULT_WEIGHT
         for row in document['failure_domains']
         if not row['out']
     }
-    for rule in document['rules']:
-        if rule['service'] == service_name:
-            name = rule['failure_domain']
-            weights[name] = rule['weight'] if name in weights else 0
+
+
+def _weighted(
+    usual: dict[str, float], rules: abc.Sequence[model.Rule]
+) -> dict[str, float]:
+    """Return the weights under a service's rules, without those that are 0."""
+    if not rules:
+        return usual
+    weights = usual.copy()
+    for rule in rules:
+        if rule['failure_domain'] in usual:
+            weights[rule['failure_domain']] = rule['weight']
     return {name: weight for name, weight in weights.items() if weight > 0}
--- a/kumquatport/version/document/schema.py
+++ b/kumquatport/version/document/schema.py
@@ -73,13 +73,15 @@
             1, const.MAX_PORT
         ),
         voluptuous.Optional(const.CONF_CLASSES, default=list): fields.rows(
-            TRAFFIC_CLASS, const.MAX_CLASSES
+            fields.shared(TRAFFIC_CLASS), const.MAX_CLASSES
         ),
         voluptuous.Optional(const.CONF_TENANTS, default=list): fields.rows(
-            TENANT, const.MAX_TENANTS
+            fields.shared(TENANT), const.MAX_TENANTS
         ),
-        voluptuous.Optional(const.CONF_LIMITS, default=dict): LIMITS,
-        voluptuous.Optional(const.CONF_RAMP, default=dict): RAMP,
+        voluptuous.Optional(const.CONF_LIMITS, default=dict): fields.shared(
+            LIMITS
+        ),
+        voluptuous.Optional(const.CONF_RAMP, default=dict): fields.shared(RAMP),
     },
 )
 
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -234,7 +234,9 @@
         in_force = await acceptance.async_in_force(client)
         weight = in_force.document['rules'][-1]['weight'] + 0.5
         edit = functools.partial(_heavier, weight=weight)
-        accepted = await acceptance.async_change(client, edit, _async_pass)
+        accepted = await acceptance.async_change(
+            client, edit, acceptance.async_confirmed
+        )
         await acceptance.async_record(client, accepted)
 
 
@@ -245,12 +247,6 @@
     return changed
 
 
-async def _async_pass(
-    _before: acceptance.InForce, _changed: document.Document
-) -> None:
-    """Check nothing."""
-
-
 async def _async_attempt(
     relay: update_relay.UpdateRelay,
     one: browser.Browser,
