Proofs of request handling beside a real backend server process

Features with a handler in the test's process and the backend server stand-in as a process: cold start, unannounced cold turn, misleading reports, overload, tenants, feeds, whole answers, true outcomes, drain.

Cause of a change: opening feeds took a place in the queue of slots, so 200 callers opening feeds at once were mostly refused. Feeds are now opened one at a time outside the queue and bounded by connections alone.

--- a/kumquatport/request/admission/admission.py
+++ b/kumquatport/request/admission/admission.py
@@ -7,39 +7,11 @@
 
 from kumquatport.request import const as request_const
 from kumquatport.request import errors, policy
-from kumquatport.request.admission import const, costs
+from kumquatport.request.admission import const, costs, slot
 from kumquatport.request.limit import limit
 from kumquatport.request.queue import fair, waiter
 
 
-class Slot:
-    """A slot that a request holds."""
-
-    def __init__(
-        self,
-        ticket: waiter.Ticket,
-        in_progress: int,
-        give_back: abc.Callable[[waiter.Ticket], None],
-    ) -> None:
-        """Take the slot.
-
-        Args:
-            ticket: Whose it is.
-            in_progress: Requests in progress now, itself included.
-            give_back: Called once when it is released.
-        """
-        self.in_progress = in_progress
-        self._ticket = ticket
-        self._give_back = give_back
-        self._held = True
-
-    def release(self) -> None:
-        """Give the slot back, at the first call."""
-        if self._held:
-            self._held = False
-            self._give_back(self._ticket)
-
-
 class Admission:
     """Gives slots to requests, within the limit and in fair order."""
 
@@ -96,7 +68,7 @@
         cost_s = self.costs.expected_s(class_name)
         return waiter.Ticket(tenant, class_name, cost_s, deadline_at)
 
-    async def async_acquire(self, ticket: waiter.Ticket) -> Slot:
+    async def async_acquire(self, ticket: waiter.Ticket) -> slot.Slot:
         """Return once the request holds a slot.
 
         Raises:
@@ -122,9 +94,9 @@
             request_const.MAX_RETRY_AFTER_S,
         )
 
-    def _slot(self, ticket: waiter.Ticket) -> Slot:
+    def _slot(self, ticket: waiter.Ticket) -> slot.Slot:
         give_back = functools.partial(self._give_back, self._clock())
-        return Slot(ticket, self._in_progress, give_back)
+        return slot.Slot(ticket, self._in_progress, give_back)
 
     def _give_back(self, granted_at: float, ticket: waiter.Ticket) -> None:
         """Free a slot, and settle what it cost."""
--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -65,6 +65,7 @@
         self._feeds = feeds.Feeds()
         self._parts = serving.Parts(
             gate=self._gate,
+            feeds=self._feeds,
             carrier=carrier.Carrier(
                 self._client,
                 self._limit,
@@ -202,11 +203,16 @@
         exchange: messages.Exchange,
     ) -> None:
         asked = self._job(head, exchange)
-        with self._feeds.admitted(asked.request_class):
-            await self._async_prefetch(asked)
-            await serving.async_serve(asked, self._parts)
+        await self._async_prefetch(asked)
         if asked.request_class.holds_slot:
+            await serving.async_serve(asked, self._parts)
             self._record(asked)
+            return
+        self._feeds.begin()
+        try:
+            await serving.async_serve(asked, self._parts)
+        finally:
+            self._feeds.end()
 
     def _job(
         self,
--- a/kumquatport/request/serving.py
+++ b/kumquatport/request/serving.py
@@ -8,8 +8,9 @@
 
 from kumquatport.connection.quic import stream
 from kumquatport.request import claims, errors
-from kumquatport.request.admission import admission
+from kumquatport.request.admission import admission, feeds, slot
 from kumquatport.request.proxy import answer, carrier, const, job
+from kumquatport.request.queue import waiter
 
 _NOT_RUN = claims.Settlement(claims.SETTLED_NOT_RUN, None)
 _UNKNOWN = claims.Settlement(claims.SETTLED_UNKNOWN, None)
@@ -25,12 +26,14 @@
 
     Attributes:
         gate: Gives slots.
+        feeds: Lets feeds be opened.
         carrier: Opens requests at the backend server.
         claim: Asked before a request that must not run twice.
         answering: Called with the job when the answer's head is here.
     """
 
     gate: admission.Admission
+    feeds: feeds.Feeds
     carrier: carrier.Carrier
     claim: claims.Claim
     answering: abc.Callable[[job.Job], None]
@@ -49,17 +52,32 @@
         asked.request_class.name,
         asked.deadline_at,
     )
-    slot = await parts.gate.async_acquire(ticket)
+    held = await _async_acquire(asked, parts, ticket)
     try:
-        await _async_run_claimed(asked, parts, slot)
+        await _async_run_claimed(asked, parts, held)
     finally:
-        slot.release()
+        held.release()
+
+
+async def _async_acquire(
+    asked: job.Job,
+    parts: Parts,
+    ticket: waiter.Ticket,
+) -> slot.Slot:
+    if asked.request_class.holds_slot:
+        return await parts.gate.async_acquire(ticket)
+    left_s = asked.deadline_at - asked.arrived_at
+    try:
+        async with asyncio.timeout(left_s):
+            return await parts.feeds.async_acquire(ticket)
+    except TimeoutError as timeout:
+        raise errors.QueueTimeoutError('not opened in time') from timeout
 
 
 async def _async_run_claimed(
     asked: job.Job,
     parts: Parts,
-    slot: admission.Slot,
+    held: slot.Slot,
 ) -> None:
     verdict = await _async_claim(asked, parts)
     if verdict.answer is not None:
@@ -67,7 +85,7 @@
         return
     settling = claims.Settling(verdict)
     try:
-        await _async_run(asked, parts, slot, settling)
+        await _async_run(asked, parts, held, settling)
     except errors.RequestRefusedError:
         await settling.async_settle(_NOT_RUN)
         raise
@@ -85,14 +103,14 @@
 async def _async_run(
     asked: job.Job,
     parts: Parts,
-    slot: admission.Slot,
+    held: slot.Slot,
     settling: claims.Settling,
 ) -> None:
-    response = await parts.carrier.async_open(asked, slot.in_progress)
+    response = await parts.carrier.async_open(asked, held.in_progress)
     try:
         parts.answering(asked)
         if not asked.request_class.holds_slot:
-            slot.release()
+            held.release()
         await _async_answer(asked, response, settling)
     finally:
         # Closes the connection of an answer that has not ended.
--- a/tests/beside.py
+++ b/tests/beside.py
@@ -16,6 +16,10 @@
 from tests.builders import documents, exchanges
 
 READY_TIMEOUT_S = 10.0
+IDLE_POLL_S = 0.01
+# The stand-in's times are log-normal; this is their mean over their median.
+MEAN_OVER_MEDIAN = 1.046
+SLOTS = 5
 
 Make = abc.Callable[[int], messages.RequestHead]
 
@@ -28,11 +32,19 @@
 
 
 class Call(typing.NamedTuple):
-    """One request and what its caller got."""
+    """One request and what its caller got.
+
+    Attributes:
+        answer: The answer.
+        began_at: When it was made, on the monotonic clock.
+        took_s: Until its answer had ended.
+        decided_s: Until it was refused, None if it wasn't.
+    """
 
     answer: exchanges.Recorded
     began_at: float
     took_s: float
+    decided_s: float | None = None
 
     @property
     def good(self) -> bool:
@@ -48,6 +60,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix='kumquatport-beside-')
         self.endpoint = endpoint
         self.counts: collections.Counter[str] = collections.Counter()
+        self.decided: dict[asyncio.Task | None, float] = {}
         self.server = processes.Process(
             'server',
             'tests.standins.backend_server',
@@ -56,6 +69,10 @@
         )
         self.handler: handler.Handler
 
+    @property
+    def log(self) -> str:
+        return self.server.log_text()
+
     @property
     def url(self) -> str:
         return f'http://{self.endpoint.address}:{self.endpoint.port}'
@@ -78,6 +95,11 @@
     async def async_report(self) -> dict:
         return await self.async_control()
 
+    async def async_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.handler.requests_in_progress:
+            await asyncio.sleep(IDLE_POLL_S)
+
     async def async_call(
         self,
         head: messages.RequestHead,
@@ -87,7 +109,17 @@
         recorded = exchanges.Recorded(body)
         began_at = time.monotonic()
         await self.handler.async_handle(head, recorded.exchange)
-        return Call(recorded, began_at, time.monotonic() - began_at)
+        took_s = time.monotonic() - began_at
+        decided_at = self.decided.pop(asyncio.current_task(), None)
+        if decided_at is None:
+            return Call(recorded, began_at, took_s)
+        return Call(recorded, began_at, took_s, decided_at - began_at)
+
+    def increment(self, name: str, amount: int) -> None:
+        """Count; a refusal is decided when it is counted."""
+        self.counts[name] += amount
+        if name.startswith('refused.'):
+            self.decided[asyncio.current_task()] = time.monotonic()
 
     async def async_open_loop(
         self,
@@ -118,7 +150,7 @@
     beside = Beside(endpoint, options)
     beside.handler = handler.Handler(
         endpoint,
-        messages.Metrics(_counting(beside.counts), _forget, _forget),
+        messages.Metrics(beside.increment, _forget, _forget),
         time.monotonic,
         step=step,
     )
@@ -130,7 +162,11 @@
             yield beside
     finally:
         processes.end_all([beside.server], 1.0)
-        beside.folder.cleanup()
+
+
+def capacity(median_s: float) -> float:
+    """Return the requests a second that a warm backend server serves."""
+    return SLOTS / (median_s * MEAN_OVER_MEDIAN)
 
 
 def goodput(calls: abc.Sequence[Call], since: float, until: float) -> float:
@@ -145,11 +181,5 @@
     return statistics.quantiles(taken, n=100)[-1]
 
 
-def _counting(
-    counts: collections.Counter[str],
-) -> abc.Callable[[str, int], None]:
-    return lambda name, amount: counts.update({name: amount})
-
-
 def _forget(*ignored: object) -> None:
     """Drop a gauge or duration."""
--- /dev/null
+++ b/tests/features/steps/request_beside.py
@@ -0,0 +1,87 @@
+"""Given steps: a request handler beside a real backend server."""
+
+import asyncio
+import contextlib
+import os
+import typing
+
+import behave
+from behave import runner
+
+from tests import beside, network
+from tests.builders import exchanges
+
+PORT = 8000
+NET = 252
+NETS = 50
+HOSTS = 5
+LEARN_RATE = 1.0
+LEARN_S = 20.0
+POLL_S = 0.02
+
+
+class Standing:
+    """What is ended after the scenario, as deployments are."""
+
+    def __init__(self, context: runner.Context) -> None:
+        self._context = context
+        self.stack = contextlib.AsyncExitStack()
+        self.sides: list[beside.Beside] = []
+        context.deployments.append(self)
+
+    def enter(self, **options: typing.Any) -> beside.Beside:
+        """Start a backend server and a handler; they end with the rest."""
+        endpoint = beside.Endpoint(self._address(), PORT)
+        made = beside.async_beside(endpoint, **options)
+        side = self._context.run(self.stack.enter_async_context(made))
+        self.sides.append(side)
+        return side
+
+    def stop(self) -> None:
+        self._context.run(self.stack.aclose())
+
+    def check_logs(self) -> None:
+        for side in self.sides:
+            assert 'Traceback' not in side.log, side.log
+
+    def remove(self) -> None:
+        """Nothing is left: folders end with what they belong to."""
+
+    def _address(self) -> str:
+        block = os.environ.get(network.BLOCK_VARIABLE, network.DEFAULT_BLOCK)
+        host = os.getpid() % NETS * HOSTS + len(self.sides) + 1
+        return f'{block}.{NET}.{host}'
+
+
+@behave.given(
+    'a {state} backend server of {median:d} ms a request'
+    ' beside a request handler'
+)
+def step_beside(context: runner.Context, state: str, median: int) -> None:
+    context.standing = Standing(context)
+    context.median_s = median / 1000
+    context.capacity = beside.capacity(context.median_s)
+    options = [f'--service-s={context.median_s}']
+    if state == 'cold':
+        options.append('--cold')
+    context.side = context.standing.enter(options=options)
+
+
+@behave.given('the request handler has learnt its latency')
+def step_learnt(context: runner.Context) -> None:
+    context.run(async_learn(context.side, context.capacity * LEARN_RATE))
+
+
+async def async_learn(side: beside.Beside, rate: float) -> None:
+    """Make requests until the limit knows the normal latency."""
+    load = asyncio.create_task(
+        side.async_open_loop(rate, LEARN_S, lambda number: exchanges.head())
+    )
+    while not load.done():
+        await asyncio.sleep(POLL_S)
+        if side.handler.current_limit.state.confirmed:
+            load.cancel()
+            break
+    await asyncio.gather(load, return_exceptions=True)
+    assert side.handler.current_limit.state.confirmed
+    await side.async_idle()
--- /dev/null
+++ b/tests/features/steps/request_outcomes.py
@@ -0,0 +1,264 @@
+"""Steps of whole answers and true outcomes."""
+
+import asyncio
+import hashlib
+import time
+
+import behave
+from behave import runner
+
+from tests import beside
+from tests.builders import exchanges
+
+PULL_BYTES = 200_000
+PULL_EVERY = 5
+LEAVE_EVERY = 7
+LEAVE_AFTER_S = 0.012
+GAP_S = 0.01
+FROZEN_S = 0.5
+THAWED_S = 0.3
+MARGIN_S = 0.05
+SETTLE_S = 1.0
+
+
+def _print(context: runner.Context, **figures: object) -> None:
+    text = ' '.join(f'{name}={value}' for name, value in figures.items())
+    print(f'FIGURE {context.scenario.name}: {text}')
+
+
+def _is_pull(number: int) -> bool:
+    return number % PULL_EVERY == 0
+
+
+def _leaves(number: int) -> bool:
+    return number % LEAVE_EVERY == 0
+
+
+def _own(number: int) -> exchanges.messages.RequestHead:
+    if _is_pull(number):
+        return exchanges.head(path=f'/pull/{number}?bytes={PULL_BYTES}')
+    return exchanges.head(path=f'/own/{number}', x_echo=number)
+
+
+@behave.when(
+    '{count:d} callers ask for their own answer or pull'
+    ' and every seventh leaves early'
+)
+def step_own(context: runner.Context, count: int) -> None:
+    async def _async_one(number: int) -> exchanges.Recorded:
+        await asyncio.sleep(number * GAP_S)
+        recorded = exchanges.Recorded()
+        handled = context.side.handler.async_handle(
+            _own(number), recorded.exchange
+        )
+        task = asyncio.create_task(handled)
+        if _leaves(number):
+            await asyncio.sleep(LEAVE_AFTER_S)
+            recorded.cancelled.set()
+        await task
+        return recorded
+
+    async def _async_all() -> list[exchanges.Recorded]:
+        return await asyncio.gather(*map(_async_one, range(count)))
+
+    context.answers = context.run(_async_all())
+
+
+@behave.then('every answer is the one that its caller asked for')
+def step_own_answer(context: runner.Context) -> None:
+    whole = 0
+    for number, answer in enumerate(context.answers):
+        if _is_pull(number) or not answer.ended or answer.status != 200:
+            continue
+        whole += 1
+        assert f'"echo": "{number}"'.encode() in answer.body, answer.body
+        assert f'"/own/{number}"'.encode() in answer.body, answer.body
+    _print(context, whole=whole)
+    assert whole
+
+
+@behave.then('every pull is whole')
+def step_own_pull(context: runner.Context) -> None:
+    whole = 0
+    for number, answer in enumerate(context.answers):
+        if not _is_pull(number) or answer.status != 200:
+            continue
+        if not answer.ended:
+            assert _leaves(number) or answer.reset_code is not None
+            continue
+        whole += 1
+        checksum = hashlib.sha256(answer.body).hexdigest()
+        assert checksum == answer.headers['x-checksum']
+        assert len(answer.body) == PULL_BYTES
+    _print(context, whole=whole)
+    assert whole
+
+
+@behave.then('no slot is held any more')
+def step_no_slot(context: runner.Context) -> None:
+    assert context.side.handler.gate.in_progress == 0
+    assert context.side.handler.requests_in_progress == 0
+    report = context.run(context.side.async_report())
+    _print(context, cancelled=report['cancelled'], running=report['running'])
+    assert report['running'] == 0, report
+    assert report['cancelled'], report
+
+
+@behave.when('it is killed while a slow caller takes a pull of {size:d} bytes')
+def step_killed(context: runner.Context, size: int) -> None:
+    recorded = exchanges.Recorded()
+    head = exchanges.head(path=f'/pull/large?bytes={size}')
+
+    async def _async_take() -> None:
+        recorded.room.clear()
+        handled = context.side.handler.async_handle(head, recorded.exchange)
+        task = asyncio.create_task(handled)
+        while not recorded.pieces:
+            await asyncio.sleep(GAP_S)
+        context.side.server.kill()
+        recorded.room.set()
+        await task
+
+    context.run(_async_take())
+    context.answer = recorded
+    _print(context, taken=len(recorded.body))
+    assert len(recorded.body) < size
+
+
+@behave.then("the caller's stream is reset and not ended")
+def step_reset(context: runner.Context) -> None:
+    assert context.answer.reset_code is not None
+    assert not context.answer.ended
+
+
+@behave.when(
+    '{count:d} orders with a deadline of {deadline:g} s are sent'
+    ' while it freezes again and again'
+)
+def step_frozen_orders(
+    context: runner.Context, count: int, deadline: float
+) -> None:
+    async def _async_one(number: int) -> beside.Call:
+        await asyncio.sleep(number * GAP_S)
+        head = exchanges.order(f'order-{number}', x_deadline=deadline)
+        return await context.side.async_call(head, [b'{}'])
+
+    async def _async_freeze(until: float) -> None:
+        while time.monotonic() < until:
+            context.side.server.freeze()
+            await asyncio.sleep(FROZEN_S)
+            context.side.server.thaw()
+            await asyncio.sleep(THAWED_S)
+
+    async def _async_all() -> list[beside.Call]:
+        until = time.monotonic() + count * GAP_S
+        freezing = asyncio.create_task(_async_freeze(until))
+        calls = await asyncio.gather(*map(_async_one, range(count)))
+        await freezing
+        await asyncio.sleep(SETTLE_S)
+        return calls
+
+    context.deadline_s = deadline
+    context.calls = context.run(_async_all())
+    context.runs = context.run(context.side.async_report())['runs']
+    outcomes = [call.answer.outcome or 'answered' for call in context.calls]
+    unknown = outcomes.count('unknown')
+    _print(
+        context,
+        answered=outcomes.count('answered'),
+        not_run=outcomes.count('not-run'),
+        unknown=unknown,
+        unknown_share=round(unknown / count, 3),
+        unknown_that_ran=sum(
+            f'order-{number}' in context.runs
+            for number, outcome in enumerate(outcomes)
+            if outcome == 'unknown'
+        ),
+    )
+    assert unknown and outcomes.count('not-run')
+
+
+@behave.then('no order ran twice')
+def step_no_second_run(context: runner.Context) -> None:
+    assert max(context.runs.values()) == 1, context.runs
+
+
+@behave.then('no order that was refused as not run has run')
+def step_not_run(context: runner.Context) -> None:
+    for number, call in enumerate(context.calls):
+        if call.answer.outcome == 'not-run':
+            assert f'order-{number}' not in context.runs, call.answer.headers
+
+
+@behave.then('every order that was answered has run')
+def step_answered_ran(context: runner.Context) -> None:
+    for number, call in enumerate(context.calls):
+        if call.good:
+            assert context.runs[f'order-{number}'] == 1
+
+
+@behave.then(
+    'every order got its final answer within {most:d} ms of its deadline'
+)
+def step_answered_in_time(context: runner.Context, most: int) -> None:
+    slowest_s = max(call.took_s for call in context.calls)
+    _print(context, slowest_s=round(slowest_s, 3))
+    assert all(call.answer.ended for call in context.calls)
+    assert slowest_s <= context.deadline_s + most / 1000
+
+
+@behave.when(
+    'it is killed, {count:d} orders are sent and another takes its place'
+)
+def step_orders_refused(context: runner.Context, count: int) -> None:
+    side = context.side
+    side.server.kill()
+
+    async def _async_all() -> list[beside.Call]:
+        return await asyncio.gather(
+            *[
+                side.async_call(exchanges.order(f'order-{number}'), [b'{}'])
+                for number in range(count)
+            ]
+        )
+
+    context.calls = context.run(_async_all())
+    context.run(side.async_start_server())
+    context.runs = context.run(side.async_report())['runs']
+
+
+@behave.then('all {count:d} orders were refused as not run')
+def step_all_not_run(context: runner.Context, count: int) -> None:
+    outcomes = [call.answer.outcome for call in context.calls]
+    assert outcomes == ['not-run'] * count, outcomes
+
+
+@behave.then('none of them has run')
+def step_none_ran(context: runner.Context) -> None:
+    assert not context.runs, context.runs
+
+
+@behave.when('the handler drains with {count:d} requests in progress')
+def step_drain(context: runner.Context, count: int) -> None:
+    async def _async_drain() -> list[beside.Call]:
+        handler = context.side.handler
+        # Feeds and the queue both hold requests in progress.
+        tasks = [
+            asyncio.create_task(context.side.async_call(exchanges.head()))
+            for _ in range(count)
+        ]
+        await asyncio.sleep(0)
+        assert handler.requests_in_progress == count
+        await handler.async_drain()
+        context.open_after = handler.openness()
+        assert all(task.done() for task in tasks)
+        return await asyncio.gather(*tasks)
+
+    context.calls = context.run(_async_drain())
+
+
+@behave.then('all {count:d} requests are answered before the drain ends')
+def step_drained(context: runner.Context, count: int) -> None:
+    assert [call.good for call in context.calls] == [True] * count
+    assert context.open_after.state == 'leaving'
+    assert not context.open_after.accepts_flows
