Faults between any two processes: listen_address, paths through the proxy

A process announced the address that it bound, so nothing could stand between two instances. listen_address lets the two differ; the deployment uses it to put the fault proxy in front of an instance's control and data ports.

--- a/kumquatport/connection/quic/listener.py
+++ b/kumquatport/connection/quic/listener.py
@@ -32,16 +32,18 @@
     """Where an agent is and for whom it works.
 
     Attributes:
-        address: IPv4 number of the instance.
+        address: IPv4 number by which others reach the instance.
         port: UDP port that takes forwards.
         service_tag: Tag of the agent's service.
         domain_tag: Tag of the agent's failure domain.
+        listen_address: IPv4 number to bind; empty for ``address``.
     """
 
     address: str
     port: int
     service_tag: int
     domain_tag: int
+    listen_address: str = ''
 
 
 class Hooks(typing.NamedTuple):
@@ -122,7 +124,8 @@
             socket.SO_RCVBUF,
             _RECEIVE_BUFFER_BYTES,
         )
-        endpoint = (self._place.address, self._place.port)
+        address = self._place.listen_address or self._place.address
+        endpoint = (address, self._place.port)
         try:
             self._socket.bind(endpoint)
         except OSError as err:
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -119,6 +119,7 @@
             self._settings.data_port,
             tags.service_tag(self._settings.service),
             tags.failure_domain_tag(common.failure_domain),
+            common.listen_address,
         )
         hooks = listener.Hooks(
             may_open=self._may_open,
--- a/kumquatport/process/balancer/service.py
+++ b/kumquatport/process/balancer/service.py
@@ -31,7 +31,7 @@
         self._parts = instance_parts.build(common, role)
         self._membership = self._parts.membership
         self._entries = entries.Entries(
-            common.address,
+            common.listen_address,
             common.shared_key,
             self._membership.tables,
             self._parts.metrics.count,
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -59,7 +59,10 @@
         common = self._settings.common
         await self.add_runtime_dependency(
             status_server.Server(
-                common.address, common.status_port, self._status, self._metrics
+                common.listen_address,
+                common.status_port,
+                self._status,
+                self._metrics,
             )
         )
         if self._settings.tls is not None:
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -73,6 +73,7 @@
         common.shared_key,
         platform,
         documents.parse,
+        common.listen_address,
     )
     started_at = time.monotonic()
 
@@ -90,7 +91,7 @@
             common.instance,
         ),
         status=server.Server(
-            common.address,
+            common.listen_address,
             common.status_port,
             status,
             metrics,
--- a/kumquatport/process/settings/__init__.py
+++ b/kumquatport/process/settings/__init__.py
@@ -114,6 +114,10 @@
         failure_domain=checked[const.CONF_FAILURE_DOMAIN],
         region=checked[const.CONF_REGION],
         address=checked[const.CONF_ADDRESS],
+        listen_address=(
+            checked.get(const.CONF_LISTEN_ADDRESS)
+            or checked[const.CONF_ADDRESS]
+        ),
         control_port=checked[const.CONF_CONTROL_PORT],
         status_port=checked[const.CONF_STATUS_PORT],
         platform=models.PlatformSettings(**checked[const.CONF_PLATFORM]),
--- a/kumquatport/process/settings/models.py
+++ b/kumquatport/process/settings/models.py
@@ -63,7 +63,8 @@
         instance: Unique name of this instance.
         failure_domain: Failure domain this instance is in.
         region: Region the failure domain is in.
-        address: IPv4 address of this instance.
+        address: IPv4 address by which others reach this instance.
+        listen_address: IPv4 address that its sockets are bound to.
         control_port: TCP port for control messages; 0 for none.
         status_port: TCP port for status over HTTP.
         platform: The platform's object API.
@@ -77,6 +78,7 @@
     failure_domain: str
     region: str
     address: str
+    listen_address: str
     control_port: int
     status_port: int
     platform: PlatformSettings
--- a/kumquatport/process/settings/schema.py
+++ b/kumquatport/process/settings/schema.py
@@ -60,6 +60,7 @@
         vol.Required(const.CONF_FAILURE_DOMAIN): fields.name,
         vol.Required(const.CONF_REGION): fields.name,
         vol.Required(const.CONF_ADDRESS): fields.address,
+        vol.Optional(const.CONF_LISTEN_ADDRESS): fields.address,
         vol.Required(const.CONF_STATUS_PORT): fields.port,
         vol.Required(const.CONF_PLATFORM): _platform(),
         vol.Required(const.CONF_SHARED_KEY_FILE): files.secret(folder),
--- a/kumquatport/version/spread/membership.py
+++ b/kumquatport/version/spread/membership.py
@@ -48,6 +48,7 @@
         key: bytes,
         platform: platforms.PlatformClient,
         parse: currents.Parser,
+        listen_address: str = '',
     ) -> None:
         """Put the parts together; nothing is sent before the start.
 
@@ -57,6 +58,8 @@
             key: The shared key.
             platform: Client of the platform, started by the caller.
             parse: Turns the document's bytes into a document.
+            listen_address: Where control messages are taken; empty for the
+                record's address.
         """
         super().__init__()
         self.registry = members.Registry(clock.now)
@@ -67,7 +70,10 @@
         self.traffic = traffic.Traffic()
         control_key = frame.control_key(key)
         self.server = server.ControlServer(
-            own.address, own.control_port, control_key, self.traffic
+            listen_address or own.address,
+            own.control_port,
+            control_key,
+            self.traffic,
         )
         self._client = client.ControlClient(control_key, self.traffic)
         self._state = shared.share(
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -67,7 +67,7 @@
         self.processes: dict[str, processes.Process] = {}
         self.paths = fault_paths.FaultPaths(self.network.faults, options.faults)
         self._status: dict[str, str] = {}
-        self._balancers: dict[str, str] = {}
+        self._balancers: list[str] = []
         self._prepare()
 
     @property
@@ -103,11 +103,18 @@
 
     def address(self, name: str) -> str:
         """Tell the IP number of a balancer, agent or backend server."""
-        if name in self._balancers:
-            return self._balancers[name]
+        if name.startswith('balancer-'):
+            return self.network.balancer(int(name.split('-')[1]) - 1)
         index = self.agents.index(name.removesuffix('-server'))
         return self.network.agent(index)
 
+    def announced_address(self, name: str) -> str:
+        """Tell where others reach a balancer or agent."""
+        address = self.address(name)
+        if self.paths.matches(f'peers->{name}'):
+            return self.network.shadow(address)
+        return address
+
     def entry_port(self, service: str) -> int:
         """Tell the balancers' port for a service."""
         index = self.plan.service_names.index(service)
@@ -240,14 +247,13 @@
 
     def add_balancer(self) -> str:
         """Prepare one more balancer; return its name."""
-        number = len(self._balancers) + 1
-        name = f'balancer-{number}'
-        self._balancers[name] = self.network.balancer(number - 1)
+        name = f'balancer-{len(self._balancers) + 1}'
+        self._balancers.append(name)
         entries = settings.process(
             self._common(name),
             name,
             self.plan.failure_domain(name),
-            self._balancers[name],
+            self.announced_address(name),
         )
         self._add_own('balancer', entries)
         return name
@@ -294,13 +300,15 @@
         )
 
     def _seeds(self) -> tuple[str, ...]:
+        numbers = range(1, self.plan.balancers + 1)
+        balancers = [f'balancer-{number}' for number in numbers]
         return tuple(
-            f'{self.network.balancer(index)}:{settings.CONTROL_PORT}'
-            for index in range(self.plan.balancers)
+            f'{self.announced_address(name)}:{settings.CONTROL_PORT}'
+            for name in balancers
         )
 
     def _entry_address(self, balancer: str) -> str:
-        address = self._balancers[balancer]
+        address = self.address(balancer)
         shadow = self.network.shadow(address)
         entry = address
         for service in self.plan.service_names:
@@ -358,7 +366,7 @@
             self._common(name),
             name,
             self.plan.failure_domain(name),
-            address,
+            self.announced_address(name),
             service,
             self.paths.through(f'{name}->server', 'tcp', direct),
         )
@@ -376,12 +384,29 @@
 
     def _add_own(self, program: str, entries: settings.Settings) -> None:
         name = entries['instance']
+        address = entries['address']
+        if self.paths.matches(f'peers->{name}'):
+            address = self.address(name)
+            entries['listen_address'] = address
+            self._add_peer_paths(name, entries)
         path = settings.write(self.folder, entries)
         module = f'kumquatport.process.{program}'
         self._add(name, module, ['--settings', str(path)])
-        status = entries['address'], entries['status_port']
+        status = address, entries['status_port']
         self._status[name] = f'{_url(status)}/status'
 
+    def _add_peer_paths(self, name: str, entries: settings.Settings) -> None:
+        ports = [('control', 'tcp', settings.CONTROL_PORT)]
+        if 'data_port' in entries:
+            ports.append(('data', 'udp', settings.DATA_PORT))
+        for kind, protocol, port in ports:
+            self.paths.open(
+                f'peers->{name}/{kind}',
+                protocol,
+                (entries['listen_address'], port),
+                (entries['address'], port),
+            )
+
     def _add(self, name: str, module: str, options: list[str]) -> None:
         log = self.folder / f'{name}.log'
         process = processes.Process(name, module, options, log)
--- a/tests/fault_paths.py
+++ b/tests/fault_paths.py
@@ -12,8 +12,9 @@
     """Collects the proxy's links while settings are written.
 
     Names of paths: ``INSTANCE->platform``, ``AGENT->server``,
-    ``fabric->BALANCER/SERVICE``, ``callers->SERVICE``,
-    ``peers->INSTANCE/control`` and ``peers->AGENT/data``.
+    ``fabric->BALANCER/SERVICE`` and ``callers->SERVICE``. ``peers->INSTANCE``
+    stands for all that other instances send to it; its links are
+    ``peers->INSTANCE/control`` and, of an agent, ``peers->AGENT/data``.
     """
 
     def __init__(self, address: str, patterns: abc.Sequence[str]) -> None:
@@ -24,6 +25,7 @@
             patterns: Shell patterns of the names of paths.
         """
         self.links: dict[str, dict[str, typing.Any]] = {}
+        self._opened: dict[str, Endpoint] = {}
         self._address = address
         self._patterns = tuple(patterns)
 
@@ -53,7 +55,20 @@
         """
         if not self.matches(name):
             return target
+        return self.open(name, protocol, target, listen)
+
+    def open(
+        self,
+        name: str,
+        protocol: str,
+        target: Endpoint,
+        listen: Endpoint | None = None,
+    ) -> Endpoint:
+        """Open a path once, wanted or not; see ``through``."""
+        if name in self._opened:
+            return self._opened[name]
         here = listen or (self._address, FIRST_PORT + len(self.links))
+        self._opened[name] = here
         self.links[name] = {
             'protocol': protocol,
             'listen': _text(here),
--- a/tests/workload.py
+++ b/tests/workload.py
@@ -13,6 +13,7 @@
 PULL_BYTES = 250_000
 FEED_LINES = 2
 ANSWER_TIMEOUT_S = 15.0
+SHOWN_BYTES = 200
 RECEIPT_FIELDS = {'key', 'run', 'server'}
 
 
@@ -156,4 +157,6 @@
     right: bool,
 ) -> Outcome:
     result = str(answer.status)
+    if answer.status != 200:
+        result = f'{result} {answer.body[:SHOWN_BYTES].decode()}'
     return Outcome(service, kind, result, right, answer.seconds, server)
