--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -137,7 +137,7 @@
         failure_domain=own.failure_domain,
         state=own.state,
         release=kumquatport.__version__,
-        document_version=member.current.version,
+        document_version=member.shown_version or 0,
         uptime_s=time.monotonic() - started_at,
         member_counts=counts,
         members=[
