--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -73,6 +73,7 @@
         common.shared_key,
         platform,
         documents.parse,
+        common.listen_address,
     )
     control.observe(
         metrics,
@@ -95,7 +96,7 @@
             common.instance,
         ),
         status=server.Server(
-            common.address,
+            common.listen_address,
             common.status_port,
             status,
             metrics,
@@ -136,7 +137,7 @@
         failure_domain=own.failure_domain,
         state=own.state,
         release=kumquatport.__version__,
-        document_version=member.current.version,
+        document_version=member.shown_version or 0,
         uptime_s=time.monotonic() - started_at,
         member_counts=counts,
         members=[
--- a/tests/features/flows.feature
+++ b/tests/features/flows.feature
@@ -23,7 +23,7 @@
 
   @promise-1 @promise-2
   Scenario: Balancers that do not hear of changes for 30 seconds
-    Given flows through a lakes deployment with faults at "peers->balancer-2/control"
+    Given flows through a lakes deployment with faults at "peers->balancer-2"
     And 4 feeds and 2 workers at each service
     When balancer-2 hears of no change for 30 s while servers join and leave
     Then no flow is broken
