--- a/kumquatport/process/agent/__main__.py
+++ b/kumquatport/process/agent/__main__.py
@@ -4,6 +4,8 @@
 
 from kumquatport.process import program, settings
 from kumquatport.process.agent import const, service
+from kumquatport.process.settings import models
+from kumquatport.process.tls import source
 
 
 def main() -> int:
@@ -13,8 +15,13 @@
         settings.load_agent,
         service.Agent,
         description=const.DESCRIPTION,
+        check=_check,
     )
 
 
+def _check(loaded: models.AgentSettings) -> None:
+    source.load_files(loaded.tls)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/kumquatport/process/console/__main__.py
+++ b/kumquatport/process/console/__main__.py
@@ -4,6 +4,8 @@
 
 from kumquatport.process import program, settings
 from kumquatport.process.console import service
+from kumquatport.process.settings import models
+from kumquatport.process.tls import source
 
 
 def main() -> int:
@@ -14,8 +16,14 @@
         service.Console,
         description='Serves the forms with which operators change what is in '
         'force.',
+        check=_check,
     )
 
 
+def _check(loaded: models.ConsoleSettings) -> None:
+    if loaded.tls is not None:
+        source.load_files(loaded.tls)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -12,7 +12,7 @@
 from kumquatport import const as shared_const
 from kumquatport import exceptions
 from kumquatport.process.console import app, const, parts, passwords
-from kumquatport.process.metrics import registry
+from kumquatport.process.metrics import flusher, registry
 from kumquatport.process.platform import client as platform
 from kumquatport.process.settings import models
 from kumquatport.process.status import models as status_models
@@ -65,6 +65,14 @@
                 self._metrics,
             )
         )
+        await self.add_runtime_dependency(
+            flusher.Flusher(
+                common.statsd,
+                self._metrics,
+                shared_const.KIND_CONSOLE,
+                common.instance,
+            )
+        )
         if self._settings.tls is not None:
             await self.add_runtime_dependency(
                 watcher.Watcher(
--- /dev/null
+++ b/tests/features/steps/product.py
@@ -0,0 +1,299 @@
+"""Steps of settings, exit codes, logs, metrics and certificates."""
+
+import asyncio
+import json
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from collections import abc
+
+import behave
+import yaml
+from behave import runner
+
+from tests import deployment, processes, workload
+from tests.builders import settings
+from tests.standins import caller
+from tests.standins import caller_errors as errors
+
+SERVICE = 'storefront'
+KINDS = ('small', 'order', 'pull', 'feed')
+POLL_S = 0.2
+END_TIMEOUT_S = 20.0
+FEED_LINES = 3
+OPERATORS = [{'name': 'ama', 'password_hash': '$argon2id$hash'}]
+COMMON = settings.Common(
+    'accra', 'http://127.0.0.1:9', ('127.0.0.1', 9), ('127.0.0.1:9',)
+)
+TAKEN = {'balancer-1': 'balancer', 'storefront-1': 'agent'}
+PREFIX = 'kumquatport'
+
+
+def _entries(program: str) -> settings.Settings:
+    place = (COMMON, 'product-1', 'accra-a', '127.0.0.1')
+    if program == 'agent':
+        return settings.agent(*place, SERVICE, ('127.0.0.1', 9))
+    if program == 'console':
+        return settings.console(*place, OPERATORS)
+    return settings.process(*place)
+
+
+def _run(
+    program: str, path: pathlib.Path, *options: str
+) -> subprocess.CompletedProcess:
+    module = f'kumquatport.process.{program}'
+    return subprocess.run(
+        [sys.executable, '-m', module, '--settings', str(path), *options],
+        capture_output=True,
+        text=True,
+        timeout=END_TIMEOUT_S,
+        cwd=processes.ROOT,
+        check=False,
+    )
+
+
+def _make_certificate(folder: pathlib.Path) -> None:
+    script = processes.ROOT / 'script' / 'dev-certificate'
+    subprocess.run([sys.executable, script, folder], check=True)
+
+
+def _ours(context: runner.Context) -> list[processes.Process]:
+    target = context.deployment
+    return [
+        target.processes[name] for name in (*target.balancers, *target.agents)
+    ]
+
+
+def _lines(process: processes.Process) -> list[dict]:
+    return [json.loads(line) for line in process.log_text().splitlines()]
+
+
+def _until(seconds: float, holds: abc.Callable[[], bool]) -> bool:
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if holds():
+            return True
+        time.sleep(POLL_S)
+    return holds()
+
+
+def _is_served(context: runner.Context, ca: pathlib.Path) -> bool:
+    async def _async_ask() -> bool:
+        target = context.deployment
+        async with caller.connected(
+            target.service_endpoint(SERVICE),
+            ca,
+            SERVICE,
+            local=(target.caller_address, 0),
+        ) as connection:
+            return (await workload.async_small(connection, SERVICE)).right
+
+    try:
+        return context.run(_async_ask())
+    except errors.CallerError:
+        return False
+
+
+@behave.given('a product deployment')
+def step_deployment(context: runner.Context) -> None:
+    plan = deployment.accra(1, 1, 2)
+    context.deployment = deployment.Deployment(plan)
+    context.deployments.append(context.deployment)
+    context.deployment.start()
+
+
+@behave.given('a product caller that reads a feed of storefront')
+def step_feed(context: runner.Context) -> None:
+    async def _async_open() -> None:
+        target = context.deployment
+        context.feeder = await caller.async_connect(
+            target.service_endpoint(SERVICE),
+            target.ca,
+            SERVICE,
+            local=(target.caller_address, 0),
+        )
+        exchange = context.feeder.start('GET', '/feed', workload.TENANT)
+        context.feed = exchange.async_lines()
+        context.last = await anext(context.feed)
+
+    context.run(_async_open())
+
+
+@behave.when("the product's {program} is given settings with {change}")
+def step_malformed(context: runner.Context, program: str, change: str) -> None:
+    key, _, value = change.partition(': ')
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        settings.write_keys(folder)
+        entries = {**_entries(program), key: yaml.safe_load(value)}
+        context.ended = _run(program, settings.write(folder, entries))
+
+
+@behave.when("the product's certificate and key are replaced")
+def step_replace(context: runner.Context) -> None:
+    folder = context.deployment.folder
+    context.old_ca = folder / 'old.pem'
+    shutil.copy(context.deployment.ca, context.old_ca)
+    _make_certificate(folder)
+
+
+@behave.when("only the product's key is replaced")
+def step_replace_key(context: runner.Context) -> None:
+    with tempfile.TemporaryDirectory() as name:
+        _make_certificate(pathlib.Path(name))
+        key = pathlib.Path(name) / 'key.pem'
+        shutil.copy(key, context.deployment.folder / 'key.pem')
+
+
+@behave.when('{name} of the product has stopped')
+def step_stop(context: runner.Context, name: str) -> None:
+    process = context.deployment.processes[name]
+    process.term()
+    assert process.wait(END_TIMEOUT_S) == 0
+
+
+@behave.when('a second product process takes the settings of {name}')
+def step_second(context: runner.Context, name: str) -> None:
+    path = context.deployment.folder / f'{name}.yaml'
+    context.ended = _run(TAKEN[name], path)
+
+
+@behave.when('the product checks the settings of {name}')
+def step_check(context: runner.Context, name: str) -> None:
+    path = context.deployment.folder / f'{name}.yaml'
+    context.ended = _run(TAKEN[name], path, '--check')
+
+
+@behave.when('each kind of product request is sent to storefront')
+def step_requests(context: runner.Context) -> None:
+    outcomes = context.run(
+        workload.async_call(context.deployment, SERVICE, KINDS)
+    )
+    assert all(outcome.right for outcome in outcomes), outcomes
+
+
+@behave.then(
+    'that program exits with {code:d} and one line with {error_code}, '
+    'a line number and {key}'
+)
+def step_refused(
+    context: runner.Context, code: int, error_code: str, key: str
+) -> None:
+    assert context.ended.returncode == code, context.ended
+    (line,) = context.ended.stderr.splitlines()
+    told = json.loads(line)
+    assert told['code'] == error_code, told
+    assert re.search(rf':\d+: {re.escape(key)}: ', told['error']), told
+
+
+def _codes(context: runner.Context) -> list[str]:
+    lines = [json.loads(line) for line in context.ended.stderr.splitlines()]
+    return [line['code'] for line in lines if 'code' in line]
+
+
+@behave.then('that program exits with {code:d} and a line with {error_code}')
+def step_ended(context: runner.Context, code: int, error_code: str) -> None:
+    assert context.ended.returncode == code, context.ended
+    assert _codes(context) == [error_code], context.ended
+
+
+@behave.then('that program exits with {code:d} and no code')
+def step_ended_well(context: runner.Context, code: int) -> None:
+    assert context.ended.returncode == code, context.ended
+    assert not _codes(context), context.ended
+
+
+@behave.then(
+    'within {seconds:d} seconds new callers of the product are shown the new '
+    'certificate'
+)
+def step_new_certificate(context: runner.Context, seconds: int) -> None:
+    ca = context.deployment.ca
+    assert _until(seconds, lambda: _is_served(context, ca))
+    assert not _is_served(context, context.old_ca)
+
+
+@behave.then('that feed goes on')
+def step_feed_goes_on(context: runner.Context) -> None:
+    async def _async_read() -> list[str]:
+        async with asyncio.timeout(END_TIMEOUT_S):
+            return [await anext(context.feed) for _ in range(FEED_LINES)]
+
+    numbers = [int(context.last.split()[1])]
+    numbers += [int(line.split()[1]) for line in context.run(_async_read())]
+    first = numbers[0]
+    assert numbers == list(range(first, first + FEED_LINES + 1)), numbers
+    context.run(context.feeder.async_close())
+
+
+@behave.then('new callers of the product are still served')
+def step_still_served(context: runner.Context) -> None:
+    assert _is_served(context, context.deployment.ca)
+
+
+@behave.then(
+    "within {seconds:d} seconds the product's agents log {code} once each"
+)
+def step_logged_once(context: runner.Context, seconds: int, code: str) -> None:
+    def _counts() -> list[int]:
+        agents = [
+            context.deployment.processes[name]
+            for name in context.deployment.agents
+        ]
+        return [
+            sum(line.get('code') == code for line in _lines(agent))
+            for agent in agents
+        ]
+
+    assert _until(seconds, lambda: all(_counts())), _counts()
+    time.sleep(seconds / 2)
+    assert set(_counts()) == {1}, _counts()
+
+
+@behave.then('no log of the product holds a key')
+def step_no_key(context: runner.Context) -> None:
+    folder = context.deployment.folder
+    private = (folder / 'key.pem').read_text().splitlines()[1:-1]
+    secrets = [*private, settings.SHARED_KEY, settings.SESSION_KEY]
+    for process in _ours(context):
+        text = process.log_text()
+        assert text
+        assert not any(secret in text for secret in secrets), process.name
+
+
+@behave.then("within {seconds:d} seconds the product's receiver has")
+def step_metrics(context: runner.Context, seconds: int) -> None:
+    wanted = {f'{PREFIX}.{row["metric"]}' for row in context.table}
+
+    def _missing() -> set[str]:
+        report = context.deployment.status('statsd')
+        assert not report['malformed'], report
+        return wanted - set(report['counters']) - set(report['gauges'])
+
+    assert _until(seconds, lambda: not _missing()), _missing()
+
+
+@behave.then(
+    "every line of the product's logs names its instance and failure domain"
+)
+def step_lines(context: runner.Context) -> None:
+    for process in _ours(context):
+        lines = _lines(process)
+        assert lines
+        for line in lines:
+            assert line['instance'] == process.name, line
+            domain = context.deployment.plan.failure_domain(process.name)
+            assert line['failure_domain'] == domain, line
+
+
+@behave.then("each of the product's programs exits with {code:d} on SIGTERM")
+def step_sigterm(context: runner.Context, code: int) -> None:
+    ending = _ours(context)
+    for process in ending:
+        process.term()
+    codes = {process.name: process.wait(END_TIMEOUT_S) for process in ending}
+    assert set(codes.values()) == {code}, codes
