Unit tests of queue, limit, sending, headers, budget and policy

Sending is tested against a raw server that reads and cuts the connection: six requests that must not run twice, one for each method, arrive as 6.

--- /dev/null
+++ b/tests/unit/request/test_limit.py
@@ -0,0 +1,98 @@
+"""The limit that follows latency."""
+
+import unittest
+
+from hypothesis import given, settings, strategies
+
+from kumquatport.request.limit import const, gradient, sample
+
+BOUNDS = sample.Bounds(slots=5, start_share=0.1, double_s=2.0)
+NORMAL_S = 0.05
+
+
+class Server:
+    """Feeds a limit with answers of one latency after another."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.state = sample.begin(BOUNDS, self.now)
+
+    def answer(self, latency_s, count=1, result=sample.Result.answered):
+        for _ in range(count):
+            in_progress = int(self.state.value)
+            self.now += latency_s / in_progress
+            observed = sample.Sample(
+                'order', latency_s, in_progress, result, self.now
+            )
+            self.state = gradient.step(self.state, observed, BOUNDS)
+
+    def warm(self):
+        while not self.state.confirmed:
+            self.answer(NORMAL_S)
+            assert self.now < 60
+
+
+class GradientTest(unittest.TestCase):
+    """What moves the limit."""
+
+    def setUp(self):
+        self.server = Server()
+
+    def test_grows_to_all_slots_on_a_warm_server(self):
+        self.server.warm()
+        self.assertEqual(self.server.state.value, 5)
+        self.assertLess(self.server.now, 10)
+
+    def test_does_not_grow_while_latency_falls_slowly(self):
+        while self.server.now < 8:
+            self.server.answer(NORMAL_S * (1 - 0.08 * self.server.now))
+        self.assertLess(self.server.state.value, 4)
+
+    def test_three_slow_answers_start_it_slowly(self):
+        self.server.warm()
+        self.server.answer(4 * NORMAL_S, const.STREAK_SLOW)
+        self.assertEqual(self.server.state.value, BOUNDS.start)
+
+    def test_a_passing_stall_costs_little(self):
+        self.server.warm()
+        self.server.answer(4 * NORMAL_S, const.STREAK_SLOW)
+        self.server.answer(NORMAL_S, const.TRIAL_SAMPLES)
+        self.assertGreaterEqual(self.server.state.value, 4)
+
+    def test_stays_low_while_the_server_stays_slow(self):
+        self.server.warm()
+        self.server.answer(4 * NORMAL_S, 40)
+        self.assertLess(self.server.state.value, 2)
+
+    def test_a_lasting_change_becomes_normal(self):
+        self.server.warm()
+        self.server.answer(1.5 * NORMAL_S, 20000)
+        self.assertEqual(self.server.state.value, 5)
+
+    def test_refusals_shrink_it_once_for_each_round(self):
+        self.server.warm()
+        self.server.answer(NORMAL_S, 1, sample.Result.shed)
+        once = self.server.state.value
+        self.assertAlmostEqual(once, 5 * const.BACK_OFF)
+
+    def test_a_lost_server_starts_slowly(self):
+        self.server.warm()
+        self.server.answer(NORMAL_S, 1, sample.Result.unreachable)
+        self.assertEqual(self.server.state.value, BOUNDS.start)
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0.0001, 10),
+                strategies.sampled_from(sample.Result),
+            ),
+            max_size=80,
+        )
+    )
+    def test_stays_within_its_bounds(self, answers):
+        server = Server()
+        for latency_s, result in answers:
+            server.answer(latency_s, 1, result)
+            self.assertGreaterEqual(server.state.value, BOUNDS.start)
+            self.assertLessEqual(server.state.value, BOUNDS.slots)
--- /dev/null
+++ b/tests/unit/request/test_queue.py
@@ -0,0 +1,178 @@
+"""The fair queue and the admission in front of it."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings, strategies
+
+from kumquatport.request import errors, policy
+from kumquatport.request.admission import admission, feeds
+from kumquatport.request.limit import fixed, limit, sample
+from kumquatport.request.queue import fair, waiter
+
+SHARES = {'guild': 3.0, 'default': 1.0}
+BOUNDS = sample.Bounds(slots=2, start_share=1.0, double_s=1.0)
+
+
+def ticket(tenant='guild', class_name='order', cost_s=1.0, deadline_at=9.0):
+    return waiter.Ticket(tenant, class_name, cost_s, deadline_at)
+
+
+def waiting(*args, **kwargs):
+    return waiter.Waiter(ticket(*args, **kwargs), asyncio.Future())
+
+
+class FairQueueTest(unittest.IsolatedAsyncioTestCase):
+    """Turns in proportion to shares."""
+
+    def setUp(self):
+        self.queue = fair.FairQueue()
+        self.queue.configure(SHARES)
+
+    def pop_tenants(self, count):
+        return [self.queue.pop().ticket.tenant for _ in range(count)]
+
+    async def test_tenants_by_share(self):
+        for _ in range(40):
+            self.queue.push(waiting('guild'))
+            self.queue.push(waiting('default'))
+        popped = self.pop_tenants(40)
+        self.assertEqual(popped.count('guild'), 30)
+
+    async def test_an_idle_tenant_saves_up_nothing(self):
+        for _ in range(40):
+            self.queue.push(waiting('default'))
+        self.pop_tenants(20)
+        for _ in range(40):
+            self.queue.push(waiting('guild'))
+        self.assertLessEqual(self.pop_tenants(8).count('guild'), 7)
+
+    async def test_cost_counts_not_number(self):
+        for _ in range(40):
+            self.queue.push(waiting('guild', cost_s=3.0))
+            self.queue.push(waiting('default', cost_s=1.0))
+        popped = self.pop_tenants(40)
+        self.assertEqual(popped.count('guild'), 20)
+
+    async def test_classes_of_a_tenant_take_turns(self):
+        for _ in range(20):
+            self.queue.push(waiting(class_name='pull'))
+        self.queue.push(waiting(class_name='order'))
+        popped = [self.queue.pop().ticket.class_name for _ in range(2)]
+        self.assertIn('order', popped)
+
+    async def test_earliest_deadline_first(self):
+        late = waiting(deadline_at=5.0)
+        soon = waiting(deadline_at=1.0)
+        self.queue.push(late)
+        self.queue.push(soon)
+        self.assertIs(self.queue.pop(), soon)
+
+    async def test_evicts_from_the_greediest(self):
+        for _ in range(3):
+            self.queue.push(waiting('default'))
+        for _ in range(4):
+            self.queue.push(waiting('guild'))
+        self.assertEqual(self.queue.evict().ticket.tenant, 'default')
+
+    @settings(max_examples=50, deadline=None)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(['guild', 'default']),
+                strategies.sampled_from(['order', 'pull']),
+                strategies.sampled_from(['push', 'pop', 'discard', 'evict']),
+            ),
+            max_size=60,
+        )
+    )
+    def test_nothing_is_lost_or_doubled(self, steps):
+        asyncio.run(self.async_check(steps))
+
+    async def async_check(self, steps):
+        queue = fair.FairQueue()
+        queue.configure(SHARES)
+        held = []
+        for tenant, class_name, step in steps:
+            if step == 'push':
+                held.append(waiting(tenant, class_name))
+                queue.push(held[-1])
+            elif held and step == 'pop':
+                held.remove(queue.pop())
+            elif held and step == 'discard':
+                queue.discard(held.pop(0))
+            elif held:
+                held.remove(queue.evict())
+            self.assertEqual(len(queue), len(held))
+            self.assertAlmostEqual(queue.queued_s, len(held))
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """Slots, places in the queue and refusals at once."""
+
+    async def asyncSetUp(self):
+        self.clock = asyncio.get_running_loop().time
+        self.gate = self.make(queue_s=0.05, queue_length=2)
+
+    def make(self, **limits):
+        learnt = limit.Limit(BOUNDS, self.clock, fixed.step)
+        gate = admission.Admission(learnt, self.clock)
+        gate.configure(
+            policy.Policy('desk', (), SHARES, policy.Limits(**limits))
+        )
+        return gate
+
+    def ticket(self, left_s=5.0, cost_s=0.01, tenant='guild'):
+        return ticket(tenant, 'order', cost_s, self.clock() + left_s)
+
+    async def fill(self):
+        return [await self.gate.async_acquire(self.ticket()) for _ in range(2)]
+
+    async def test_no_time_left(self):
+        with self.assertRaises(errors.DeadlineUnmeetableError):
+            await self.gate.async_acquire(self.ticket(left_s=0))
+
+    async def test_waits_no_longer_than_it_may(self):
+        await self.fill()
+        with self.assertRaises(errors.QueueTimeoutError) as caught:
+            await self.gate.async_acquire(self.ticket())
+        self.assertGreaterEqual(caught.exception.retry_after_s, 1)
+        self.assertEqual(self.gate.queued, 0)
+
+    async def test_a_wait_too_long_is_refused_at_once(self):
+        await self.fill()
+        with self.assertRaises(errors.QueueFullError):
+            await self.gate.async_acquire(self.ticket(cost_s=1.0))
+
+    async def test_length_is_bounded(self):
+        await self.fill()
+        calls = [
+            self.gate.async_acquire(self.ticket(cost_s=0.001)) for _ in range(3)
+        ]
+        ended = await asyncio.gather(*calls, return_exceptions=True)
+        kinds = {type(error) for error in ended}
+        self.assertIn(errors.QueueFullError, kinds)
+
+    async def test_a_slot_is_given_back_once(self):
+        slots = await self.fill()
+        slots[0].release()
+        slots[0].release()
+        self.assertEqual(self.gate.in_progress, 1)
+
+    async def test_cancelled_while_granted_leaves_no_slot_held(self):
+        slots = await self.fill()
+        task = asyncio.create_task(self.gate.async_acquire(self.ticket()))
+        await asyncio.sleep(0)
+        slots[0].release()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.gate.in_progress, 1)
+
+    async def test_feeds_are_bounded_by_connections(self):
+        held = feeds.Feeds()
+        held.configure(policy.Limits(slots=2, connections=5))
+        held.begin()
+        with self.assertRaises(errors.ConnectionsFullError):
+            held.begin()
+        held.end()
+        held.begin()
--- /dev/null
+++ b/tests/unit/request/test_sending.py
@@ -0,0 +1,228 @@
+"""What goes to the backend server: once, clean, and truly reported."""
+
+import asyncio
+import unittest
+
+from kumquatport.request import errors, messages, policy
+from kumquatport.request.budget import budget
+from kumquatport.request.limit import limit, sample
+from kumquatport.request.proxy import body, carrier, client, headers, job
+from tests.builders import exchanges
+
+ADDRESS = '127.50.9.1'
+PORT = 8000
+BOUNDS = sample.Bounds(slots=5, start_share=1.0, double_s=1.0)
+
+
+class Endpoint:
+    """Where the raw server listens."""
+
+    address = ADDRESS
+    port = PORT
+
+
+class RawServer:
+    """Reads requests and does with them what the test says."""
+
+    def __init__(self, answers):
+        self.requests = []
+        self._answers = list(answers)
+
+    async def async_serve(self, reader, writer):
+        try:
+            while True:
+                self.requests.append(await reader.readuntil(b'\r\n\r\n'))
+                answer = self._answers.pop(0) if self._answers else b''
+                writer.write(answer)
+                if not answer:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+class SendingTest(unittest.IsolatedAsyncioTestCase):
+    """The client and its tries against a raw server."""
+
+    async def asyncSetUp(self):
+        self.clock = asyncio.get_running_loop().time
+        self.client = client.BackendServerClient(Endpoint())
+        await self.client.async_setup()
+        self.addAsyncCleanup(self.client.async_stop)
+        self.retries = budget.RetryBudget(1.0)
+        learnt = limit.Limit(BOUNDS, self.clock)
+        self.carrier = carrier.Carrier(
+            self.client, learnt, self.retries, self.clock, lambda: 0
+        )
+
+    async def serve(self, *answers):
+        raw = RawServer(answers)
+        served = await asyncio.start_server(raw.async_serve, ADDRESS, PORT)
+        self.addCleanup(served.close)
+        return raw
+
+    async def open(self, method='GET', repeatable=False, left_s=1.0, **fields):
+        head = exchanges.head(method, '/orders', **fields)
+        exchange = exchanges.Recorded().exchange
+        read = body.RequestBody(exchange)
+        await read.async_prefetch()
+        asked = job.Job(
+            head=head,
+            exchange=exchange,
+            body=read,
+            request_class=policy.RequestClass(repeatable=repeatable),
+            tenant='default',
+            service='desk',
+            deadline_at=self.clock() + left_s,
+            arrived_at=self.clock(),
+        )
+        response = await self.carrier.async_open(asked, 1)
+        response.close()
+
+    async def test_never_sent_a_second_time(self):
+        raw = await self.serve()
+        methods = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST')
+        for method in methods:
+            with self.subTest(method):
+                with self.assertRaises(errors.AnswerMissingError):
+                    await self.open(method)
+        self.assertEqual(len(raw.requests), len(methods))
+
+    async def test_repeatable_is_sent_again_and_marked(self):
+        raw = await self.serve(b'', b'HTTP/1.1 204 No Content\r\n\r\n')
+        await self.open(repeatable=True)
+        self.assertEqual(len(raw.requests), 2)
+        self.assertNotIn(b'x-kumquatport-retry', raw.requests[0].lower())
+        self.assertIn(b'x-kumquatport-retry: 1', raw.requests[1].lower())
+
+    async def test_a_retry_of_the_caller_is_not_retried(self):
+        raw = await self.serve()
+        with self.assertRaises(errors.AnswerMissingError):
+            await self.open(repeatable=True, x_kumquatport_retry=1)
+        self.assertEqual(len(raw.requests), 1)
+
+    async def test_no_retry_without_budget(self):
+        self.retries.configure(0.1)
+        raw = await self.serve()
+        with self.assertRaises(errors.AnswerMissingError):
+            await self.open(repeatable=True)
+        self.assertEqual(len(raw.requests), 1)
+
+    async def test_nothing_listens(self):
+        with self.assertRaises(errors.BackendServerUnreachableError):
+            await self.open('POST')
+
+    async def test_silence_until_the_deadline(self):
+        silent = asyncio.Event()
+
+        async def _async_serve(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            self.assertEqual(await reader.read(), b'')
+            silent.set()
+            writer.close()
+
+        served = await asyncio.start_server(_async_serve, ADDRESS, PORT)
+        self.addCleanup(served.close)
+        with self.assertRaises(errors.AnswerTimeoutError):
+            await self.open('POST', left_s=0.1)
+        # The connection is closed, so the backend server can stop too.
+        await asyncio.wait_for(silent.wait(), 1)
+
+    async def test_headers_sent(self):
+        raw = await self.serve(b'HTTP/1.1 204 No Content\r\n\r\n')
+        await self.open(
+            'POST',
+            connection='x-drop',
+            x_drop=1,
+            x_kumquatport_service='other',
+            x_deadline='0.5',
+            x_keep=2,
+        )
+        sent = raw.requests[0].lower()
+        self.assertIn(b'host: shop.example', sent)
+        self.assertIn(b'x-kumquatport-service: desk', sent)
+        self.assertIn(b'x-keep: 2', sent)
+        self.assertEqual(sent.count(b'x-deadline'), 1)
+        self.assertNotIn(b'x-drop', sent)
+        self.assertNotIn(b'other', sent)
+
+
+class HeadersTest(unittest.TestCase):
+    """Heads that can't be carried."""
+
+    def test_refused(self):
+        cases = {
+            'split path': exchanges.head(path='/a\r\nb'),
+            'space in path': exchanges.head(path='/a b'),
+            'no path': exchanges.head(path='a'),
+            'split value': exchanges.head(x_a='1\r\nx-b: 2'),
+            'upper case name': exchanges.head(X_A='1'),
+        }
+        for name, head in cases.items():
+            with self.subTest(name):
+                with self.assertRaises(errors.RequestMalformedError):
+                    headers.check(head)
+
+    def test_too_large(self):
+        with self.assertRaises(errors.HeadersTooLargeError):
+            headers.check(exchanges.head(x_a='a' * 20000))
+
+    def test_answers_lose_what_belongs_to_the_connection(self):
+        kept = headers.to_caller(
+            (
+                ('Connection', 'close, X-Gone'),
+                ('X-Gone', '1'),
+                ('Transfer-Encoding', 'chunked'),
+                ('X-Kumquatport-Outcome', 'not-run'),
+                ('X-Checksum', 'ab'),
+            )
+        )
+        self.assertEqual(kept, (('x-checksum', 'ab'),))
+
+
+class BudgetTest(unittest.TestCase):
+    """Retries stay below their share."""
+
+    def test_share(self):
+        retries = budget.RetryBudget(0.1)
+        spent = 0
+        for number in range(1, 1001):
+            retries.earn()
+            spent += retries.spend()
+            self.assertLessEqual(spent, 0.1 * number + 1e-9)
+        self.assertGreaterEqual(spent, 99)
+
+
+class PolicyTest(unittest.TestCase):
+    """Classes and tenants of a request."""
+
+    def setUp(self):
+        self.policy = policy.build(
+            {
+                'name': 'desk',
+                'classes': [
+                    {
+                        'name': 'sign-off',
+                        'methods': ['POST'],
+                        'path_prefix': '/sign',
+                        'repeatable': False,
+                        'deadline_s': None,
+                    },
+                ],
+                'tenants': [{'name': 'hangar', 'share': 2}],
+            }
+        )
+
+    def test_class(self):
+        signed = policy.classify(self.policy, exchanges.head('POST', '/sign/1'))
+        self.assertEqual(signed.name, 'sign-off')
+        other = policy.classify(self.policy, exchanges.head('POST', '/x'))
+        self.assertFalse(other.repeatable)
+        read = policy.classify(self.policy, exchanges.head('GET', '/x'))
+        self.assertTrue(read.repeatable)
+
+    def test_tenant(self):
+        known: messages.Headers = (('x-tenant', 'hangar'),)
+        self.assertEqual(policy.tenant_of(self.policy, known), 'hangar')
+        unknown: messages.Headers = (('x-tenant', 'nobody'),)
+        self.assertEqual(policy.tenant_of(self.policy, unknown), 'default')
