--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -12,7 +12,7 @@
 from kumquatport import const as shared_const
 from kumquatport import exceptions
 from kumquatport.process.console import app, const, parts, passwords
-from kumquatport.process.metrics import registry
+from kumquatport.process.metrics import flusher, registry
 from kumquatport.process.platform import client as platform
 from kumquatport.process.settings import models
 from kumquatport.process.status import models as status_models
@@ -59,7 +59,18 @@
         common = self._settings.common
         await self.add_runtime_dependency(
             status_server.Server(
-                common.address, common.status_port, self._status, self._metrics
+                common.listen_address,
+                common.status_port,
+                self._status,
+                self._metrics,
+            )
+        )
+        await self.add_runtime_dependency(
+            flusher.Flusher(
+                common.statsd,
+                self._metrics,
+                shared_const.KIND_CONSOLE,
+                common.instance,
             )
         )
         if self._settings.tls is not None:
