Agents are told only what changed; what control costs, with slopes

bench/bench_control.py measures one balancer among others at 10, 30 and 100 agents, 3, 10 and 30 balancers, and 0 to 30 changed records a second.

--- /dev/null
+++ b/bench/bench_control.py
@@ -0,0 +1,258 @@
+"""What control costs a balancer, with its slopes.
+
+The slopes of ``docs/CAPACITY.md``: by observed agents, by balancers, by
+changed records, by records held, by the size of the document. Bytes on the
+wire are the frames' and, for each message, ``WIRE_BYTES`` for nng, TCP and IP.
+"""
+
+import contextlib
+import multiprocessing
+import statistics
+import time
+import tracemalloc
+import typing
+from collections import abc
+
+from bench import control_children, figure
+from kumquatport.version import members
+from kumquatport.version.spread import delta
+from tests import network
+from tests.builders import documents
+from tests.builders import members as builders
+
+SETTLE_S = 4.0
+MEASURE_S = 6.0
+WIRE_BYTES = 116
+BUDGET_BYTES_PER_S = 25_000
+BUDGET_CORE_SHARE = 0.034
+AGENTS = (10, 30, 100)
+BALANCERS = (3, 10, 30)
+CHANGES_PER_S = (0, 1, 10, 30)
+MOST_OBSERVED = 35
+MOST_CHANGES_PER_S = 1
+RECORDS = (1000, 3000, 10_000)
+SERVICES = (10, 100, 1000)
+_SPAWN = multiprocessing.get_context('spawn')
+
+Crowd = control_children.Crowd
+
+
+class Cost(typing.NamedTuple):
+    """What a balancer spends in a second, and what it holds."""
+
+    wire_bytes: float
+    messages: float
+    core_share: float
+    resident_bytes: int
+    observed: int
+
+
+def run() -> abc.Iterator[figure.Figure]:
+    """Measure costs at several sizes and their slopes."""
+    yield from _by_agents()
+    yield from _by_balancers()
+    yield from _by_changes()
+    yield from _by_records()
+    yield from _by_document()
+
+
+def _by_agents() -> abc.Iterator[figure.Figure]:
+    costs = [_measure(Crowd(3, count, 0)) for count in AGENTS]
+    for count, cost in zip(AGENTS, costs):
+        usual = cost.observed <= MOST_OBSERVED
+        yield from _costs(f'control.idle_{count}_agents', cost, usual=usual)
+    observed = [cost.observed for cost in costs]
+    yield _slope(
+        'control.bytes_per_s_for_one_observed',
+        observed,
+        [cost.wire_bytes for cost in costs],
+        'B/s',
+    )
+    yield _slope(
+        'control.processor_us_per_s_for_one_observed',
+        observed,
+        [cost.core_share * 1e6 for cost in costs],
+        'us/s',
+    )
+
+
+def _by_balancers() -> abc.Iterator[figure.Figure]:
+    costs = [_measure(Crowd(count, 30, 0)) for count in BALANCERS]
+    for count, cost in zip(BALANCERS, costs):
+        label = f'control.idle_30_agents_{count}_balancers'
+        yield from _costs(label, cost, usual=True)
+
+
+def _by_changes() -> abc.Iterator[figure.Figure]:
+    costs = [_measure(Crowd(3, 30, rate)) for rate in CHANGES_PER_S]
+    for rate, cost in zip(CHANGES_PER_S, costs):
+        usual = rate <= MOST_CHANGES_PER_S
+        label = f'control.churn_{rate}_changes_per_s'
+        yield from _costs(label, cost, usual=usual)
+    yield _slope(
+        'control.bytes_for_one_changed_record',
+        CHANGES_PER_S,
+        [cost.wire_bytes for cost in costs],
+        'B',
+    )
+    yield _slope(
+        'control.processor_us_for_one_changed_record',
+        CHANGES_PER_S,
+        [cost.core_share * 1e6 for cost in costs],
+        'us',
+    )
+
+
+def _by_records() -> abc.Iterator[figure.Figure]:
+    sizes, spent = zip(*(_fill(count) for count in RECORDS))
+    yield _slope('control.bytes_of_one_record_held', RECORDS, sizes, 'B')
+    per_record = [
+        seconds * 1e6 / count for seconds, count in zip(spent, RECORDS)
+    ]
+    mean = statistics.mean(per_record)
+    yield figure.plain('control.processor_us_of_one_merge', mean, 'us')
+
+
+def _by_document() -> abc.Iterator[figure.Figure]:
+    whole = []
+    for count in SERVICES:
+        before, after = _documents(count)
+        started = time.process_time()
+        update = delta.between(1, before, 2, after)
+        spent = time.process_time() - started
+        size = sum(
+            len(part) if isinstance(part, bytes) else 10
+            for part in update.parts
+        )
+        whole.append(len(after))
+        label = f'control.one_change_of_{count}_services'
+        yield figure.plain(f'{label}_delta_bytes', size, 'B')
+        yield figure.plain(f'{label}_whole_bytes', len(after), 'B')
+        yield figure.plain(f'{label}_processor_ms', spent * 1000, 'ms')
+    yield _slope('control.document_bytes_for_one_service', SERVICES, whole, 'B')
+
+
+def _costs(
+    label: str,
+    cost: Cost,
+    *,
+    usual: bool,
+) -> abc.Iterator[figure.Figure]:
+    """Yield the figures of one size; only usual loads have bounds."""
+    wire, core = f'{label}_wire', f'{label}_core'
+    if usual:
+        most = BUDGET_BYTES_PER_S
+        yield figure.at_most(wire, cost.wire_bytes, 'B/s', most)
+        most_core = BUDGET_CORE_SHARE
+        yield figure.at_most(core, cost.core_share, 'share', most_core)
+    else:
+        yield figure.plain(wire, cost.wire_bytes, 'B/s')
+        yield figure.plain(core, cost.core_share, 'share')
+    yield figure.plain(f'{label}_messages', cost.messages, '1/s')
+    yield figure.plain(f'{label}_observed', cost.observed, 'instances')
+    yield figure.plain(f'{label}_resident', cost.resident_bytes, 'B')
+
+
+def _slope(
+    name: str,
+    sizes: abc.Sequence[float],
+    values: abc.Sequence[float],
+    unit: str,
+) -> figure.Figure:
+    slope = statistics.linear_regression(sizes, values).slope
+    return figure.plain(name, slope, unit)
+
+
+def _measure(crowd: Crowd) -> Cost:
+    claimed = (network.Network(), network.Network())
+    networks = control_children.Networks(*(each.prefix for each in claimed))
+    with contextlib.ExitStack() as stack:
+        for each in claimed:
+            stack.callback(each.close)
+        one = _start(stack, control_children.run_measured, networks)
+        _start(stack, control_children.run_crowd, networks, crowd)
+        time.sleep(SETTLE_S + crowd.balancers / 10)
+        before = _ask(one)
+        time.sleep(MEASURE_S)
+        return _cost(before, _ask(one))
+
+
+def _start(
+    stack: contextlib.ExitStack,
+    target: abc.Callable[..., None],
+    *given: typing.Any,
+) -> typing.Any:
+    near, far = _SPAWN.Pipe()
+    child = _SPAWN.Process(target=target, args=(far, *given))
+    child.start()
+    far.close()
+    stack.callback(child.join)
+    stack.callback(near.close)
+    return near
+
+
+def _ask(pipe: typing.Any) -> control_children.Usage:
+    pipe.send(True)
+    return typing.cast(control_children.Usage, pipe.recv())
+
+
+def _cost(
+    before: control_children.Usage,
+    after: control_children.Usage,
+) -> Cost:
+    messages = after.messages - before.messages
+    frames = after.frame_bytes - before.frame_bytes
+    return Cost(
+        (frames + messages * WIRE_BYTES) / MEASURE_S,
+        messages / MEASURE_S,
+        (after.processor_s - before.processor_s) / MEASURE_S,
+        after.resident_bytes,
+        after.observed,
+    )
+
+
+def _fill(count: int) -> tuple[int, float]:
+    """Fill a registry; return its bytes and the processor seconds."""
+    records = [
+        builders.agent(instance=f'agent-{number}', service=f's-{number // 6}')
+        for number in range(count)
+    ]
+    started = time.process_time()
+    _registry(records)
+    spent = time.process_time() - started
+    tracemalloc.start()
+    kept = _registry(
+        [
+            builders.agent(instance=f'a-{number}', service=f's-{number // 6}')
+            for number in range(count)
+        ],
+    )
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size, spent / len(kept) * count
+
+
+def _registry(
+    records: abc.Iterable[members.InstanceRecord],
+) -> members.Registry:
+    registry = members.Registry()
+    for record in records:
+        registry.merge(record)
+    return registry
+
+
+def _documents(count: int) -> tuple[bytes, bytes]:
+    """Build a document before and after a failure domain is taken out."""
+    services = [
+        documents.service(f'service-{number}', '127.0.0.1:4433', 20001 + number)
+        for number in range(count)
+    ]
+    domains = ('accra-a', 'accra-b', 'accra-c')
+    return (
+        documents.encode(documents.document('accra', domains, services)),
+        documents.encode(
+            documents.document(
+                'accra', domains, services, out=('accra-b',), base_version=1
+            ),
+        ),
+    )
--- a/kumquatport/version/members/registry.py
+++ b/kumquatport/version/members/registry.py
@@ -23,6 +23,7 @@
     record: records.InstanceRecord
     fingerprint: int
     departed_at: float
+    revision: int
 
 
 class Registry:
@@ -48,9 +49,15 @@
         ]
         self._digests = [0 for _ in range(const.DIGEST_BUCKETS)]
         self._total = 0
+        self._revision = 0
         self._defender: Defender | None = None
         self._listeners: listeners.Listeners[Listener] = listeners.Listeners()
 
+    @property
+    def revision(self) -> int:
+        """Return a count of the changes so far, in this process only."""
+        return self._revision
+
     def __len__(self) -> int:
         """Return how many records are held, tombstones included."""
         return len(self._entries)
@@ -120,6 +127,18 @@
         self._listeners.notify(record, held.record if held else None)
         return True
 
+    def changed_since(
+        self,
+        revision: int,
+        instances: abc.Iterable[records.InstanceRecord],
+    ) -> tuple[records.InstanceRecord, ...]:
+        """Return those of some held records that changed after a revision."""
+        return tuple(
+            record
+            for record in instances
+            if self._entries[record.instance].revision > revision
+        )
+
     def lapsed_balancers(self) -> tuple[records.InstanceRecord, ...]:
         """Return the balancers whose lease lapsed; they may be cut off."""
         return tuple(
@@ -192,7 +211,13 @@
     ) -> None:
         if held is not None:
             self._remove(held)
-        entry = _Entry(record, records.fingerprint(record), self._clock())
+        self._revision += 1
+        entry = _Entry(
+            record,
+            records.fingerprint(record),
+            self._clock(),
+            self._revision,
+        )
         self._entries[record.instance] = entry
         self._buckets[bucket_of(record.instance)][record.instance] = None
         if records.is_departed(record):
--- a/kumquatport/version/spread/announcer.py
+++ b/kumquatport/version/spread/announcer.py
@@ -52,6 +52,8 @@
         self._peers = known
         self._documents = fetcher
         self._told: dict[str, int] = {}
+        self._beats = 0
+        self._asked = ''
         self._listing_due: float = 0
         self._changed = asyncio.Event()
         self._confirmed = False
@@ -88,6 +90,10 @@
             How many answered.
         """
         targets = self._peers.observers()
+        self._beats += 1
+        if targets:
+            # One observer at a time tells of the other agents.
+            self._asked = targets[self._beats % len(targets)].endpoint
         failed = await self._async_round(targets)
         if failed:
             instead = self._peers.in_stead(failed)[: len(failed)]
@@ -171,13 +177,15 @@
             sequence=own.sequence,
             version=self._state.current.version,
             fresh=self._state.freshness.is_fresh(),
-            digest=slices.digest(
-                self._state.registry, own.service, own.instance
-            ),
+            digest=self._digest() if target.endpoint == self._asked else 0,
             wants_peers=self._wants_peers(target),
             record=None if told else own,
         )
 
+    def _digest(self) -> int:
+        own = self._own
+        return slices.digest(self._state.registry, own.service, own.instance)
+
     def _wants_peers(self, target: peers.Target) -> bool:
         return not target.name or clock.now() >= self._listing_due
 
--- a/kumquatport/version/spread/const.py
+++ b/kumquatport/version/spread/const.py
@@ -50,10 +50,10 @@
 MAX_EXCHANGE_BUCKETS: typing.Final = 16
 MAX_EXCHANGES: typing.Final = 16
 
-TICK_S: typing.Final = 0.1
+TICK_S: typing.Final = 0.25
 PAUSE_S: typing.Final = 1.0
 FRESH_S: typing.Final = 3.0
-CONFIRM_S: typing.Final = 0.2
+CONFIRM_S: typing.Final = 0.25
 CONFIRM_TIMEOUT_S: typing.Final = 0.5
 CONFIRM_BALANCERS: typing.Final = 4
 CONFIRM_AGENTS: typing.Final = 2
--- a/kumquatport/version/spread/messages.py
+++ b/kumquatport/version/spread/messages.py
@@ -18,7 +18,8 @@
         sequence: Of its present record.
         version: Version of the document it holds.
         fresh: Whether that version is confirmed.
-        digest: Of the agents of its service that it knows.
+        digest: Of the agents of its service that it knows; 0 for an observer
+            that is not asked for them this time.
         wants_peers: Whether it asks for a list of observers.
         record: Its record, if this observer may not hold it.
     """
--- a/kumquatport/version/spread/observer.py
+++ b/kumquatport/version/spread/observer.py
@@ -18,7 +18,7 @@
     order,
     peers,
     shared,
-    slices,
+    syncs,
 )
 
 _LOGGER = structlog.get_logger(__name__)
@@ -63,6 +63,7 @@
         self._suspects: set[str] = set()
         self._ticked_at = clock.now()
         self._accused: set[str] = set()
+        self._syncs = syncs.Syncs(state.registry)
         control.handle(messages.SeenQuery, self._async_on_query)
         control.handle(messages.Accusation, self._async_on_accusation)
         state.registry.defend_with(self._defends)
@@ -162,6 +163,7 @@
     ) -> None:
         if members.is_departed(held):
             self._leases.pop(message.instance, None)
+            self._syncs.forget(message.instance)
             return
         if message.incarnation >= held.incarnation:
             now = clock.now()
@@ -176,14 +178,7 @@
     ) -> messages.Records:
         if held is None or not held.service:
             return ()
-        registry = self._state.registry
-        known = slices.digest(registry, held.service, held.instance)
-        if known == message.digest:
-            return ()
-        return (
-            *slices.agents(registry, held.service, held.instance),
-            *registry.departed(held.service),
-        )
+        return self._syncs.records_for(held, message.digest)
 
     def _balancers(self, message: messages.Heartbeat) -> messages.Records:
         if not message.wants_peers:
@@ -298,6 +293,7 @@
 
     def _lapse(self, held: members.InstanceRecord) -> None:
         self._leases.pop(held.instance, None)
+        self._syncs.forget(held.instance)
         lapsed = held._replace(state=members_const.STATE_LAPSED)
         if self._state.registry.merge(lapsed):
             _LOGGER.warning(
