--- a/kumquatport/request/admission/admission.py
+++ b/kumquatport/request/admission/admission.py
@@ -32,6 +32,7 @@
         self._queue = fair.FairQueue()
         self._limits = policy.Limits()
         self._in_progress = 0
+        self._filled_at = clock()
 
     @property
     def in_progress(self) -> int:
@@ -113,7 +114,18 @@
                 'the deadline leaves no time to run',
                 self.retry_after_s(),
             )
-        return min(left_s, self._limits.queue_s)
+        return min(left_s, self._patience_s(now))
+
+    def _patience_s(self, now: float) -> float:
+        """Return how long work may wait now.
+
+        A queue that has not emptied for the longest wait only adds delay: it
+        is kept just long enough to keep the slots in use.
+        """
+        queue_s = self._limits.queue_s
+        if not self.queued or now - self._filled_at < queue_s:
+            return queue_s
+        return queue_s * const.STANDING_SHARE
 
     def _has_room(self) -> bool:
         return not self.queued and self._in_progress < int(self._limit.value)
@@ -128,6 +140,8 @@
                 'the wait is longer than the request may wait',
                 self.retry_after_s(),
             )
+        if not self.queued:
+            self._filled_at = self._clock()
         loop = asyncio.get_running_loop()
         request = waiter.Waiter(ticket, loop.create_future())
         self._queue.push(request)
--- a/kumquatport/request/admission/const.py
+++ b/kumquatport/request/admission/const.py
@@ -7,3 +7,5 @@
 RETRY_SPREAD = 1.0
 # Share of the longest wait above which new flows are passed on.
 FULL_SHARE = 0.5
+# Share of the longest wait that is allowed while the queue does not empty.
+STANDING_SHARE = 0.1
--- a/kumquatport/request/health/hint.py
+++ b/kumquatport/request/health/hint.py
@@ -55,6 +55,7 @@
         self._clock = clock
         self._report: Report | None = None
         self._refused_polls = 0
+        self._faulty = False
 
     @property
     def report(self) -> Report | None:
@@ -92,7 +93,7 @@
         except TimeoutError:
             return
         except _FAULTS as fault:
-            _LOGGER.debug('Health report failed', fault=repr(fault))
+            self._note_fault(fault)
             return
         self._note(answer)
 
@@ -105,6 +106,9 @@
     def _note(self, answer: typing.Any) -> None:
         if not self.reachable:
             _LOGGER.info('Backend server is back')
+        if self._faulty:
+            _LOGGER.info('Health reports are back')
+        self._faulty = False
         self._refused_polls = 0
         if not isinstance(answer, dict):
             return
@@ -115,6 +119,11 @@
             at=self._clock(),
         )
 
+    def _note_fault(self, fault: Exception) -> None:
+        if not self._faulty:
+            _LOGGER.warning('Health report failed', fault=repr(fault))
+        self._faulty = True
+
     def _note_refused(self) -> None:
         self._refused_polls += 1
         self._report = None
--- a/kumquatport/request/limit/const.py
+++ b/kumquatport/request/limit/const.py
@@ -9,7 +9,7 @@
 STREAK_SLOW = 3
 
 # Answers after which a suspicion is upheld or dropped.
-TRIAL_SAMPLES = 5
+TRIAL_SAMPLES = 3
 RATIO_NORMAL = 1.5
 
 # Answers over which a mean is taken before a step is judged.
--- a/kumquatport/request/proxy/carrier.py
+++ b/kumquatport/request/proxy/carrier.py
@@ -50,7 +50,8 @@
             errors.RequestRefusedError: No byte of any try can have arrived.
             errors.RequestLostError: A try may have run.
         """
-        self._retries.earn()
+        if not _is_retry(asked):
+            self._retries.earn()
         tries = 0
         begun = False
         while True:
@@ -105,13 +106,18 @@
             return False
         if tried.begun and not asked.request_class.repeatable:
             return False
-        marker = headers.find(asked.head.headers, request_const.ATTR_RETRY)
         left_s = deadline.left(asked.deadline_at, self._clock)
-        if marker is not None or left_s <= const.RETRY_PAUSE_S:
+        if _is_retry(asked) or left_s <= const.RETRY_PAUSE_S:
             return False
         return self._retries.spend()
 
 
+def _is_retry(asked: job.Job) -> bool:
+    """Tell whether the caller marked the request as a retry of its own."""
+    marker = headers.find(asked.head.headers, request_const.ATTR_RETRY)
+    return marker is not None
+
+
 def _truthful(
     error: errors.RequestError,
     begun: bool,
