--- /dev/null
+++ b/tests/unit/version/document/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests."""
