--- /dev/null
+++ b/tests/unit/process/console/test_console.py
@@ -0,0 +1,118 @@
+"""Tokens, sessions and sign-ins of the console."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+import argon2
+import hypothesis
+from hypothesis import strategies
+from structlog import testing
+
+from kumquatport.process.console import (
+    const,
+    drafts,
+    errors,
+    forms,
+    passwords,
+    tokens,
+)
+from kumquatport.process.settings import models
+from kumquatport.version import document
+from tests.builders import documents
+
+KEY = b'k' * 32
+
+
+class TokenTest(unittest.TestCase):
+    """What was not sealed here does not open."""
+
+    @hypothesis.settings(max_examples=200, deadline=None, database=None)
+    @hypothesis.given(strategies.binary(max_size=64))
+    def test_round_trip(self, payload):
+        token = tokens.seal(KEY, 'a', payload)
+        self.assertEqual(tokens.unseal(KEY, 'a', token), payload)
+        for key, purpose in ((KEY, 'b'), (b'l' * 32, 'a')):
+            with self.assertRaises(errors.TokenError):
+                tokens.unseal(key, purpose, token)
+
+    @hypothesis.settings(max_examples=200, deadline=None, database=None)
+    @hypothesis.given(strategies.text(max_size=64))
+    def test_noise(self, token):
+        with self.assertRaises(errors.TokenError):
+            tokens.unseal(KEY, 'a', token)
+
+    def test_draft_of_another(self):
+        draft = document.empty()
+        token = drafts.seal(KEY, 'ama', draft)
+        self.assertEqual(drafts.unseal(KEY, 'ama', token), draft)
+        with self.assertRaises(errors.TokenError):
+            drafts.unseal(KEY, 'kofi', token)
+
+
+class PasswordTest(unittest.IsolatedAsyncioTestCase):
+    """Attempts are limited, and what is kept about them is bounded."""
+
+    def setUp(self):
+        hasher = argon2.PasswordHasher(
+            time_cost=1, memory_cost=1024, parallelism=1
+        )
+        operator = models.OperatorSettings('ama', hasher.hash('right'))
+        self.enterContext(testing.capture_logs())
+        self.passwords = passwords.Passwords([operator])
+
+    async def _fails(self, error, name='ama', password='wrong', address='a'):
+        with self.assertRaises(error):
+            await self.passwords.async_check(name, password, address)
+
+    async def test_limit_ends(self):
+        with mock.patch.object(passwords, 'time') as clock:
+            clock.monotonic.return_value = 100.0
+            for _ in range(const.MAX_ATTEMPTS):
+                await self._fails(errors.SignInError)
+            await self._fails(errors.TooManyAttemptsError, password='right')
+            await self.passwords.async_check('ama', 'right', 'b')
+            clock.monotonic.return_value = 101.0 + const.ATTEMPT_WINDOW_S
+            await self.passwords.async_check('ama', 'right', 'a')
+
+    async def test_limit_holds_at_once(self):
+        outcomes = await asyncio.gather(
+            *(
+                self.passwords.async_check('ama', 'wrong', 'a')
+                for _ in range(const.MAX_ATTEMPTS * 2)
+            ),
+            return_exceptions=True,
+        )
+        limited = [
+            outcome
+            for outcome in outcomes
+            if isinstance(outcome, errors.TooManyAttemptsError)
+        ]
+        self.assertEqual(len(limited), const.MAX_ATTEMPTS)
+
+    async def test_limit_of_address(self):
+        for number in range(const.MAX_ATTEMPTS_OF_ADDRESS):
+            await self._fails(errors.SignInError, name=f'name-{number}')
+        await self._fails(errors.TooManyAttemptsError, name='another')
+
+    async def test_successes_do_not_count(self):
+        for _ in range(const.MAX_ATTEMPTS * 2):
+            await self.passwords.async_check('ama', 'right', 'a')
+
+    async def test_bounded(self):
+        with mock.patch.object(const, 'MAX_TRACKED', 4):
+            for number in range(8):
+                await self._fails(errors.SignInError, address=f'{number}')
+            self.assertLessEqual(len(self.passwords._failures), 4)
+
+
+class ServiceFormTest(unittest.TestCase):
+    """A service survives its form."""
+
+    def test_round_trip(self):
+        entry = documents.service('storefront', '127.30.0.1:4433', 20001)
+        parsed = document.parse(
+            documents.encode(documents.document('accra', ('a',), [entry]))
+        )
+        row = parsed['services'][0]
+        self.assertEqual(forms.service_row(forms.service_form(row)), row)
