Guard rails learn the present load from the agents

Agents told no requests in progress, so the rail of the load never held in a deployment; they now set requests.in_progress to their slots in use, and a status names the agent's service. A failure domain that has the only backend servers of a service is held back too.

--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -8,12 +8,14 @@
 import structlog
 from aioquic.quic import configuration as quic_configuration
 
+from kumquatport import exceptions
 from kumquatport.connection.connection_id import const as id_const
 from kumquatport.connection.quic import const as quic_const
 from kumquatport.connection.quic import held, listener
 from kumquatport.helpers import tags
 from kumquatport.process.agent import claiming, const, passing
 from kumquatport.process.instance import parts as instance_parts
+from kumquatport.process.metrics import const as metrics_const
 from kumquatport.process.settings import models
 from kumquatport.process.tls import material
 from kumquatport.process.tls import watcher as tls_watcher
@@ -167,9 +169,11 @@
         self._handler.connection_closed()
 
     def _apply(self, held_now: current.Versioned) -> None:
-        service = documents.service(held_now.document, self._settings.service)
-        if service is None:
-            _LOGGER.warning('service missing', service=self._settings.service)
+        name = self._settings.service
+        try:
+            service = documents.service(held_now.document, name)
+        except exceptions.NotInDocumentError:
+            _LOGGER.warning('service missing', service=name)
             return
         self._handler.configure(service)
 
@@ -193,6 +197,10 @@
             const.GAUGE_FLOWS,
             len(self._listener.sessions),
         )
+        self._parts.metrics.gauge(
+            metrics_const.GAUGE_REQUESTS_IN_PROGRESS,
+            self._handler.gate.in_progress,
+        )
         is_ready = own.state == members_const.STATE_READY
         change = abs(openness.weight - own.weight)
         if is_ready and change < const.WEIGHT_STEP:
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -145,6 +145,7 @@
             'instance': common.instance,
             'kind': shared_const.KIND_CONSOLE,
             'failure_domain': common.failure_domain,
+            'service': '',
             'state': self._state,
             'release': kumquatport.__version__,
             'document_version': 0,
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -135,6 +135,7 @@
         instance=own.instance,
         kind=own.kind,
         failure_domain=own.failure_domain,
+        service=own.service,
         state=own.state,
         release=kumquatport.__version__,
         document_version=member.shown_version or 0,
--- a/kumquatport/process/load/source.py
+++ b/kumquatport/process/load/source.py
@@ -21,28 +21,19 @@
 
 
 def loads(answers: abc.Iterable[statuses.Answer]) -> list[document.DomainLoad]:
-    """Return the load of the agents among the answers.
-
-    An agent's service comes from any instance that knows it as a member.
-    """
+    """Return the load of the agents among the answers."""
     known = [answer.status for answer in answers if answer.status is not None]
-    services = {
-        member['instance']: member['service']
-        for status in known
-        for member in status['members']
-    }
     servers: collections.Counter[tuple[str, str]] = collections.Counter()
     busy: collections.Counter[tuple[str, str]] = collections.Counter()
     for status in known:
         if status['kind'] != KIND_AGENT or status['state'] != STATE_READY:
             continue
-        place = (services.get(status['instance'], ''), status['failure_domain'])
+        place = (status['service'], status['failure_domain'])
         servers[place] += 1
         busy[place] += round(_in_progress(status))
     return [
         document.DomainLoad(*place, count, busy[place])
         for place, count in sorted(servers.items())
-        if place[0]
     ]
 
 
--- a/kumquatport/process/status/models.py
+++ b/kumquatport/process/status/models.py
@@ -23,6 +23,7 @@
         instance: Name of the instance.
         kind: balancer, agent or console.
         failure_domain: Its failure domain.
+        service: Service of an agent's backend server; empty for others.
         state: starting, ready, leaving or gone.
         release: Version of the program.
         document_version: Version of the document in force; 0 for none.
@@ -35,6 +36,7 @@
     instance: str
     kind: str
     failure_domain: str
+    service: str
     state: str
     release: str
     document_version: int
--- a/kumquatport/version/document/guard.py
+++ b/kumquatport/version/document/guard.py
@@ -85,7 +85,10 @@
     if old.domains[name] and not new.domains[name]:
         return 'no failure domain is left to take its work'
     room = _room(name, new, loads)
-    if busy > room and room < _room(name, old, loads):
+    had_room = _room(name, old, loads)
+    if had_room and not room:
+        return 'no backend server is left to take its work'
+    if busy > room and room < had_room:
         return f'the rest has {room:g} slots for {busy:g} in use'
     return ''
 
--- a/tests/builders/statuses.py
+++ b/tests/builders/statuses.py
@@ -18,21 +18,13 @@
         'instance': instance,
         'kind': 'agent',
         'failure_domain': failure_domain,
+        'service': service,
         'state': 'ready',
         'release': '0',
         'document_version': 1,
         'uptime_s': 1.0,
         'member_counts': {'agent.ready': 1},
-        'members': [
-            {
-                'instance': instance,
-                'kind': 'agent',
-                'failure_domain': failure_domain,
-                'service': service,
-                'state': 'ready',
-                'weight': 1.0,
-            }
-        ],
+        'members': [],
         'metrics': {
             'counters': {},
             'gauges': {'requests.in_progress': in_progress},
