--- a/tests/features/steps/spread.py
+++ b/tests/features/steps/spread.py
@@ -29,8 +29,25 @@
     'a spread of {balancers:d} balancers and {servers:d} storefront servers'
 )
 def start(context: runner.Context, balancers: int, servers: int) -> None:
+    _start(context, balancers, servers, ())
+
+
+@behave.given(
+    'a spread of {balancers:d} balancers and {servers:d} storefront servers'
+    ' whose links can be cut'
+)
+def start_with_links(
+    context: runner.Context, balancers: int, servers: int
+) -> None:
+    _start(context, balancers, servers, ('peers->*',))
+
+
+def _start(
+    context: runner.Context, balancers: int, servers: int, faults: tuple
+) -> None:
     plan = plans.accra(servers, 1, balancers)
-    context.deployment = deployment.Deployment(plan)
+    options = deployment.Options(faults=faults)
+    context.deployment = deployment.Deployment(plan, options)
     context.deployments.append(context.deployment)
     context.deployment.start()
     context.version = 1
@@ -41,6 +58,27 @@
     context.watch.wait_for(1, _names(context), 10)
 
 
+@behave.when('the links into {one} and {other} of the spread are cut')
+def cut_two(context: runner.Context, one: str, other: str) -> None:
+    rules = {
+        f'peers->{name}/control': {'both': {'cut': True}}
+        for name in (one, other)
+    }
+    context.deployment.set_faults(rules)
+
+
+@behave.when('all links of the spread are cut for {seconds:d} s')
+def cut_all(context: runner.Context, seconds: int) -> None:
+    rules = {'peers->*/control': {'both': {'cut': True}}}
+    context.deployment.set_faults(rules)
+    time.sleep(seconds)
+
+
+@behave.when('all links of the spread heal')
+def heal(context: runner.Context) -> None:
+    context.deployment.set_faults({'peers->*/control': {}})
+
+
 @behave.when('the platform of the spread answers {seconds:f} s late')
 def slow_platform(context: runner.Context, seconds: float) -> None:
     order = {'mode': 'slow', 'delay_s': seconds}
