A backend server that says it leaves gets no new work; gauges of requests

It now announces leaving and sends GOAWAY, and stays for what is open. Ruled out: ending the agent as well, since feeds go on.

Retries are counted (METRICS.md named them, nothing did); gauges of slots in use, queue, limit and feeds once a second.

--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -19,6 +19,7 @@
 from kumquatport.process.settings import models
 from kumquatport.process.tls import material
 from kumquatport.process.tls import watcher as tls_watcher
+from kumquatport.request import const as request_const
 from kumquatport.request import handler, messages
 from kumquatport.version import current
 from kumquatport.version import document as documents
@@ -201,14 +202,15 @@
             metrics_const.GAUGE_REQUESTS_IN_PROGRESS,
             self._handler.gate.in_progress,
         )
-        is_ready = own.state == members_const.STATE_READY
+        state = members_const.STATE_READY
+        if openness.state == request_const.STATE_LEAVING:
+            # The backend server leaves; this agent stays for what is open.
+            state = members_const.STATE_LEAVING
+            self._listener.go_away()
         change = abs(openness.weight - own.weight)
-        if is_ready and change < const.WEIGHT_STEP:
+        if own.state == state and change < const.WEIGHT_STEP:
             return
-        self._membership.announcer.update(
-            state=members_const.STATE_READY,
-            weight=openness.weight,
-        )
+        self._membership.announcer.update(state=state, weight=openness.weight)
 
 
 def _quic_configuration() -> quic_configuration.QuicConfiguration:
--- a/kumquatport/request/const.py
+++ b/kumquatport/request/const.py
@@ -41,3 +41,9 @@
 COUNT_REFUSED_PREFIX = 'refused.'
 COUNT_UNKNOWN_PREFIX = 'unknown.'
 COUNT_RETRIES = 'requests.retries'
+
+GAUGE_S = 1.0
+GAUGE_IN_PROGRESS = 'requests.in_progress'
+GAUGE_QUEUED = 'requests.queued'
+GAUGE_LIMIT = 'requests.limit'
+GAUGE_FEEDS = 'requests.feeds'
--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -72,6 +72,7 @@
                 self._retries,
                 clock,
                 lambda: self._lag.lag_s,
+                lambda: metrics.increment(const.COUNT_RETRIES, 1),
             ),
             claim=claim,
             answering=self._note_answering,
@@ -112,6 +113,13 @@
         """Close the connections to the backend server."""
         await self._client.async_stop()
 
+    @mode.Service.timer(const.GAUGE_S)
+    async def _async_measure(self) -> None:
+        self._metrics.gauge(const.GAUGE_IN_PROGRESS, self._gate.in_progress)
+        self._metrics.gauge(const.GAUGE_QUEUED, self._gate.queued)
+        self._metrics.gauge(const.GAUGE_LIMIT, self._limit.value)
+        self._metrics.gauge(const.GAUGE_FEEDS, self._feeds.open)
+
     def configure(self, service: policy.Section) -> None:
         """Take the service's entry of a new document."""
         current = policy.build(service)
--- a/kumquatport/request/proxy/carrier.py
+++ b/kumquatport/request/proxy/carrier.py
@@ -29,9 +29,20 @@
         retries: budget.RetryBudget,
         clock: abc.Callable[[], float],
         lag_s: abc.Callable[[], float],
+        retrying: abc.Callable[[], None],
     ) -> None:
-        """Send nothing yet."""
+        """Send nothing yet.
+
+        Args:
+            server: The backend server's client.
+            learnt: The limit to tell.
+            retries: The budget of retries.
+            clock: Monotonic seconds.
+            lag_s: How late this process's event loop is now.
+            retrying: Called at each retry.
+        """
         self._lag_s = lag_s
+        self._retrying = retrying
         self._server = server
         self._limit = learnt
         self._retries = retries
@@ -62,6 +73,7 @@
                 begun = begun or tried.begun
                 if not self._may_retry(asked, tried, error, tries):
                     raise _truthful(error, begun) from error
+                self._retrying()
                 await asyncio.sleep(const.RETRY_PAUSE_S)
                 tries += 1
 
--- a/tests/unit/request/test_sending.py
+++ b/tests/unit/request/test_sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 
 from kumquatport.request import errors, messages, policy
 from kumquatport.request.budget import budget
@@ -49,10 +50,16 @@
         self.client = client.BackendServerClient(Endpoint())
         await self.client.async_setup()
         self.addAsyncCleanup(self.client.async_stop)
+        self.retried = unittest.mock.Mock()
         self.retries = budget.RetryBudget(1.0)
         learnt = limit.Limit(BOUNDS, self.clock)
         self.carrier = carrier.Carrier(
-            self.client, learnt, self.retries, self.clock, lambda: 0
+            self.client,
+            learnt,
+            self.retries,
+            self.clock,
+            lambda: 0,
+            self.retried,
         )
 
     async def serve(self, *answers):
@@ -92,6 +99,7 @@
         raw = await self.serve(b'', b'HTTP/1.1 204 No Content\r\n\r\n')
         await self.open(repeatable=True)
         self.assertEqual(len(raw.requests), 2)
+        self.retried.assert_called_once_with()
         self.assertNotIn(b'x-kumquatport-retry', raw.requests[0].lower())
         self.assertIn(b'x-kumquatport-retry: 1', raw.requests[1].lower())
 
