Console sends metrics; an unreadable document on top leaves the outcome open

After a lost answer, a document in force that cannot be parsed was shown as a refusal of the operator's own; it now leaves the outcome not known (unit test). Validators made from others and the parts of a platform request have modules of their own.

--- a/kumquatport/process/console/const.py
+++ b/kumquatport/process/console/const.py
@@ -26,6 +26,12 @@
 FIELD_IDENTIFIER: typing.Final = 'identifier'
 FIELD_SERVICE: typing.Final = 'service_name'
 
+COUNT_ACCEPTED: typing.Final = 'documents.accepted'
+COUNT_CALLS_PREFIX: typing.Final = 'platform.'
+COUNT_CONFLICT: typing.Final = 'documents.conflict'
+COUNT_UNKNOWN: typing.Final = 'documents.unknown'
+COUNT_SIGN_IN_FAILED: typing.Final = 'sign_in.failed'
+
 PURPOSE_SESSION: typing.Final = 'session'
 PURPOSE_FORM: typing.Final = 'form'
 PURPOSE_DRAFT: typing.Final = 'draft'
--- a/kumquatport/process/console/pages/reviewing.py
+++ b/kumquatport/process/console/pages/reviewing.py
@@ -128,6 +128,7 @@
 def _accepted(
     request: web.Request, accepted: acceptance.Accepted
 ) -> web.Response:
+    parts.of(request).count_event(const.COUNT_ACCEPTED)
     parts.of(request).record(accepted)
     return parts.page(request, 'accepted.html', {'accepted': accepted})
 
@@ -138,6 +139,7 @@
     draft: document.Document,
 ) -> web.Response:
     """Show both documents."""
+    parts.of(request).count_event(const.COUNT_CONFLICT)
     in_force = conflict.in_force
     changes = document.compare(in_force.document, draft)
     content = {
@@ -153,6 +155,7 @@
 
 def _unknown(request: web.Request, attempt: Attempt) -> web.Response:
     """Say that it is not known yet, with a form to ask again."""
+    parts.of(request).count_event(const.COUNT_UNKNOWN)
     content = {
         'attempt': attempt,
         'sealed': parts.seal(request, attempt.draft),
--- a/kumquatport/process/console/pages/signing.py
+++ b/kumquatport/process/console/pages/signing.py
@@ -30,6 +30,7 @@
             request.remote or '',
         )
     except errors.SignInError as error:
+        shared.count_event(const.COUNT_SIGN_IN_FAILED)
         status = web.HTTPUnauthorized.status_code
         return _form(request, form, str(error), status)
     except errors.TooManyAttemptsError as too_many:
--- a/kumquatport/process/console/parts.py
+++ b/kumquatport/process/console/parts.py
@@ -23,6 +23,7 @@
         instances: Roots of instances' status servers, for the load.
         secure: Whether the forms are served over TLS.
         record: Writes an acceptance's audit entry in the background.
+        count_event: Adds one to a counter of the metrics.
     """
 
     client: platform.PlatformClient
@@ -31,6 +32,7 @@
     instances: tuple[str, ...]
     secure: bool
     record: Record
+    count_event: abc.Callable[[str], None]
 
 
 PARTS: typing.Final = web.AppKey('parts', Parts)
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -3,7 +3,6 @@
 import asyncio
 import ssl
 import time
-import typing
 
 import mode
 from aiohttp import web
@@ -35,6 +34,7 @@
         super().__init__()
         self._settings = settings
         self._metrics = registry.Registry()
+        self._metrics.add_sampler(self._count_calls)
         self._started_s = time.monotonic()
         self._state = 'starting'
         self._context: ssl.SSLContext | None = None
@@ -73,6 +73,14 @@
                 common.instance,
             )
         )
+        await self.add_runtime_dependency(
+            flusher.Flusher(
+                common.statsd,
+                self._metrics,
+                shared_const.KIND_CONSOLE,
+                common.instance,
+            )
+        )
         if self._settings.tls is not None:
             await self.add_runtime_dependency(
                 watcher.Watcher(
@@ -101,6 +109,7 @@
             instances=self._settings.instances,
             secure=self._settings.tls is not None,
             record=self._record,
+            count_event=self._metrics.count,
         )
         self._runner = web.AppRunner(
             app.build(shared),
@@ -139,7 +148,6 @@
         task.add_done_callback(self._recording.discard)
 
     def _status(self) -> status_models.Status:
-        self._metrics.counters.update(self._new_calls())
         common = self._settings.common
         return {
             'instance': common.instance,
@@ -155,15 +163,7 @@
             'metrics': self._metrics.snapshot(),
         }
 
-    def _new_calls(self) -> dict[str, int]:
-        """Return platform calls since the last status."""
-        return {
-            name: count - self._metrics.counters[name]
-            for name, count in self._call_counts().items()
-        }
-
-    def _call_counts(self) -> dict[str, typing.Any]:
-        return {
-            f'platform.{kind}': count
-            for kind, count in self._client.calls.items()
-        }
+    def _count_calls(self) -> None:
+        """Take over how often the platform was called."""
+        for kind, count in self._client.calls.items():
+            self._metrics.counters[f'{const.COUNT_CALLS_PREFIX}{kind}'] = count
--- a/kumquatport/process/platform/client.py
+++ b/kumquatport/process/platform/client.py
@@ -10,7 +10,7 @@
 import yarl
 
 from kumquatport import exceptions
-from kumquatport.process.platform import answers, const, model
+from kumquatport.process.platform import answers, calls, const, model
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -77,7 +77,9 @@
             ObjectMissingError: There is no such object.
             PlatformUnavailableError: The platform did not answer.
         """
-        answer = await self._async_read(const.CALL_GET, self._object_url(key))
+        answer = await self._async_read(
+            const.CALL_GET, calls.object_url(self._url, key)
+        )
         return model.StoredObject(key, answer.version, answer.body)
 
     async def async_put(
@@ -104,7 +106,7 @@
                 f'{key}: {len(value)} bytes exceed {const.MAX_VALUE_BYTES}'
             )
         answer = await self._async_write(
-            const.CALL_PUT, key, _condition(expected), value
+            const.CALL_PUT, key, calls.condition(expected), value
         )
         if answer.version == 0:
             raise exceptions.OutcomeUnknownError(
@@ -122,7 +124,7 @@
             PlatformUnavailableError: Not sent, nothing changed.
         """
         await self._async_write(
-            const.CALL_DELETE, key, _condition(expected), None
+            const.CALL_DELETE, key, calls.condition(expected), None
         )
 
     async def async_list(self, prefix: str) -> model.Listing:
@@ -131,7 +133,7 @@
         Raises:
             PlatformUnavailableError: The platform did not answer.
         """
-        url = self._query_url('objects', {'prefix': prefix})
+        url = calls.query_url(self._url, 'objects', {'prefix': prefix})
         answer = await self._async_read(const.CALL_LIST, url)
         return answers.listing(answer.body)
 
@@ -153,7 +155,9 @@
         """
         query = {'prefix': prefix, 'since': str(since), 'timeout': f'{timeout}'}
         answer = await self._async_read(
-            const.CALL_WATCH, self._query_url('watch', query), timeout
+            const.CALL_WATCH,
+            calls.query_url(self._url, 'watch', query),
+            timeout,
         )
         return answers.listing(answer.body)
 
@@ -189,11 +193,11 @@
         session = _opened(self._writes)
         request = session.request(
             kind.upper(),
-            self._object_url(key),
+            calls.object_url(self._url, key),
             headers=headers,
             data=body,
             timeout=limit,
-            middlewares=(_sent_once(),),
+            middlewares=(calls.sent_once(),),
         )
         try:
             async with request as response:
@@ -226,44 +230,9 @@
         self._unavailable = False
         _LOGGER.info('platform available again')
 
-    def _object_url(self, key: str) -> yarl.URL:
-        """Return the URL of one object."""
-        return yarl.URL(self._url) / 'v1' / 'objects' / key
-
-    def _query_url(
-        self, resource: str, query: typing.Mapping[str, str]
-    ) -> yarl.URL:
-        """Return the URL of a query."""
-        return (yarl.URL(self._url) / 'v1' / resource).with_query(query)
-
 
 def _opened(session: aiohttp.ClientSession | None) -> aiohttp.ClientSession:
     """Return the session, or fail typed before set-up and after stop."""
     if session is None:
         raise exceptions.PlatformUnavailableError('client is not set up')
     return session
-
-
-def _condition(expected: int | None) -> dict[str, str]:
-    """Return the headers of a conditional write."""
-    if expected is None:
-        return {}
-    if expected == 0:
-        return {const.HEADER_IF_NONE_MATCH: '*'}
-    return {const.HEADER_IF_MATCH: str(expected)}
-
-
-def _sent_once() -> aiohttp.ClientMiddlewareType:
-    """Build a middleware that lets one request out and no second one."""
-    sent: list[aiohttp.ClientRequest] = []
-
-    async def middleware(
-        request: aiohttp.ClientRequest,
-        handler: aiohttp.ClientHandlerType,
-    ) -> aiohttp.ClientResponse:
-        if sent:
-            raise aiohttp.ClientError('connection dropped before the answer')
-        sent.append(request)
-        return await handler(request)
-
-    return middleware
--- a/kumquatport/version/acceptance/settle.py
+++ b/kumquatport/version/acceptance/settle.py
@@ -44,7 +44,10 @@
     try:
         in_force = await store.async_read(client)
         found = await _async_found(client, in_force, identifier, base_version)
-    except exceptions.PlatformUnavailableError as error:
+    except (
+        exceptions.PlatformUnavailableError,
+        exceptions.DocumentRejectedError,
+    ) as error:
         raise model.AcceptanceUnknownError(identifier, base_version) from error
     if found is not None:
         return found
--- a/kumquatport/version/document/schema.py
+++ b/kumquatport/version/document/schema.py
@@ -4,7 +4,7 @@
 
 import voluptuous
 
-from kumquatport.version.document import const, fields
+from kumquatport.version.document import composite, const, fields
 
 LIMITS = voluptuous.Schema(
     {
@@ -40,7 +40,7 @@
 TRAFFIC_CLASS = voluptuous.Schema(
     {
         voluptuous.Required(const.CONF_NAME): fields.name,
-        voluptuous.Required(const.CONF_METHODS): fields.rows(
+        voluptuous.Required(const.CONF_METHODS): composite.rows(
             fields.method, len(const.KNOWN_METHODS), low=1
         ),
         voluptuous.Optional(
@@ -50,7 +50,7 @@
         voluptuous.Optional(const.CONF_HOLDS_SLOT, default=True): fields.flag,
         voluptuous.Optional(
             const.CONF_DEADLINE_S, default=None
-        ): fields.optional(
+        ): composite.optional(
             fields.positive(const.MAX_DEADLINE_S),
         ),
     },
@@ -72,16 +72,18 @@
         voluptuous.Required(const.CONF_ENTRY_PORT): fields.integer(
             1, const.MAX_PORT
         ),
-        voluptuous.Optional(const.CONF_CLASSES, default=list): fields.rows(
-            fields.shared(TRAFFIC_CLASS), const.MAX_CLASSES
+        voluptuous.Optional(const.CONF_CLASSES, default=list): composite.rows(
+            composite.shared(TRAFFIC_CLASS), const.MAX_CLASSES
         ),
-        voluptuous.Optional(const.CONF_TENANTS, default=list): fields.rows(
-            fields.shared(TENANT), const.MAX_TENANTS
+        voluptuous.Optional(const.CONF_TENANTS, default=list): composite.rows(
+            composite.shared(TENANT), const.MAX_TENANTS
         ),
-        voluptuous.Optional(const.CONF_LIMITS, default=dict): fields.shared(
+        voluptuous.Optional(const.CONF_LIMITS, default=dict): composite.shared(
             LIMITS
         ),
-        voluptuous.Optional(const.CONF_RAMP, default=dict): fields.shared(RAMP),
+        voluptuous.Optional(const.CONF_RAMP, default=dict): composite.shared(
+            RAMP
+        ),
     },
 )
 
@@ -128,16 +130,16 @@
         voluptuous.Optional(const.CONF_SUBMITTED_S, default=0): fields.number(
             0, const.MAX_SUBMITTED_S
         ),
-        voluptuous.Optional(const.CONF_PREDECESSORS, default=list): fields.rows(
-            PREDECESSOR, const.MAX_PREDECESSORS
-        ),
-        voluptuous.Required(const.CONF_FAILURE_DOMAINS): fields.rows(
+        voluptuous.Optional(
+            const.CONF_PREDECESSORS, default=list
+        ): composite.rows(PREDECESSOR, const.MAX_PREDECESSORS),
+        voluptuous.Required(const.CONF_FAILURE_DOMAINS): composite.rows(
             FAILURE_DOMAIN, const.MAX_FAILURE_DOMAINS
         ),
-        voluptuous.Required(const.CONF_SERVICES): fields.rows(
+        voluptuous.Required(const.CONF_SERVICES): composite.rows(
             SERVICE, const.MAX_SERVICES
         ),
-        voluptuous.Optional(const.CONF_RULES, default=list): fields.rows(
+        voluptuous.Optional(const.CONF_RULES, default=list): composite.rows(
             RULE, const.MAX_RULES
         ),
     },
--- a/tests/unit/version/acceptance/test_accept.py
+++ b/tests/unit/version/acceptance/test_accept.py
@@ -113,6 +113,14 @@
         self.assertEqual(told, 'unavailable')
         self.assertEqual(platform.effective, {})
 
+    def test_unreadable_document_on_top(self):
+        platform = memory_platform.MemoryPlatform(
+            (memory_platform.DONE, memory_platform.OTHER_AFTER),
+            lambda _version, _value: b'{}',
+        )
+        told = asyncio.run(_async_told(platform, ''))
+        self.assertEqual(told, 'unknown')
+
     def test_repeated_attempt_takes_effect_once(self):
         platform = memory_platform.MemoryPlatform((), _other)
         first = asyncio.run(_async_told(platform, 'attempt'))
