--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,40 @@
+"""File of the figures of the last run, one JSON object a line."""
+
+import json
+import pathlib
+import typing
+
+from bench import figure
+
+FILE: typing.Final = pathlib.Path('var/bench.jsonl')
+ATTR_MEASUREMENT: typing.Final = 'measurement'
+
+Groups = dict[str, list[figure.Figure]]
+
+
+def encode(measured: figure.Figure) -> str:
+    """Return a figure as one line of JSON."""
+    return json.dumps(measured._asdict())
+
+
+def load(file: pathlib.Path = FILE) -> Groups:
+    """Return the last run's figures by measurement; none without a run."""
+    groups: Groups = {}
+    if not file.exists():
+        return groups
+    for line in file.read_text().splitlines():
+        entry = json.loads(line)
+        group = groups.setdefault(entry.pop(ATTR_MEASUREMENT), [])
+        group.append(figure.Figure(**entry))
+    return groups
+
+
+def save(groups: Groups, file: pathlib.Path = FILE) -> None:
+    """Put figures in place of those of the last run."""
+    file.parent.mkdir(parents=True, exist_ok=True)
+    entries = [
+        {ATTR_MEASUREMENT: name, **one._asdict()}
+        for name, group in groups.items()
+        for one in group
+    ]
+    file.write_text(''.join(f'{json.dumps(entry)}\n' for entry in entries))
--- /dev/null
+++ b/tests/unit/bench/test_main.py
@@ -0,0 +1,61 @@
+"""The frame of the measurements."""
+
+import contextlib
+import io
+import json
+import types
+import unittest
+from unittest import mock
+
+from bench import __main__ as bench_main
+from bench import figure
+
+
+def _run(**modules):
+    """Run measurements given by name; return code, figures, saved."""
+    out = io.StringIO()
+    with (
+        mock.patch.object(bench_main, 'find', lambda: list(modules)),
+        mock.patch.object(
+            bench_main,
+            '_load',
+            lambda name: types.SimpleNamespace(run=modules[name]),
+        ),
+        mock.patch.object(bench_main.results, 'save') as save,
+        mock.patch('sys.argv', ['bench']),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(io.StringIO()),
+    ):
+        code = bench_main.main()
+    lines = [json.loads(line) for line in out.getvalue().splitlines()]
+    return code, lines, save.call_args.args[0]
+
+
+class MainTest(unittest.TestCase):
+    """One line for each figure, and an exit code for all."""
+
+    def test_all_within_bounds(self):
+        one = figure.at_most('a.x', 1, 's', 2)
+        code, lines, saved = _run(a=lambda: iter([one]))
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            lines,
+            [{'name': 'a.x', 'value': 1, 'unit': 's', 'bound': 2, 'ok': True}],
+        )
+        self.assertEqual(saved, {'a': [one]})
+
+    def test_outside_a_bound(self):
+        code, _, _ = _run(a=lambda: iter([figure.at_least('a.x', 1, 's', 2)]))
+        self.assertEqual(code, 1)
+
+    def test_one_that_breaks_keeps_no_other_from_running(self):
+        def broken():
+            yield figure.plain('a.x', 1, 's')
+            raise OSError
+
+        code, lines, _ = _run(
+            a=broken, b=lambda: iter([figure.plain('b.x', 1, 's')])
+        )
+        self.assertEqual(code, 1)
+        names = [line['name'] for line in lines]
+        self.assertEqual(names, ['a.x', 'a.completed', 'b.x'])
--- /dev/null
+++ b/tests/unit/script/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of the project's own tasks."""
