--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -17,6 +17,20 @@
     logging.getLogger('quic').setLevel(logging.WARNING)
 
 
+def before_feature(context: runner.Context, feature: model.Feature) -> None:
+    """Prepare ``context.shared``, deployments that outlive a scenario.
+
+    They are ended after the feature, and after a scenario that failed.
+    """
+    context.shared = {}
+
+
+def after_feature(context: runner.Context, feature: model.Feature) -> None:
+    """End the shared deployments by pid and check what they logged."""
+    _end(context.shared.values(), keep=False)
+    context.shared.clear()
+
+
 def before_scenario(context: runner.Context, scenario: model.Scenario) -> None:
     """Start an event loop that runs between steps too.
 
@@ -39,15 +53,27 @@
 
 def after_scenario(context: runner.Context, scenario: model.Scenario) -> None:
     """End the deployments by pid and check what they logged."""
-    for deployment in context.deployments:
-        deployment.stop(hurry=True)
+    failed = scenario.status != model.Status.passed
+    ending = list(context.deployments)
+    if failed:
+        ending += context.shared.values()
+        context.shared.clear()
     context.run(_async_cancel_all())
     context.loop.call_soon_threadsafe(context.loop.stop)
     context.loop_thread.join(LOOP_JOIN_S)
     context.loop.close()
-    for deployment in context.deployments:
+    _end(ending, keep=failed)
+    for deployment in context.shared.values():
+        deployment.check_logs()
+
+
+def _end(deployments: abc.Iterable[typing.Any], *, keep: bool) -> None:
+    ending = list(deployments)
+    for deployment in ending:
+        deployment.stop(hurry=True)
+    for deployment in ending:
         deployment.check_logs()
-        if scenario.status == model.Status.passed:
+        if not keep:
             deployment.remove()
 
 
--- a/tests/features/steps/bad_input.py
+++ b/tests/features/steps/bad_input.py
@@ -39,13 +39,13 @@
     return collections.Counter(status['metrics']['counters'])
 
 
-def _dropped(
+def _more_dropped(
     context: runner.Context,
     names: abc.Iterable[str],
     prefixes: tuple[str, ...] = DROPS,
 ) -> int:
     return sum(
-        count
+        count - context.before[name][counter]
         for name in names
         for counter, count in _counters(context, name).items()
         if counter.startswith(prefixes)
@@ -58,7 +58,7 @@
     contents: abc.Iterable[bytes],
 ) -> None:
     everyone = (*context.deployment.balancers, *context.deployment.agents)
-    context.before = {name: _dropped(context, [name]) for name in everyone}
+    context.before = {name: _counters(context, name) for name in everyone}
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind((context.deployment.caller_address, 0))
         for number, content in enumerate(contents):
@@ -73,12 +73,11 @@
     count: int,
     prefixes: tuple[str, ...] = DROPS,
 ) -> None:
-    before = sum(context.before[name] for name in names)
     until = time.monotonic() + COUNT_TIMEOUT_S
     more = -1
     while more != count and time.monotonic() < until:
         time.sleep(POLL_S)
-        more = _dropped(context, names, prefixes) - before
+        more = _more_dropped(context, names, prefixes)
     seen = {name: dict(_counters(context, name)) for name in names}
     assert more == count, f'{more} counted: {seen}'
 
@@ -112,9 +111,11 @@
 )
 def step_deployment(context: runner.Context, first: int, second: int) -> None:
     plan = deployment.accra(first, second, 2)
-    context.deployment = deployment.Deployment(plan)
-    context.deployments.append(context.deployment)
-    context.deployment.start()
+    if plan not in context.shared:
+        started = deployment.Deployment(plan)
+        context.shared[plan] = started
+        started.start()
+    context.deployment = context.shared[plan]
 
 
 @behave.when('{count:d} {kind} datagrams with seed {seed:d} go to a balancer')
