An agent that was paused passes nothing on before its document is confirmed

An agent that was frozen while a failure domain was taken out passed waiting opening packets on by its old table. The balancers' check of freshness now stands before passing on as well; the packet counts as lost on the way and the caller sends it again.

--- a/kumquatport/process/agent/passing.py
+++ b/kumquatport/process/agent/passing.py
@@ -24,6 +24,7 @@
         shared_key: bytes,
         tables: table.TableCache,
         count_event: abc.Callable[[str], None],
+        is_fresh: abc.Callable[[], bool],
     ) -> None:
         """Prepare; nothing is bound yet.
 
@@ -33,8 +34,12 @@
             shared_key: The key that all instances share, 32 bytes.
             tables: Tables of the members' records.
             count_event: Counts an event by name.
+            is_fresh: Whether the document in force is confirmed; an agent
+                that was paused may know agents of a failure domain that was
+                taken out since.
         """
         self._own = own
+        self._is_fresh = is_fresh
         self._count_event = count_event
         self._gone = refused.RefusedEndpoints()
         self._outgoing = outgoing.Outgoing(self._on_refused, count_event)
@@ -57,9 +62,15 @@
     def pass_on(self, forward: header.Forward) -> bool:
         """Send an opening packet on; tell whether there was an agent for it.
 
+        While the document is not confirmed the packet is dropped, as if lost
+        on the way; callers send it again.
+
         Args:
             forward: The opening packet, with the hops it has behind it.
         """
+        if not self._is_fresh():
+            self._count_event('dropped.not_fresh')
+            return True
         flow = route.flow_hash(forward.caller, forward.service_tag)
         endpoint = self._next(flow, forward.hops)
         if endpoint is None:
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -64,6 +64,7 @@
             common.shared_key,
             self._membership.tables,
             self._parts.metrics.count,
+            self._membership.freshness.is_fresh,
         )
         self._quic = _quic_configuration()
         self._tls = tls_watcher.Watcher(
--- /dev/null
+++ b/tests/unit/process/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of the agent's process."""
