A console killed while it applies: the same form at another settles it

Eight kills at drawn times, the platform at 0.2 s a call: each draft, posted again at the second console, was told accepted and took effect once.

--- a/tests/consoles.py
+++ b/tests/consoles.py
@@ -32,6 +32,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kumquatport-'))
         self.network = network.Network()
         self.processes: dict[str, processes.Process] = {}
+        self._status: dict[str, str] = {}
         settings.write_keys(self.folder)
         address, port = self.network.platform
         self.platform_url = f'http://{address}:{port}'
@@ -50,9 +51,16 @@
             name, module, options, self.folder / f'{name}.log'
         )
         self.processes[name] = process
+        self._status[name] = url
         process.start()
         processes.wait_ready(process, url, READY_TIMEOUT_S)
 
+    def restart_console(self, name: str) -> None:
+        """Start a console that has ended; do nothing when it runs."""
+        process = self.processes[name]
+        process.start()
+        processes.wait_ready(process, self._status[name], READY_TIMEOUT_S)
+
     def add_console(self, platform_url: str, instances: list[str] = []) -> str:
         """Start one more console; return its URL."""
         number = len(self._consoles())
@@ -159,8 +167,8 @@
         path.write_bytes(value)
         return str(path)
 
-    def stop(self) -> None:
-        """End everything, consoles first."""
+    def stop(self, *, hurry: bool = False) -> None:
+        """End everything, consoles first; they need no second signal."""
         consoles = [self.processes[name] for name in self._consoles()]
         processes.end_all(consoles, STOP_TIMEOUT_S)
         processes.end_all(self.processes.values(), STOP_TIMEOUT_S)
--- a/tests/features/console.feature
+++ b/tests/features/console.feature
@@ -80,6 +80,12 @@
     Then the console says accepted before it ends with exit code 0
     And the audit names the change of "accra-a"
 
+  Scenario: Consoles that are killed while they apply
+    When ama signs in at the first console
+    And the first console is killed 8 times while it applies her drafts
+    Then each draft posted again at the second console is accepted
+    And each of the drafts took effect exactly once
+
   Scenario: Pages work on a phone without scripts
     When ama signs in at the first console
     Then every console page fits a phone and has no script
--- a/tests/features/steps/console.py
+++ b/tests/features/steps/console.py
@@ -3,9 +3,11 @@
 import asyncio
 import html
 import json
+import random
 import re
 import typing
 
+import aiohttp
 import behave
 from aiohttp import web
 from behave import runner
@@ -16,6 +18,8 @@
 
 AGENT_PORT = 7200
 APPLY_BEGUN_S = 0.5
+KILL_DELAY_S = 0.2
+SEED = 10
 
 
 def _sign_in(context: runner.Context, name: str, url: str) -> browser.Browser:
@@ -430,6 +434,66 @@
     assert changes == [f'failure_domains[{domain}].out: false -> true'], done
 
 
+@behave.when(
+    'the first console is killed {count:d} times while it applies her drafts'
+)
+def killed_applying(context: runner.Context, count: int) -> None:
+    system = context.consoles
+    draw = random.Random(SEED)
+    context.console_kills = []
+    for number in range(count):
+        system.restart_console('console-1')
+        review = context.run(_async_reviewed(context.ama, number))
+        system.control({'mode': 'slow', 'delay_s': KILL_DELAY_S})
+        pause_s = draw.uniform(0, 3 * KILL_DELAY_S)
+        answered = context.run(
+            _async_kill(context.ama, review, system, pause_s)
+        )
+        system.control({'mode': 'up'})
+        context.ama.url = context.urls[1]
+        page = context.run(context.ama.async_post('/apply', review.hidden))
+        context.ama.url = context.urls[0]
+        version = system.in_force()[0]
+        context.console_kills.append((answered, page.heading, version))
+    print('answered before the kill, told again, version in force:')
+    print(context.console_kills)
+
+
+async def _async_reviewed(ama: browser.Browser, number: int) -> browser.Page:
+    page = await ama.async_get('/edit')
+    page = await ama.async_rule(page, 'manuals', 'accra-a', number + 0.25)
+    return await ama.async_post('/review', page.hidden)
+
+
+async def _async_kill(
+    ama: browser.Browser,
+    review: browser.Page,
+    system: consoles.Consoles,
+    pause_s: float,
+) -> bool:
+    """Kill the console some time after a post; tell whether it answered."""
+    apply = asyncio.create_task(ama.async_post('/apply', review.hidden))
+    await asyncio.sleep(pause_s)
+    await asyncio.to_thread(system.processes['console-1'].kill)
+    try:
+        return (await apply).heading == 'Accepted'
+    except aiohttp.ClientError:
+        return False
+
+
+@behave.then('each draft posted again at the second console is accepted')
+def accepted_again(context: runner.Context) -> None:
+    headings = [heading for _, heading, _ in context.console_kills]
+    assert set(headings) == {'Accepted'}, context.console_kills
+
+
+@behave.then('each of the drafts took effect exactly once')
+def took_effect_once(context: runner.Context) -> None:
+    versions = [version for _, _, version in context.console_kills]
+    expected = list(range(2, len(versions) + 2))
+    assert versions == expected, context.console_kills
+
+
 def _pages(context: runner.Context) -> list[browser.Page]:
     """Open one of each page."""
 
