--- a/kumquatport/version/spread/const.py
+++ b/kumquatport/version/spread/const.py
@@ -32,7 +32,8 @@
 SEEN_TIMEOUT_S: typing.Final = 0.5
 SEEN_RANDOM_PEERS: typing.Final = 2
 MAX_SUSPICIONS: typing.Final = 32
-DUTY_SCAN_S: typing.Final = 5.0
+DUTY_SCAN_S: typing.Final = 10.0
+DUTY_CHUNK: typing.Final = 500
 DUTY_MARGIN: typing.Final = 4.0
 
 FANOUT: typing.Final = 4
--- a/kumquatport/version/spread/observer.py
+++ b/kumquatport/version/spread/observer.py
@@ -307,11 +307,24 @@
         """Take up instances whose observers went with them."""
         while not self.should_stop:
             names = self._state.balancer_names()
-            for record in self._state.registry.all_records():
-                if self._is_duty(record, names):
-                    self._grant(record.instance)
+            known = self._state.registry.all_records()
+            for first in range(0, len(known), const.DUTY_CHUNK):
+                self._take_duties(
+                    known[first : first + const.DUTY_CHUNK], names
+                )
+                # A whole region takes long enough to hold up packets.
+                await asyncio.sleep(0)
             await self.sleep(const.DUTY_SCAN_S)
 
+    def _take_duties(
+        self,
+        chunk: messages.Records,
+        names: list[str],
+    ) -> None:
+        for record in chunk:
+            if self._is_duty(record, names):
+                self._grant(record.instance)
+
     def _is_duty(
         self,
         record: members.InstanceRecord,
