Deployment and caller split into small modules

Paths of instances that join after the start are now opened in the running fault proxy; a process that had to be killed at the end of a clean run is a StopFault.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -10,7 +10,7 @@
 import urllib.request
 from collections import abc
 
-from tests import fault_paths, network, processes
+from tests import layout, network, processes
 from tests.builders import documents, plans, settings
 
 READY_TIMEOUT_S = 30.0
@@ -21,55 +21,36 @@
 
 accra = plans.accra
 lakes = plans.lakes
+Options = layout.Options
 
 
 class LogFault(AssertionError):
     """A process wrote a traceback."""
 
 
-class Options(typing.NamedTuple):
-    """How a deployment differs from the usual one.
+class StopFault(AssertionError):
+    """Processes did not end when they were asked to."""
 
-    Attributes:
-        seed: Seed of the stand-ins' random choices.
-        backend: More options for each backend server.
-        seeds: Whether settings name the balancers as seeds.
-        log_level: Of the system's own processes.
-        faults: Patterns of paths that lead through the fault proxy; see
-            ``fault_paths.FaultPaths``.
-    """
-
-    seed: int = 0
-    backend: tuple[str, ...] = ()
-    seeds: bool = True
-    log_level: str = 'info'
-    faults: tuple[str, ...] = ()
 
-
-class Deployment:
+class Deployment(layout.Layout):
     """Starts, disturbs and ends the processes of one deployment.
 
-    Names: ``platform``, ``statsd``, ``fabric``, ``faults``, ``balancer-N``,
-    ``SERVICE-N`` (agent) and ``SERVICE-N-server`` (backend server), N from 1.
     All methods block; call them with ``asyncio.to_thread`` in a loop.
     """
 
-    def __init__(self, plan: plans.Plan, options: Options = Options()) -> None:
+    def __init__(
+        self, plan: plans.Plan, options: layout.Options = layout.Options()
+    ) -> None:
         """Claim addresses and write all settings.
 
         Args:
             plan: Sizes.
             options: What differs from the usual.
         """
-        self.plan = plan
-        self.options = options
+        super().__init__(plan, options)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kumquatport-'))
-        self.network = network.Network()
         self.processes: dict[str, processes.Process] = {}
-        self.paths = fault_paths.FaultPaths(self.network.faults, options.faults)
         self._status: dict[str, str] = {}
-        self._balancers: list[str] = []
-        self._joined: list[str] = []
         self._prepare()
 
     @property
@@ -77,64 +58,6 @@
         """Certificate that callers trust."""
         return self.folder / 'cert.pem'
 
-    @property
-    def caller_address(self) -> str:
-        """An address that callers may bind."""
-        return self.network.caller
-
-    @property
-    def platform_url(self) -> str:
-        return _url(self.network.platform)
-
-    @property
-    def balancers(self) -> tuple[str, ...]:
-        return tuple(self._balancers)
-
-    @property
-    def agents(self) -> tuple[str, ...]:
-        return (*self.plan.agents, *self._joined)
-
-    @property
-    def servers(self) -> tuple[str, ...]:
-        return tuple(f'{agent}-server' for agent in self.agents)
-
-    def service_endpoint(self, name: str) -> network.Endpoint:
-        """Tell the address and port that callers of a service use."""
-        direct = self.network.service(self.plan.service_names.index(name))
-        return self.paths.through(f'callers->{name}', 'udp', direct)
-
-    def address(self, name: str) -> str:
-        """Tell the IP number of a balancer, agent or backend server."""
-        if name.startswith('balancer-'):
-            return self.network.balancer(int(name.split('-')[1]) - 1)
-        index = self.agents.index(name.removesuffix('-server'))
-        return self.network.agent(index)
-
-    def announced_address(self, name: str) -> str:
-        """Tell where others reach a balancer or agent."""
-        address = self.address(name)
-        if self.paths.matches(f'peers->{name}'):
-            return self.network.shadow(address)
-        return address
-
-    def entry_port(self, service: str) -> int:
-        """Tell the balancers' port for a service."""
-        index = self.plan.service_names.index(service)
-        return documents.FIRST_ENTRY_PORT + index
-
-    def document(self, **changes: typing.Any) -> documents.Entry:
-        """Build this deployment's document; see ``documents.document``."""
-        services = []
-        for index, name in enumerate(self.plan.service_names):
-            address, port = self.network.service(index)
-            entry_port = self.entry_port(name)
-            services.append(
-                documents.service(name, f'{address}:{port}', entry_port)
-            )
-        return documents.document(
-            self.plan.region, self.plan.failure_domains, services, **changes
-        )
-
     def start(self, *, document: documents.Entry | None = None) -> None:
         """Start all; return when all say that they are ready."""
         proxy = ('faults',) if self.paths.wanted else ()
@@ -147,6 +70,7 @@
     def start_some(self, names: abc.Iterable[str]) -> None:
         """Start processes together and wait for each."""
         chosen = list(names)
+        self._open_paths()
         for name in chosen:
             self.processes[name].start()
         for name in chosen:
@@ -205,7 +129,8 @@
 
     def set_fabric(self, balancers: abc.Iterable[str]) -> None:
         """Have the fabric use these balancers, by name, from now on."""
-        entries = [self._entry_address(name) for name in balancers]
+        entries = [self.entry_address(name) for name in balancers]
+        self._open_paths()
         self.control('fabric', {'balancers': entries})
 
     def kill(self, name: str) -> None:
@@ -261,7 +186,7 @@
         """Prepare a console process; return its URL."""
         address = self.network.console
         entries = settings.console(
-            self._common(name),
+            self.common(name),
             name,
             self.plan.failure_domains[0],
             address,
@@ -275,7 +200,7 @@
         name = f'balancer-{len(self._balancers) + 1}'
         self._balancers.append(name)
         entries = settings.process(
-            self._common(name),
+            self.common(name),
             name,
             self.plan.failure_domain(name),
             self.announced_address(name),
@@ -300,9 +225,11 @@
         return self
 
     def __exit__(self, kind: type | None, *details: object) -> None:
-        self.stop()
+        killed = self.stop()
         if kind is None:
             self.check_logs()
+            if killed:
+                raise StopFault(killed)
             self.remove()
 
     def _prepare(self) -> None:
@@ -320,62 +247,28 @@
         self._add_fabric()
         self._add_faults()
 
-    def _common(self, instance: str) -> settings.Common:
-        platform = self.paths.through(
-            f'{instance}->platform', 'tcp', self.network.platform
-        )
-        return settings.Common(
-            self.plan.region,
-            _url(platform),
-            self.network.statsd,
-            self._seeds() if self.options.seeds else (),
-            self.options.log_level,
-        )
-
     def _runs(self, name: str) -> bool:
         return self.processes[name].running
 
-    def _seeds(self) -> tuple[str, ...]:
-        numbers = range(1, self.plan.balancers + 1)
-        balancers = [f'balancer-{number}' for number in numbers]
-        return tuple(
-            f'{self.announced_address(name)}:{settings.CONTROL_PORT}'
-            for name in balancers
-        )
-
-    def _entry_address(self, balancer: str) -> str:
-        address = self.address(balancer)
-        shadow = self.network.shadow(address)
-        entry = address
-        for service in self.plan.service_names:
-            port = self.entry_port(service)
-            entry, _ = self.paths.through(
-                f'fabric->{balancer}/{service}',
-                'udp',
-                (address, port),
-                (shadow, port),
-            )
-        return entry
-
     def _add_platform_and_statsd(self) -> None:
-        listen = ['--listen', _text(self.network.platform)]
+        listen = ['--listen', layout.text(self.network.platform)]
         self._add_stand_in(
             'platform', 'platform', listen, self.network.platform
         )
         control = self.network.statsd_control
-        options = ['--listen', _text(self.network.statsd)]
-        options += ['--control', _text(control)]
+        options = ['--listen', layout.text(self.network.statsd)]
+        options += ['--control', layout.text(control)]
         self._add_stand_in('statsd', 'statsd_receiver', options, control)
 
     def _add_fabric(self) -> None:
         config = self.folder / 'fabric.json'
-        entries = [self._entry_address(name) for name in self.balancers]
+        entries = [self.entry_address(name) for name in self.balancers]
         services = self.document()['services']
         config.write_text(
             json.dumps({'services': services, 'balancers': entries})
         )
         control = self.network.fabric_control
-        options = ['--config', str(config), '--control', _text(control)]
+        options = ['--config', str(config), '--control', layout.text(control)]
         options += ['--upstream-address', self.network.fabric_upstream]
         options += ['--seed', str(self.options.seed)]
         self._add_stand_in('fabric', 'fabric', options, control)
@@ -384,22 +277,33 @@
         config = self.folder / 'faults.json'
         config.write_text(json.dumps({'links': self.paths.links}))
         control = self.network.faults, network.HTTP_PORT
-        options = ['--config', str(config), '--control', _text(control)]
+        options = ['--config', str(config), '--control', layout.text(control)]
         options += ['--seed', str(self.options.seed)]
         self._add_stand_in('faults', 'fault_proxy', options, control)
 
+    def _open_paths(self) -> None:
+        # Instances that join have paths that the proxy does not know yet.
+        if self.processes['faults'].running:
+            known = self.status('faults')
+            fresh = {
+                name: link
+                for name, link in self.paths.links.items()
+                if name not in known
+            }
+            self.control('faults', {'links': fresh})
+
     def _add_agent(self, service: str, name: str) -> None:
         address = self.address(name)
         direct = address, network.BACKEND_PORT
         index = self.agents.index(name)
         server = f'{name}-server'
         options = ['--name', server, '--service', service]
-        options += ['--listen', _text(direct)]
+        options += ['--listen', layout.text(direct)]
         options += ['--seed', str(self.options.seed * 1000 + index)]
         options += self.options.backend
         self._add_stand_in(server, 'backend_server', options, direct)
         entries = settings.agent(
-            self._common(name),
+            self.common(name),
             name,
             self.plan.failure_domain(name),
             self.announced_address(name),
@@ -416,7 +320,7 @@
         control: network.Endpoint,
     ) -> None:
         self._add(name, f'tests.standins.{module}', options)
-        self._status[name] = f'{_url(control)}/control/counts'
+        self._status[name] = f'{layout.url(control)}/control/counts'
 
     def _add_own(self, program: str, entries: settings.Settings) -> None:
         name = entries['instance']
@@ -429,7 +333,7 @@
         module = f'kumquatport.process.{program}'
         self._add(name, module, ['--settings', str(path)])
         status = address, entries['status_port']
-        self._status[name] = f'{_url(status)}/status'
+        self._status[name] = f'{layout.url(status)}/status'
 
     def _add_peer_paths(self, name: str, entries: settings.Settings) -> None:
         ports = [('control', 'tcp', settings.CONTROL_PORT)]
@@ -451,11 +355,3 @@
 
 def _is_ready(status: dict[str, typing.Any]) -> bool:
     return status.get('state', 'ready') not in {'starting', 'leaving'}
-
-
-def _text(endpoint: network.Endpoint) -> str:
-    return f'{endpoint[0]}:{endpoint[1]}'
-
-
-def _url(endpoint: network.Endpoint) -> str:
-    return f'http://{_text(endpoint)}'
--- /dev/null
+++ b/tests/layout.py
@@ -0,0 +1,151 @@
+"""Names and addresses of a deployment, and which way they are reached."""
+
+import typing
+
+from tests import fault_paths, network
+from tests.builders import documents, plans, settings
+
+
+class Options(typing.NamedTuple):
+    """How a deployment differs from the usual one.
+
+    Attributes:
+        seed: Seed of the stand-ins' random choices.
+        backend: More options for each backend server.
+        seeds: Whether settings name the balancers as seeds.
+        log_level: Of the system's own processes.
+        faults: Patterns of paths that lead through the fault proxy; see
+            ``fault_paths.FaultPaths``.
+    """
+
+    seed: int = 0
+    backend: tuple[str, ...] = ()
+    seeds: bool = True
+    log_level: str = 'info'
+    faults: tuple[str, ...] = ()
+
+
+class Layout:
+    """Where everything of one deployment is.
+
+    Names: ``platform``, ``statsd``, ``fabric``, ``faults``, ``balancer-N``,
+    ``SERVICE-N`` (agent) and ``SERVICE-N-server`` (backend server), N from 1.
+    """
+
+    def __init__(self, plan: plans.Plan, options: Options) -> None:
+        """Claim addresses.
+
+        Args:
+            plan: Sizes at the start; more may join.
+            options: What differs from the usual.
+        """
+        self.plan = plan
+        self.options = options
+        self.network = network.Network()
+        self.paths = fault_paths.FaultPaths(self.network.faults, options.faults)
+        self._balancers: list[str] = []
+        self._joined: list[str] = []
+
+    @property
+    def caller_address(self) -> str:
+        """An address that callers may bind."""
+        return self.network.caller
+
+    @property
+    def platform_url(self) -> str:
+        return url(self.network.platform)
+
+    @property
+    def balancers(self) -> tuple[str, ...]:
+        return tuple(self._balancers)
+
+    @property
+    def agents(self) -> tuple[str, ...]:
+        return (*self.plan.agents, *self._joined)
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        return tuple(f'{agent}-server' for agent in self.agents)
+
+    def service_endpoint(self, name: str) -> network.Endpoint:
+        """Tell the address and port that callers of a service use."""
+        direct = self.network.service(self.plan.service_names.index(name))
+        return self.paths.through(f'callers->{name}', 'udp', direct)
+
+    def address(self, name: str) -> str:
+        """Tell the IP number of a balancer, agent or backend server."""
+        if name.startswith('balancer-'):
+            return self.network.balancer(int(name.split('-')[1]) - 1)
+        index = self.agents.index(name.removesuffix('-server'))
+        return self.network.agent(index)
+
+    def announced_address(self, name: str) -> str:
+        """Tell where others reach a balancer or agent."""
+        address = self.address(name)
+        if self.paths.matches(f'peers->{name}'):
+            return self.network.shadow(address)
+        return address
+
+    def entry_port(self, service: str) -> int:
+        """Tell the balancers' port for a service."""
+        index = self.plan.service_names.index(service)
+        return documents.FIRST_ENTRY_PORT + index
+
+    def document(self, **changes: typing.Any) -> documents.Entry:
+        """Build this deployment's document; see ``documents.document``."""
+        services = []
+        for index, name in enumerate(self.plan.service_names):
+            address, port = self.network.service(index)
+            entry_port = self.entry_port(name)
+            services.append(
+                documents.service(name, f'{address}:{port}', entry_port)
+            )
+        return documents.document(
+            self.plan.region, self.plan.failure_domains, services, **changes
+        )
+
+    def entry_address(self, balancer: str) -> str:
+        """Tell where the fabric sends what is for a balancer."""
+        address = self.address(balancer)
+        shadow = self.network.shadow(address)
+        entry = address
+        for service in self.plan.service_names:
+            port = self.entry_port(service)
+            entry, _ = self.paths.through(
+                f'fabric->{balancer}/{service}',
+                'udp',
+                (address, port),
+                (shadow, port),
+            )
+        return entry
+
+    def common(self, instance: str) -> settings.Common:
+        """Build what the settings of all instances have in common."""
+        platform = self.paths.through(
+            f'{instance}->platform', 'tcp', self.network.platform
+        )
+        return settings.Common(
+            self.plan.region,
+            url(platform),
+            self.network.statsd,
+            self._seeds() if self.options.seeds else (),
+            self.options.log_level,
+        )
+
+    def _seeds(self) -> tuple[str, ...]:
+        numbers = range(1, self.plan.balancers + 1)
+        balancers = [f'balancer-{number}' for number in numbers]
+        return tuple(
+            f'{self.announced_address(name)}:{settings.CONTROL_PORT}'
+            for name in balancers
+        )
+
+
+def text(endpoint: network.Endpoint) -> str:
+    """Write ``ADDRESS:PORT``."""
+    return f'{endpoint[0]}:{endpoint[1]}'
+
+
+def url(endpoint: network.Endpoint) -> str:
+    """Write ``http://ADDRESS:PORT``."""
+    return f'http://{text(endpoint)}'
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -8,7 +8,6 @@
 import pathlib
 import socket
 import ssl
-import time
 from collections import abc
 
 from aioquic.asyncio import protocol as quic_protocol
@@ -18,10 +17,10 @@
 from aioquic.quic import connection as quic_connection
 
 from tests.standins import caller_errors as errors
-from tests.standins import runner
+from tests.standins import caller_exchange, runner
 
 HANDSHAKE_TIMEOUT_S = 5.0
-ANSWER_TIMEOUT_S = 30.0
+ANSWER_TIMEOUT_S = caller_exchange.ANSWER_TIMEOUT_S
 IDLE_TIMEOUT_S = 60.0
 RESET_TOKEN_BYTES = 16
 MIN_RESET_BYTES = 21
@@ -42,99 +41,6 @@
             self.goaway = True
 
 
-class Exchange:
-    """One request on its stream and the answer as it arrives."""
-
-    def __init__(self, connection: 'Connection', stream_id: int) -> None:
-        self.stream_id = stream_id
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.started = time.monotonic()
-        self._connection = connection
-        self._events: asyncio.Queue[h3_events.H3Event | Exception] = (
-            asyncio.Queue()
-        )
-        self._ended = False
-
-    def feed(self, event: h3_events.H3Event | Exception) -> None:
-        """Take an event of this stream, or what ended it."""
-        self._events.put_nowait(event)
-
-    async def async_headers(self, timeout_s: float = ANSWER_TIMEOUT_S) -> int:
-        """Wait for the header fields; return the status."""
-        while not self.status:
-            event = await self._async_next(timeout_s)
-            if isinstance(event, h3_events.HeadersReceived):
-                self._take_headers(event)
-        return self.status
-
-    async def async_chunks(
-        self, timeout_s: float = ANSWER_TIMEOUT_S
-    ) -> abc.AsyncIterator[bytes]:
-        """Yield pieces of the body; ``timeout_s`` holds for each."""
-        await self.async_headers(timeout_s)
-        while not self._ended:
-            event = await self._async_next(timeout_s)
-            if isinstance(event, h3_events.DataReceived):
-                self._ended = event.stream_ended
-                if event.data:
-                    yield event.data
-            elif isinstance(event, h3_events.HeadersReceived):
-                self._ended = event.stream_ended
-
-    async def async_lines(
-        self, timeout_s: float = ANSWER_TIMEOUT_S
-    ) -> abc.AsyncIterator[str]:
-        """Yield the body line by line."""
-        rest = b''
-        async for chunk in self.async_chunks(timeout_s):
-            *lines, rest = (rest + chunk).split(b'\n')
-            for line in lines:
-                yield line.decode()
-
-    async def async_answer(
-        self, timeout_s: float = ANSWER_TIMEOUT_S
-    ) -> errors.Answered:
-        """Wait for the whole answer, ``timeout_s`` for all of it."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._async_whole()
-        except TimeoutError as fault:
-            raise errors.ResponseTimeoutError(timeout_s) from fault
-
-    def cancel(self) -> None:
-        """Give the request up: both directions of its stream end."""
-        self._connection.cancel(self.stream_id)
-
-    async def _async_whole(self) -> errors.Answered:
-        await self.async_headers()
-        first_s = time.monotonic() - self.started
-        body = b''.join([chunk async for chunk in self.async_chunks()])
-        seconds = time.monotonic() - self.started
-        return errors.Answered(
-            self.status, self.headers, body, first_s, seconds
-        )
-
-    async def _async_next(self, timeout_s: float) -> h3_events.H3Event:
-        try:
-            async with asyncio.timeout(timeout_s):
-                event = await self._events.get()
-        except TimeoutError as fault:
-            raise errors.ResponseTimeoutError(timeout_s) from fault
-        if isinstance(event, Exception):
-            self._events.put_nowait(event)
-            raise event
-        return event
-
-    def _take_headers(self, event: h3_events.HeadersReceived) -> None:
-        fields = {
-            name.decode(): value.decode() for name, value in event.headers
-        }
-        self.status = int(fields.pop(':status'))
-        self.headers = fields
-        self._ended = event.stream_ended
-
-
 class Connection(quic_protocol.QuicConnectionProtocol):
     """One HTTP/3 connection to a service address."""
 
@@ -146,7 +52,7 @@
         self.recording = False
         self._name = name
         self._h3 = _H3(quic)
-        self._exchanges: dict[int, Exchange] = {}
+        self._exchanges: dict[int, caller_exchange.Exchange] = {}
 
     @property
     def goaway(self) -> bool:
@@ -168,14 +74,14 @@
         path: str,
         headers: Headers | None = None,
         body: bytes = b'',
-    ) -> Exchange:
+    ) -> caller_exchange.Exchange:
         """Send a request; its answer comes through the exchange."""
         if self.lost is not None:
             raise self.lost
         if self.goaway:
             raise errors.GoawayError
         stream_id = self._quic.get_next_available_stream_id()
-        exchange = Exchange(self, stream_id)
+        exchange = caller_exchange.Exchange(stream_id, self.cancel)
         self._exchanges[stream_id] = exchange
         fields = {
             ':method': method,
@@ -201,7 +107,7 @@
         headers: Headers | None = None,
         body: bytes = b'',
         timeout_s: float = ANSWER_TIMEOUT_S,
-    ) -> errors.Answered:
+    ) -> caller_exchange.Answered:
         """Send a request and wait for its whole answer."""
         exchange = self.start(method, path, headers, body)
         return await exchange.async_answer(timeout_s)
@@ -212,7 +118,7 @@
         size: int,
         headers: Headers | None = None,
         timeout_s: float = ANSWER_TIMEOUT_S,
-    ) -> errors.Answered:
+    ) -> caller_exchange.Answered:
         """Pull a body; raise ``ChecksumError`` when a 200 isn't whole."""
         answer = await self.async_request(
             'GET', f'/pull/{name}?bytes={size}', headers, b'', timeout_s
--- a/tests/standins/caller_errors.py
+++ b/tests/standins/caller_errors.py
@@ -1,7 +1,5 @@
 """What a caller may meet, each a type of its own."""
 
-import typing
-
 H3_REQUEST_REJECTED = 0x10B
 H3_REQUEST_CANCELLED = 0x10C
 
@@ -50,21 +48,3 @@
     def rejected(self) -> bool:
         """Whether the code says that the request was not processed."""
         return self.error_code == H3_REQUEST_REJECTED
-
-
-class Answered(typing.NamedTuple):
-    """A whole answer.
-
-    Attributes:
-        status: HTTP status.
-        headers: Header fields by lower-case name.
-        body: Bytes of the body.
-        first_s: Seconds from sending to the header fields.
-        seconds: Seconds from sending to the end of the body.
-    """
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    first_s: float
-    seconds: float
--- a/tests/workload.py
+++ b/tests/workload.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
+import time
 import typing
 import uuid
 
 from tests import deployment
-from tests.standins import caller
+from tests.standins import caller, caller_exchange
 from tests.standins import caller_errors as errors
 
 TENANT = {'x-tenant': 'guild'}
@@ -87,7 +88,8 @@
     exchange.cancel()
     numbers = [int(line.split()[1]) for line in lines]
     server = lines[0].split()[0] if lines else ''
-    answer = errors.Answered(status, {}, b'', 0.0, 0.0)
+    seconds = time.monotonic() - exchange.started
+    answer = caller_exchange.Answered(status, {}, b'', seconds, seconds)
     right = numbers == list(range(FEED_LINES))
     return _outcome(service, 'feed', answer, server, right=right)
 
@@ -151,7 +153,7 @@
 def _outcome(
     service: str,
     kind: str,
-    answer: errors.Answered,
+    answer: caller_exchange.Answered,
     server: str = '',
     *,
     right: bool,
