--- a/bench/bench_spread.py
+++ b/bench/bench_spread.py
@@ -146,7 +146,7 @@
 ) -> figure.Figure:
     """Stop an agent without a word; time until no balancer offers it."""
     lost = fleet.agents.pop()
-    lost.announcer.superseded = True
+    lost.announcer._own.superseded = True
     name = lost.announcer.own.instance
     started = time.monotonic()
     await lost.stop()
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -15,7 +15,7 @@
 from kumquatport.process.status import server
 from kumquatport.version import document as documents
 from kumquatport.version import members
-from kumquatport.version.spread import announcer, membership
+from kumquatport.version.spread import membership, own_record
 
 
 class Role(typing.NamedTuple):
@@ -108,7 +108,7 @@
     common: models.CommonSettings,
     role: Role,
 ) -> members.InstanceRecord:
-    return announcer.first_record(
+    return own_record.first_record(
         instance=common.instance,
         kind=role.kind,
         region=common.region,
--- a/kumquatport/version/spread/announcer.py
+++ b/kumquatport/version/spread/announcer.py
@@ -1,7 +1,6 @@
 """The instance's own record, and the heartbeats that carry it."""
 
 import asyncio
-import typing
 
 import mode
 import structlog
@@ -14,6 +13,7 @@
     const,
     documents,
     messages,
+    own_record,
     peers,
     shared,
     slices,
@@ -23,12 +23,7 @@
 
 
 class Announcer(mode.Service):
-    """Owns this instance's record and reports it to its observers.
-
-    Attributes:
-        superseded: Whether another process runs under the same name and
-            started later; then nothing more is announced.
-    """
+    """Reports this instance's record to its observers."""
 
     def __init__(
         self,
@@ -46,8 +41,7 @@
             fetcher: Fetches newer documents.
         """
         super().__init__()
-        self.superseded = False
-        self._own = own
+        self._own = own_record.OwnRecord(own, state.registry)
         self._state = state
         self._peers = known
         self._documents = fetcher
@@ -56,14 +50,17 @@
         self._asked = ''
         self._listing_due: float = 0
         self._changed = asyncio.Event()
-        self._confirmed = False
-        state.registry.merge(own)
-        state.registry.subscribe(self._on_record)
+        self._own.changes.subscribe(self._changed.set)
 
     @property
     def own(self) -> members.InstanceRecord:
         """Return the present record."""
-        return self._own
+        return self._own.present
+
+    @property
+    def superseded(self) -> bool:
+        """Tell whether a younger process has this name; nothing is announced."""
+        return self._own.superseded
 
     def update(
         self,
@@ -76,12 +73,7 @@
             state: One of ``members.const.STATES``, unchanged if ``None``.
             weight: 0 to 1, unchanged if ``None``.
         """
-        changed = self._own._replace(
-            state=self._own.state if state is None else state,
-            weight=self._own.weight if weight is None else weight,
-        )
-        if changed != self._own:
-            self._publish(changed._replace(sequence=self._own.sequence + 1))
+        self._own.update(state, weight)
 
     async def async_announce(self) -> int:
         """Tell the observers now.
@@ -155,7 +147,7 @@
 
     async def _async_beat(self, target: peers.Target) -> bool:
         """Send a heartbeat; tell whether the observer holds the record."""
-        own = self._own
+        own = self.own
         asked_at = self._state.freshness.tick()
         answer = await self._state.client.async_ask(
             target.endpoint,
@@ -166,10 +158,10 @@
         await self._async_take(answer, target, asked_at)
         if not answer.known:
             self._told.pop(target.endpoint, None)
-        return own is self._own and answer.known
+        return own is self.own and answer.known
 
     def _heartbeat(self, target: peers.Target) -> messages.Heartbeat:
-        own = self._own
+        own = self.own
         told = self._told.get(target.endpoint) == own.sequence
         return messages.Heartbeat(
             instance=own.instance,
@@ -183,7 +175,7 @@
         )
 
     def _digest(self) -> int:
-        own = self._own
+        own = self.own
         return slices.digest(self._state.registry, own.service, own.instance)
 
     def _wants_peers(self, target: peers.Target) -> bool:
@@ -195,7 +187,7 @@
         target: peers.Target,
         asked_at: float,
     ) -> None:
-        self._confirmed = self._confirmed or answer.known
+        self._own.confirmed = self._own.confirmed or answer.known
         self._state.contact.learn(answer.platform_age)
         if answer.held is not None:
             self._state.registry.merge(answer.held)
@@ -206,65 +198,3 @@
             await self._documents.async_fetch(target.endpoint)
         if answer.fresh and not self._documents.wants(answer.version):
             self._state.freshness.prolong(asked_at)
-
-    def _on_record(
-        self,
-        record: members.InstanceRecord,
-        _previous: members.InstanceRecord | None,
-    ) -> None:
-        """Answer what others hold of this instance and it did not say."""
-        if record.instance != self._own.instance or record == self._own:
-            return
-        if record.incarnation > self._own.incarnation and self._confirmed:
-            self._give_way(record)
-            return
-        self._publish(self._above(record))
-
-    def _above(self, record: members.InstanceRecord) -> members.InstanceRecord:
-        """Return this instance's record such that it outranks another."""
-        if _is_same_process(record, self._own):
-            return self._own._replace(sequence=record.sequence + 1)
-        # Of an earlier process whose clock was ahead, which may even live on
-        # and must see that it has been superseded.
-        return self._own._replace(
-            incarnation=record.incarnation + 1,
-            sequence=1,
-        )
-
-    def _give_way(self, record: members.InstanceRecord) -> None:
-        self.superseded = True
-        _LOGGER.error(
-            'another process runs under this name',
-            instance=record.instance,
-            endpoint=record.endpoint,
-        )
-
-    def _publish(self, record: members.InstanceRecord) -> None:
-        self._own = record
-        self._state.registry.merge(record)
-        self._changed.set()
-
-
-def _is_same_process(
-    record: members.InstanceRecord,
-    own: members.InstanceRecord,
-) -> bool:
-    same_start = record.incarnation == own.incarnation
-    same_ports = record.data_port == own.data_port
-    return same_start and same_ports and record.endpoint == own.endpoint
-
-
-def first_record(**fields: typing.Any) -> members.InstanceRecord:
-    """Return the first record of a process.
-
-    Args:
-        **fields: Those of ``InstanceRecord`` but for state, weight,
-            incarnation and sequence.
-    """
-    return members.InstanceRecord(
-        state=members_const.STATE_STARTING,
-        weight=1.0,
-        incarnation=clock.unix_ms(),
-        sequence=1,
-        **fields,
-    )
--- a/kumquatport/version/spread/documents.py
+++ b/kumquatport/version/spread/documents.py
@@ -9,8 +9,15 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.control import server
-from kumquatport.version import current as currents
-from kumquatport.version.spread import const, delta, messages, order, shared
+from kumquatport.version.spread import (
+    const,
+    delta,
+    library,
+    messages,
+    order,
+    push,
+    shared,
+)
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -31,17 +38,14 @@
         """
         super().__init__()
         self._state = state
-        self._kept: collections.OrderedDict[int, bytes] = (
-            collections.OrderedDict()
-        )
-        self._updates: dict[int, delta.Update] = {}
+        self._library = library.Library()
         self._relayed: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
         )
         self._fetching: set[str] = set()
         self._rejected = 0
         self._coming = (0, b'')
-        state.current.subscribe(self._keep)
+        state.current.subscribe(self._library.keep)
         control.handle(messages.DocumentFetch, self._async_on_fetch)
         control.handle(messages.DocumentPush, self._async_on_push)
 
@@ -58,9 +62,7 @@
         held = self._state.current.held
         if version <= max(held.version, self._rejected):
             return
-        update = delta.whole(version, encoded)
-        if held.version:
-            update = delta.between(held.version, held.encoded, version, encoded)
+        update = self._library.update(held.version, version, encoded)
         self._coming = (version, encoded)
         passed = self._relay(self._state.instance, update)
         if passed:
@@ -129,7 +131,7 @@
         fresh = self._state.freshness.is_fresh()
         update = None
         if message.version < version:
-            update = self._update_from(message.version, version, encoded)
+            update = self._library.update(message.version, version, encoded)
         return messages.DocumentAnswer(version, fresh, update)
 
     async def _async_on_push(
@@ -170,30 +172,6 @@
                 error=str(error),
             )
 
-    def _keep(self, held: currents.Versioned) -> None:
-        self._updates.clear()
-        self._kept[held.version] = held.encoded
-        while len(self._kept) > const.KEPT_VERSIONS:
-            self._kept.popitem(last=False)
-
-    def _update_from(
-        self,
-        base: int,
-        version: int,
-        encoded: bytes,
-    ) -> delta.Update:
-        found = self._updates.get(base)
-        if found is not None and found.version == version:
-            return found
-        kept = self._kept.get(base)
-        if kept is None:
-            base = 0
-            found = delta.whole(version, encoded)
-        else:
-            found = delta.between(base, kept, version, encoded)
-        self._updates[base] = found
-        return found
-
     def _relay(
         self,
         origin: str,
@@ -207,31 +185,8 @@
         while len(self._relayed) > const.KEPT_RELAYS:
             self._relayed.popitem(last=False)
         names = order.tree(origin, self._state.balancer_names())
-        place = names.index(self._state.instance)
         message = messages.DocumentPush(origin, self._state.endpoint, update)
         return [
-            self.add_future(self._async_push(child, names, message))
-            for child in order.children(names, place, const.FANOUT)
+            self.add_future(push.async_push(self._state, child, names, message))
+            for child in push.below_here(self._state, names)
         ]
-
-    async def _async_push(
-        self,
-        name: str,
-        names: list[str],
-        message: messages.DocumentPush,
-    ) -> None:
-        """Push to a node of the tree, or in its stead to those below it."""
-        endpoint = self._state.endpoint_of(name)
-        if endpoint is not None:
-            try:
-                await self._state.client.async_ask(
-                    endpoint, message, const.PUSH_TIMEOUT_S
-                )
-            except exceptions.PeerUnavailableError:
-                _LOGGER.debug('document push passes over', instance=name)
-            else:
-                return
-        below = order.children(names, names.index(name), const.FANOUT)
-        await asyncio.gather(
-            *(self._async_push(child, names, message) for child in below),
-        )
--- a/kumquatport/version/spread/membership.py
+++ b/kumquatport/version/spread/membership.py
@@ -53,7 +53,7 @@
         """Put the parts together; nothing is sent before the start.
 
         Args:
-            own: First record of this process, from ``announcer.first_record``.
+            own: First record of this process, from ``own_record.first_record``.
             seeds: ``address:port`` of some control endpoints.
             key: The shared key.
             platform: Client of the platform, started by the caller.
--- /dev/null
+++ b/kumquatport/version/spread/push.py
@@ -0,0 +1,47 @@
+"""Pushes down a tree, past nodes that do not answer."""
+
+import asyncio
+
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.control import frame
+from kumquatport.version.spread import const, order, shared
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+async def async_push(
+    state: shared.Shared,
+    name: str,
+    names: list[str],
+    message: frame.Message,
+) -> None:
+    """Push to a node of the tree, or in its stead to those below it.
+
+    Args:
+        state: Of this process.
+        name: The node.
+        names: The tree, from ``order.tree``.
+        message: What is to be passed on.
+    """
+    endpoint = state.endpoint_of(name)
+    if endpoint is not None:
+        try:
+            await state.client.async_ask(
+                endpoint, message, const.PUSH_TIMEOUT_S
+            )
+        except exceptions.PeerUnavailableError:
+            _LOGGER.debug('push passes over', instance=name)
+        else:
+            return
+    below = order.children(names, names.index(name), const.FANOUT)
+    await asyncio.gather(
+        *(async_push(state, child, names, message) for child in below),
+    )
+
+
+def below_here(state: shared.Shared, names: list[str]) -> list[str]:
+    """Return the nodes just below this process in a tree."""
+    place = names.index(state.instance)
+    return order.children(names, place, const.FANOUT)
--- a/kumquatport/version/spread/records.py
+++ b/kumquatport/version/spread/records.py
@@ -3,14 +3,10 @@
 import asyncio
 
 import mode
-import structlog
 
-from kumquatport import exceptions
 from kumquatport.connection.control import server
 from kumquatport.version import members
-from kumquatport.version.spread import const, messages, order, shared
-
-_LOGGER = structlog.get_logger(__name__)
+from kumquatport.version.spread import const, messages, order, push, shared
 
 
 class RecordSpread(mode.Service):
@@ -114,33 +110,13 @@
         changed: messages.Records,
     ) -> None:
         names = order.tree(origin, self._state.balancer_names())
-        place = names.index(self._state.instance)
-        below = order.children(names, place, const.FANOUT)
+        below = push.below_here(self._state, names)
         for first in range(0, len(changed), const.MAX_BATCH_RECORDS):
             batch = changed[first : first + const.MAX_BATCH_RECORDS]
             message = messages.RecordsPush(origin, batch)
             await asyncio.gather(
-                *(self._async_push(name, names, message) for name in below),
+                *(
+                    push.async_push(self._state, name, names, message)
+                    for name in below
+                ),
             )
-
-    async def _async_push(
-        self,
-        name: str,
-        names: list[str],
-        message: messages.RecordsPush,
-    ) -> None:
-        """Push to a node of the tree, or in its stead to those below it."""
-        endpoint = self._state.endpoint_of(name)
-        if endpoint is not None:
-            try:
-                await self._state.client.async_ask(
-                    endpoint, message, const.PUSH_TIMEOUT_S
-                )
-            except exceptions.PeerUnavailableError:
-                _LOGGER.debug('record push passes over', instance=name)
-            else:
-                return
-        below = order.children(names, names.index(name), const.FANOUT)
-        await asyncio.gather(
-            *(self._async_push(child, names, message) for child in below),
-        )
--- a/tests/unit/version/spread/cluster.py
+++ b/tests/unit/version/spread/cluster.py
@@ -62,7 +62,7 @@
 
     async def async_crash(self, each):
         """Stop without a word."""
-        each.announcer.superseded = True
+        each.announcer._own.superseded = True
         await each.stop()
 
     def cut(self, one, other):
--- a/tests/unit/version/spread/test_membership.py
+++ b/tests/unit/version/spread/test_membership.py
@@ -116,7 +116,7 @@
             1, self.platform, cluster.SEEDS, net=ELSEWHERE
         )
         own = young.announcer.own
-        young.announcer._publish(own._replace(incarnation=2))
+        young.announcer._own.publish(own._replace(incarnation=2))
         await self.async_begin(young)
         await self.async_until(lambda: self.agents[0].announcer.superseded, 4)
         held = self.balancers[0].registry.get('agent-1')
