--- a/kumquatport/connection/quic/listener.py
+++ b/kumquatport/connection/quic/listener.py
@@ -283,4 +283,6 @@
         )
         transport = typing.cast(asyncio.DatagramTransport, self)
         one = self._held.add(quic, transport, head.destination_cid)
+        # The balancer's own hop is the first that any flow takes.
+        self._hooks.count_event(f'hops.{forward.hops}')
         one.datagram_received(forward.payload, forward.caller)
--- a/kumquatport/process/agent/const.py
+++ b/kumquatport/process/agent/const.py
@@ -9,7 +9,3 @@
 DRAIN_POLL_S = 0.2
 ALPN = ('h3',)
 CLIENT_MAX_STREAMS = 128
-EVENT_OPENED = 'flows.opened'
-EVENT_CLOSED = 'flows.closed'
-GAUGE_FLOWS = 'flows.open'
-EVENT_HOPS = 'hops'
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -162,11 +162,11 @@
         return domain in self._membership.tables.out
 
     def _opened(self) -> None:
-        self._parts.metrics.count(const.EVENT_OPENED)
+        self._parts.metrics.count(metrics_const.COUNT_FLOWS_OPENED)
         self._handler.connection_opened()
 
     def _closed(self) -> None:
-        self._parts.metrics.count(const.EVENT_CLOSED)
+        self._parts.metrics.count(metrics_const.COUNT_FLOWS_CLOSED)
         self._handler.connection_closed()
 
     def _apply(self, held_now: current.Versioned) -> None:
@@ -195,7 +195,7 @@
         openness = self._handler.openness()
         own = self._membership.announcer.own
         self._parts.metrics.gauge(
-            const.GAUGE_FLOWS,
+            metrics_const.GAUGE_FLOWS_OPEN,
             len(self._listener.sessions),
         )
         self._parts.metrics.gauge(
--- a/kumquatport/process/metrics/const.py
+++ b/kumquatport/process/metrics/const.py
@@ -2,16 +2,9 @@
 
 import typing
 
-# Counters of flows and packets.
+# Counters of flows.
 COUNT_FLOWS_OPENED: typing.Final = 'flows.opened'
 COUNT_FLOWS_CLOSED: typing.Final = 'flows.closed'
-COUNT_FORWARDED: typing.Final = 'forwarded'
-COUNT_HOPS: typing.Final = 'hops'
-COUNT_REQUESTS: typing.Final = 'requests'
-
-# Counters with a reason after the dot.
-COUNT_REFUSED_PREFIX: typing.Final = 'refused.'
-COUNT_DROPPED_PREFIX: typing.Final = 'dropped.'
 
 # Counters of control messages.
 COUNT_CONTROL_BYTES_SENT: typing.Final = 'control.bytes_sent'
--- a/tests/features/product.feature
+++ b/tests/features/product.feature
@@ -59,5 +59,6 @@
       | balancer.balancer-1.established                     |
       | balancer.balancer-1.control.bytes_received          |
       | balancer.balancer-1.control.cpu_s                   |
+    And every metric of the product is on the page of metrics
     And every line of the product's logs names its instance and failure domain
     And each of the product's programs exits with 0 on SIGTERM
--- a/tests/features/steps/product.py
+++ b/tests/features/steps/product.py
@@ -15,7 +15,7 @@
 import yaml
 from behave import runner
 
-from tests import deployment, processes, workload
+from tests import deployment, metrics_page, processes, workload
 from tests.builders import settings
 from tests.standins import caller
 from tests.standins import caller_errors as errors
@@ -277,6 +277,17 @@
     assert _until(seconds, lambda: not _missing()), _missing()
 
 
+@behave.then('every metric of the product is on the page of metrics')
+def step_on_page(context: runner.Context) -> None:
+    report = context.deployment.status('statsd')
+    names = {
+        name.split('.', maxsplit=3)[3]
+        for name in (*report['counters'], *report['gauges'])
+    }
+    unknown = [name for name in names if not metrics_page.covers(name)]
+    assert not unknown, unknown
+
+
 @behave.then(
     "every line of the product's logs names its instance and failure domain"
 )
