--- a/kumquatport/request/admission/admission.py
+++ b/kumquatport/request/admission/admission.py
@@ -7,7 +7,7 @@
 
 from kumquatport.request import const as request_const
 from kumquatport.request import errors, policy
-from kumquatport.request.admission import const, costs, slot
+from kumquatport.request.admission import const, costs, long_classes, slot
 from kumquatport.request.limit import limit
 from kumquatport.request.queue import fair, waiter
 
@@ -33,6 +33,7 @@
         self._limits = policy.Limits()
         self._in_progress = 0
         self._filled_at = clock()
+        self._long = long_classes.LongClasses(self.costs)
 
     @property
     def in_progress(self) -> int:
@@ -79,8 +80,9 @@
         """
         now = self._clock()
         longest_s = self._longest_wait_s(ticket, now)
-        if self._has_room():
-            self._in_progress += 1
+        self._long.arrived(ticket.class_name, now)
+        if self._has_room(ticket):
+            self._take(ticket)
             self._queue.charge(ticket, ticket.cost_s)
             return self._slot(ticket)
         await self._async_wait(ticket, longest_s)
@@ -95,6 +97,15 @@
             request_const.MAX_RETRY_AFTER_S,
         )
 
+    def _take(self, ticket: waiter.Ticket) -> None:
+        self._in_progress += 1
+        self._long.taken(ticket.class_name)
+
+    def _untake(self, ticket: waiter.Ticket) -> None:
+        self._in_progress -= 1
+        self._long.given_back(ticket.class_name)
+        self._pump()
+
     def _slot(self, ticket: waiter.Ticket) -> slot.Slot:
         give_back = functools.partial(self._give_back, self._clock())
         return slot.Slot(ticket, self._in_progress, give_back)
@@ -104,17 +115,19 @@
         used_s = self._clock() - granted_at
         self._queue.charge(ticket, used_s - ticket.cost_s)
         self.costs.learn(ticket.class_name, used_s)
-        self._in_progress -= 1
-        self._pump()
+        self._untake(ticket)
 
     def _longest_wait_s(self, ticket: waiter.Ticket, now: float) -> float:
-        left_s = ticket.deadline_at - now - ticket.cost_s
+        left_s = ticket.deadline_at - now
         if left_s <= 0:
             raise errors.DeadlineUnmeetableError(
                 'the deadline leaves no time to run',
                 self.retry_after_s(),
             )
-        return min(left_s, self._patience_s(now))
+        # Half of what is left is kept at most: a cost that was learnt in bad
+        # times must not refuse what would unlearn it.
+        needed_s = min(ticket.cost_s, left_s / 2)
+        return min(left_s - needed_s, self._patience_s(now))
 
     def _patience_s(self, now: float) -> float:
         """Return how long work may wait now.
@@ -127,8 +140,17 @@
             return queue_s
         return queue_s * const.STANDING_SHARE
 
-    def _has_room(self) -> bool:
-        return not self.queued and self._in_progress < int(self._limit.value)
+    def _has_room(self, ticket: waiter.Ticket) -> bool:
+        if self._in_progress >= int(self._limit.value):
+            return False
+        blocked = self._blocked()
+        if ticket.class_name in blocked:
+            return False
+        return not self._queue.has_work(blocked)
+
+    def _blocked(self) -> frozenset[str]:
+        """Return the classes that must leave the last slot to others."""
+        return self._long.blocked(int(self._limit.value), self._clock())
 
     async def _async_wait(
         self,
@@ -183,15 +205,17 @@
         granted = request.granted
         if granted.done() and not granted.cancelled():
             if granted.exception() is None:
-                self._in_progress -= 1
-                self._pump()
+                self._untake(request.ticket)
             return
         self._queue.discard(request)
 
     def _pump(self) -> None:
         """Grant free slots to those whose turn it is."""
-        while self.queued and self._in_progress < int(self._limit.value):
-            request = self._queue.pop()
+        while self._in_progress < int(self._limit.value):
+            blocked = self._blocked()
+            if not self._queue.has_work(blocked):
+                return
+            request = self._queue.pop(blocked)
             if not request.granted.done():
-                self._in_progress += 1
+                self._take(request.ticket)
                 request.granted.set_result(None)
--- a/kumquatport/request/admission/const.py
+++ b/kumquatport/request/admission/const.py
@@ -9,3 +9,7 @@
 FULL_SHARE = 0.5
 # Share of the longest wait that is allowed while the queue does not empty.
 STANDING_SHARE = 0.1
+# Requests that hold a slot for longer leave one to other classes.
+LONG_S = 2.0
+# For so long after another class had work.
+RECENT_S = 60.0
--- a/kumquatport/request/queue/fair.py
+++ b/kumquatport/request/queue/fair.py
@@ -64,11 +64,19 @@
         tenant.length += 1
         tenant.queued_s += ticket.cost_s
 
-    def pop(self) -> waiter.Waiter:
-        """Take out the request whose turn it is, and charge for it."""
-        tenant_name = self._turns.choose(self._backlogged())
+    def has_work(self, blocked: abc.Container[str] = ()) -> bool:
+        """Tell whether a request of a class that is not blocked waits."""
+        return any(self._backlogged(blocked))
+
+    def pop(self, blocked: abc.Container[str] = ()) -> waiter.Waiter:
+        """Take out the request whose turn it is, and charge for it.
+
+        Args:
+            blocked: Classes whose turn does not come now.
+        """
+        tenant_name = self._turns.choose(self._backlogged(blocked))
         tenant = self._tenants[tenant_name]
-        class_name = tenant.turns.choose(_backlogged_classes(tenant))
+        class_name = tenant.turns.choose(_backlogged_classes(tenant, blocked))
         entry = heapq.heappop(tenant.classes[class_name])
         _removed(tenant, entry)
         self.charge(entry[2].ticket, entry[2].ticket.cost_s)
@@ -124,14 +132,15 @@
             if name != ticket.tenant
         )
         tenant = self._tenants.get(ticket.tenant)
-        ahead_s = ticket.cost_s
-        if tenant is not None:
-            ahead_s += tenant.queued_s
+        ahead_s = tenant.queued_s if tenant else 0
         return ahead_s * (share + competing) / share / slots
 
-    def _backlogged(self) -> abc.Iterator[str]:
+    def _backlogged(
+        self,
+        blocked: abc.Container[str] = (),
+    ) -> abc.Iterator[str]:
         for name, tenant in self._tenants.items():
-            if tenant.length:
+            if any(_backlogged_classes(tenant, blocked)):
                 yield name
 
     def _backlog_s(self, name: str) -> float:
@@ -141,9 +150,12 @@
         return self._shares.get(name, 1)
 
 
-def _backlogged_classes(tenant: _Tenant) -> abc.Iterator[str]:
+def _backlogged_classes(
+    tenant: _Tenant,
+    blocked: abc.Container[str],
+) -> abc.Iterator[str]:
     for name, heap in tenant.classes.items():
-        if heap:
+        if heap and name not in blocked:
             yield name
 
 
--- a/tests/features/request_tenants.feature
+++ b/tests/features/request_tenants.feature
@@ -14,3 +14,9 @@
     And the request handler has learnt its latency
     When 200 callers hold a feed open and 50 orders are sent
     Then all 50 orders are answered
+
+  Scenario: Slow callers that pull leave room for orders
+    Given a warm backend server of 50 ms a request beside a request handler
+    And the request handler has learnt its latency
+    When 8 slow callers pull twice and 30 orders are sent while they do
+    Then all 30 orders are answered
--- a/tests/features/steps/request_load.py
+++ b/tests/features/steps/request_load.py
@@ -18,6 +18,9 @@
 TURN_POLL_S = 0.005
 LIMIT_LOW = 3
 ORDERS_SHARE = 0.5
+SLOW_ORDERS_SHARE = 0.15
+SLOW_PULL = '/pull/slow?bytes=20000000'
+SLOW_PULL_S = 2.5
 CODE_QUEUE_TIMEOUT = 'KQ-5013'
 CROWD = 'crowd'
 GUILD = 'guild'
@@ -331,3 +334,34 @@
 def step_orders_answered(context: runner.Context, count: int) -> None:
     statuses = [call.answer.status for call in context.calls]
     assert statuses == [200] * count, statuses
+
+
+@behave.when(
+    '{pulls:d} slow callers pull twice and {orders:d} orders are sent'
+    ' while they do'
+)
+def step_slow_pulls(context: runner.Context, pulls: int, orders: int) -> None:
+    side = context.side
+    rate = SLOW_ORDERS_SHARE * context.capacity
+
+    async def _async_pull(recorded: exchanges.Recorded) -> None:
+        recorded.room.clear()
+        head = exchanges.head(path=SLOW_PULL)
+        await side.handler.async_handle(head, recorded.exchange)
+
+    async def _async_round(orders: int) -> list[beside.Call]:
+        taking = [exchanges.Recorded() for _ in range(pulls)]
+        tasks = [asyncio.create_task(_async_pull(one)) for one in taking]
+        await asyncio.sleep(SLOW_PULL_S)
+        made = await side.async_open_loop(
+            rate,
+            orders / rate,
+            lambda number: exchanges.order(f'key-{number}'),
+        )
+        for one in taking:
+            one.room.set()
+        await asyncio.gather(*tasks)
+        return made
+
+    context.run(_async_round(1))
+    context.calls = context.run(_async_round(orders))
--- a/tests/unit/request/test_queue.py
+++ b/tests/unit/request/test_queue.py
@@ -141,8 +141,34 @@
 
     async def test_a_wait_too_long_is_refused_at_once(self):
         await self.fill()
+        first = self.gate.async_acquire(self.ticket(cost_s=1.0))
+        waiting_one = asyncio.create_task(first)
+        await asyncio.sleep(0)
         with self.assertRaises(errors.QueueFullError):
             await self.gate.async_acquire(self.ticket(cost_s=1.0))
+        waiting_one.cancel()
+
+    async def test_a_cost_learnt_in_bad_times_refuses_nothing(self):
+        slot = await self.gate.async_acquire(
+            self.ticket(left_s=0.1, cost_s=30.0)
+        )
+        slot.release()
+
+    async def test_long_requests_leave_a_slot_to_other_classes(self):
+        self.gate.costs.learn('pull', 10.0)
+        slots = await self.fill()
+        for held in slots:
+            held.release()
+        deadline_at = self.clock() + 5
+
+        def acquire(class_name):
+            ticket = self.gate.ticket('guild', class_name, deadline_at)
+            return self.gate.async_acquire(ticket)
+
+        await acquire('pull')
+        with self.assertRaises(errors.QueueTimeoutError):
+            await acquire('pull')
+        await acquire('order')
 
     async def test_length_is_bounded(self):
         await self.fill()
