--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,6 +1,7 @@
 """What holds for every scenario: a running loop, deployments that end."""
 
 import asyncio
+import contextlib
 import logging
 import threading
 import typing
@@ -36,8 +37,10 @@
 
     ``context.run(coroutine)`` runs a coroutine in it and returns its result.
     ``context.deployments`` is ended, and its logs checked, after the scenario.
+    ``context.stack`` is closed in the loop before that.
     """
     context.deployments = []
+    context.stack = contextlib.AsyncExitStack()
     context.loop = asyncio.new_event_loop()
     context.loop_thread = threading.Thread(
         target=context.loop.run_forever, daemon=True
@@ -58,6 +61,7 @@
     if failed:
         ending += context.shared.values()
         context.shared.clear()
+    context.run(context.stack.aclose())
     context.run(_async_cancel_all())
     context.loop.call_soon_threadsafe(context.loop.stop)
     context.loop_thread.join(LOOP_JOIN_S)
--- a/tests/features/request_deployment.feature
+++ b/tests/features/request_deployment.feature
@@ -13,7 +13,7 @@
   Scenario: A cold backend server joins under load
     Given a deployment under requests with 2 storefront servers of 50 ms
     And 0 feeds and 8 workers under requests
-    When a cold storefront server joins and 40 more workers come
+    When a cold storefront server joins and 4 waves of 20 workers come
     Then no server under requests has collapsed
     And the server that joined has served at least 50 requests
     And no flow under requests is broken
--- a/tests/features/steps/request_beside.py
+++ b/tests/features/steps/request_beside.py
@@ -1,7 +1,6 @@
 """Given steps: a request handler beside a real backend server."""
 
 import asyncio
-import contextlib
 import os
 import typing
 
@@ -21,11 +20,10 @@
 
 
 class Standing:
-    """What is ended after the scenario, as deployments are."""
+    """Backend servers and handlers of a scenario; ended with its stack."""
 
     def __init__(self, context: runner.Context) -> None:
         self._context = context
-        self.stack = contextlib.AsyncExitStack()
         self.sides: list[beside.Beside] = []
         context.deployments.append(self)
 
@@ -33,12 +31,13 @@
         """Start a backend server and a handler; they end with the rest."""
         endpoint = beside.Endpoint(self._address(), PORT)
         made = beside.async_beside(endpoint, **options)
-        side = self._context.run(self.stack.enter_async_context(made))
+        stack = self._context.stack
+        side = self._context.run(stack.enter_async_context(made))
         self.sides.append(side)
         return side
 
-    def stop(self) -> None:
-        self._context.run(self.stack.aclose())
+    def stop(self, *, hurry: bool) -> None:
+        """Nothing is left to stop once the context's stack is closed."""
 
     def check_logs(self) -> None:
         for side in self.sides:
--- a/tests/features/steps/request_deployment.py
+++ b/tests/features/steps/request_deployment.py
@@ -11,7 +11,7 @@
 SERVICE = 'storefront'
 WATCH_S = 4.0
 JOIN_S = 2.0
-LOAD_S = 10.0
+WAVE_S = 2.0
 
 
 @behave.given(
@@ -58,8 +58,11 @@
     assert after['after_leaving'] == before['after_leaving']
 
 
-@behave.when('a cold storefront server joins and {workers:d} more workers come')
-def step_joins(context: runner.Context, workers: int) -> None:
+@behave.when(
+    'a cold storefront server joins and {waves:d} waves of {workers:d}'
+    ' workers come'
+)
+def step_joins(context: runner.Context, waves: int, workers: int) -> None:
     joined = context.deployment.add_backend_server(SERVICE)
     context.deployment.start_some([f'{joined}-server'])
     context.deployment.control(
@@ -68,8 +71,9 @@
     context.deployment.start_some([joined])
     context.joined = joined
     time.sleep(JOIN_S)
-    context.run(context.traffic.async_start(0, workers, [SERVICE]))
-    time.sleep(LOAD_S)
+    for _ in range(waves):
+        context.run(context.traffic.async_start(0, workers, [SERVICE]))
+        time.sleep(WAVE_S)
 
 
 @behave.then('no server under requests has collapsed')
