The listener's tests count forwards too

Cause: test_full_agent_refuses_at_once and test_lost_flow_is_told_and_displaced_one_never hold the counters to be exact; the counter of forwards made both fail. They name it now and are as exact as before.

--- a/tests/unit/connection/test_listener.py
+++ b/tests/unit/connection/test_listener.py
@@ -86,7 +86,7 @@
         self.assertEqual(self.answers.pop()[-16:], token)
         other = codec.make_issuer(KEY, ('127.0.0.2', 0), 11, 22)()
         self.take(b'\x40' + other + bytes(40))
-        self.assertEqual(self.counts, {'misdelivered': 1})
+        self.assertEqual(self.counts, {'forwards': 2, 'misdelivered': 1})
         self.assertEqual(self.answers, [])
 
     async def test_silent_callers_are_dropped_and_then_validated(self):
@@ -103,6 +103,8 @@
     async def test_full_agent_refuses_at_once(self):
         self.may_open = False
         self.take(opening_packet())
-        self.assertEqual(self.counts, {'opening_refused.full': 1})
+        self.assertEqual(
+            self.counts, {'forwards': 1, 'opening_refused.full': 1}
+        )
         self.assertEqual(len(self.answers), 1)
         self.assertEqual(len(self.listener.sessions), 0)
