A certificate on the platform is waited for; bugs at start exit with 3

Cause: an agent whose certificate is an object of the platform could not start while the platform was down, and exited with a code after which a supervisor does not start it again. An exception of an unexpected type while the service was built ended the process with the interpreter's code 1 and a bare traceback.

Measured: tests.unit.process.tls.test_tls and tests.unit.process.program.test_program, 22 passed.

--- a/kumquatport/process/program/runner.py
+++ b/kumquatport/process/program/runner.py
@@ -35,17 +35,13 @@
     signals = _watch_signals()
     try:
         service = make_service()
-    except (exceptions.KumquatportError, OSError) as err:
+    except Exception as err:
         return _cannot_start(err)
     try:
         started = await _async_start(service, signals)
-    except (exceptions.KumquatportError, OSError) as err:
+    except Exception as err:
         await _async_stop(service)
         return _cannot_start(err)
-    except Exception:
-        _LOGGER.exception('Cannot start')
-        await _async_stop(service)
-        return const.EXIT_CANNOT_START
     if started:
         _LOGGER.info('Started')
         await _async_serve(service, signals)
@@ -67,9 +63,10 @@
 
 
 def _cannot_start(err: Exception) -> int:
-    if not isinstance(err, exceptions.KumquatportError):
+    if isinstance(err, OSError):
         err = exceptions.StartError(str(err))
-    _LOGGER.error('Cannot start', error=err)
+    # Only an error that nobody expected keeps its traceback in the log.
+    _LOGGER.error('Cannot start', exc_info=err)
     return const.EXIT_CANNOT_START
 
 
--- a/kumquatport/process/tls/watcher.py
+++ b/kumquatport/process/tls/watcher.py
@@ -48,28 +48,39 @@
         self._poll_s = poll_s or _default_poll_s(settings)
         self._pem: material.Pem | None = None
         self._report = faults.reporter(
-            _LOGGER, 'TLS material refused', 'TLS material accepted again'
+            _LOGGER, 'TLS material not taken', 'TLS material taken again'
         )
 
     async def on_start(self) -> None:
-        """Load the first material.
+        """Load the first material; wait for the platform if it is there.
 
         Raises:
             TlsMaterialError: It cannot be used.
-            PlatformUnavailableError: It is on the platform, which is down.
         """
-        await self._async_look()
+        waits = backoff.delays(const.FIRST_RETRY_S, const.LAST_RETRY_S)
+        for wait_s in waits:
+            if self.should_stop or await self._async_try():
+                return
+            await self.sleep(wait_s)
 
     @mode.Service.task
     async def _async_watch(self) -> None:
         while not self.should_stop:
             await self.sleep(backoff.jittered(self._poll_s))
             try:
-                await self._async_look()
-            except exceptions.KumquatportError as err:
+                await self._async_try()
+            except exceptions.TlsMaterialError as err:
                 self._report(err)
-            else:
-                self._report(None)
+
+    async def _async_try(self) -> bool:
+        """Look once; False if the platform did not answer."""
+        try:
+            await self._async_look()
+        except exceptions.PlatformUnavailableError as err:
+            self._report(err)
+            return False
+        self._report(None)
+        return True
 
     async def _async_look(self) -> None:
         pem = await source.async_read(self._settings, self._read_object)
--- a/tests/unit/process/program/test_program.py
+++ b/tests/unit/process/program/test_program.py
@@ -23,6 +23,8 @@
     async def on_start(self):
         if HOW == 'cannot-start':
             raise exceptions.StartError('no port')
+        if HOW == 'bug':
+            raise KeyError('x')
         if HOW == 'os-error':
             raise OSError(98, 'in use')
         if HOW == 'slow-start':
@@ -102,6 +104,13 @@
             code, _, err = self.end(how)
             self.assertEqual((code, self.codes(err)), (3, {'KQ-1003'}))
 
+    def test_bug_at_start_is_told_with_its_traceback(self):
+        process = self.start('bug', '--settings', self.settings)
+        _, err = process.communicate(timeout=TIMEOUT_S)
+        line = json.loads(err.splitlines()[-1])
+        self.assertEqual(process.returncode, 3)
+        self.assertIn('KeyError', line['exception'])
+
     def test_fault_while_running(self):
         code, _, err = self.end('crash')
         self.assertEqual((code, self.codes(err)), (4, {'KQ-4001'}))
--- a/tests/unit/process/tls/test_tls.py
+++ b/tests/unit/process/tls/test_tls.py
@@ -6,11 +6,13 @@
 import ssl
 import tempfile
 import unittest
+from unittest import mock
 
 from cryptography.hazmat.primitives import serialization
 
 from kumquatport import exceptions
 from kumquatport.process.settings import models
+from kumquatport.process.tls import const as tls_const
 from kumquatport.process.tls import context, material, source, watcher
 from tests.builders import certificates
 
@@ -140,6 +142,43 @@
             await self.watcher.start()
 
 
+class PlatformWatcherTest(MaterialCase):
+    """Material on the platform, which is down at first."""
+
+    async def test_waits_for_the_platform(self):
+        outages = 3
+
+        async def async_read(key):
+            nonlocal outages
+            if outages:
+                outages -= 1
+                raise exceptions.PlatformUnavailableError('down')
+            return (self.certificate if key == 'c' else self.key).read_bytes()
+
+        loaded = asyncio.Queue()
+        settings = models.TlsSettings('platform:c', 'platform:k')
+        watching = watcher.Watcher(
+            settings, loaded.put_nowait, read_object=async_read
+        )
+        with mock.patch.object(tls_const, 'FIRST_RETRY_S', 0.01):
+            await asyncio.wait_for(watching.start(), 5)
+        self.addAsyncCleanup(watching.stop)
+        self.assertEqual(outages, 0)
+        found = loaded.get_nowait()
+        self.assertEqual(found.certificate, self.pair.certificate)
+
+    async def test_missing_object_at_start(self):
+        async def async_read(key):
+            raise exceptions.ObjectMissingError(key)
+
+        settings = models.TlsSettings('platform:c', 'platform:k')
+        watching = watcher.Watcher(
+            settings, lambda _: None, read_object=async_read
+        )
+        with self.assertRaises(exceptions.TlsMaterialError):
+            await watching.start()
+
+
 class ContextTest(MaterialCase):
     """Contexts of the ssl module."""
 
