--- /dev/null
+++ b/bench/bench_agent.py
@@ -0,0 +1,113 @@
+"""An agent's processor time a request, beside a bare aioquic server."""
+
+import asyncio
+import os
+import pathlib
+import time
+import typing
+from collections import abc
+
+from bench import figure
+from tests import deployment, network, processes, workload
+from tests.builders import plans
+from tests.standins import caller
+
+CONNECTIONS: typing.Final = 4
+REQUESTS: typing.Final = 300
+WARM_REQUESTS: typing.Final = 60
+IDLE_S: typing.Final = 3.0
+READY_S: typing.Final = 10.0
+SERVICE: typing.Final = 'storefront'
+BARE_PORT: typing.Final = 4500
+SERVICE_OPTIONS: typing.Final = ('--service-s=0.002',)
+MILLISECONDS: typing.Final = 1000
+# The agent also speaks HTTP/1.1, which a bare server does not.
+RATIO_BOUND: typing.Final = 6.0
+
+
+def run() -> abc.Iterator[figure.Figure]:
+    """Measure both in one run, one after the other."""
+    options = deployment.Options(backend=SERVICE_OPTIONS)
+    with deployment.Deployment(plans.accra(1, 1), options) as running:
+        agent_ms = _agent_ms(running)
+        bare_ms = _bare_ms(running)
+    yield figure.plain('agent.processor_time', agent_ms, 'ms a request')
+    yield figure.plain('agent.bare_aioquic', bare_ms, 'ms a request')
+    yield figure.at_most(
+        'agent.over_bare', agent_ms / bare_ms, 'times', RATIO_BOUND
+    )
+
+
+def _agent_ms(running: deployment.Deployment) -> float:
+    endpoint = running.service_endpoint(SERVICE)
+    pid = running.processes[f'{SERVICE}-1'].pid
+    return _measure(running, endpoint, pid)
+
+
+def _bare_ms(running: deployment.Deployment) -> float:
+    address = running.caller_address
+    bare = processes.Process(
+        'bare',
+        'bench.bare_http3',
+        [address, str(BARE_PORT), str(running.ca.parent)],
+        running.folder / 'bare.log',
+    )
+    bare.start()
+    try:
+        return _measure(running, (address, BARE_PORT), bare.pid)
+    finally:
+        processes.end_all([bare], READY_S)
+
+
+def _measure(
+    running: deployment.Deployment, endpoint: network.Endpoint, pid: int
+) -> float:
+    return asyncio.run(_async_measure(running, endpoint, pid))
+
+
+async def _async_measure(
+    running: deployment.Deployment, endpoint: network.Endpoint, pid: int
+) -> float:
+    async with asyncio.timeout(READY_S):
+        connections = [
+            await caller.async_connect(
+                endpoint,
+                running.ca,
+                SERVICE,
+                local=(running.caller_address, 0),
+            )
+            for _ in range(CONNECTIONS)
+        ]
+    await _async_load(connections, WARM_REQUESTS)
+    idle_share = await _async_idle_share(pid)
+    before_s, began_at = _processor_s(pid), time.monotonic()
+    await _async_load(connections, REQUESTS)
+    took_s = time.monotonic() - began_at
+    used_s = _processor_s(pid) - before_s - idle_share * took_s
+    for connection in connections:
+        await connection.async_close()
+    return MILLISECONDS * used_s / (CONNECTIONS * REQUESTS)
+
+
+async def _async_load(
+    connections: abc.Sequence[caller.Connection], count: int
+) -> None:
+    async def _async_one(connection: caller.Connection) -> None:
+        for _ in range(count):
+            await workload.async_small(connection, SERVICE)
+
+    await asyncio.gather(*map(_async_one, connections))
+
+
+async def _async_idle_share(pid: int) -> float:
+    before_s = _processor_s(pid)
+    await asyncio.sleep(IDLE_S)
+    return (_processor_s(pid) - before_s) / IDLE_S
+
+
+def _processor_s(pid: int) -> float:
+    """Return user and system time of a process, in seconds."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
