Agent: answers share datagrams with acknowledgements; cheaper histograms

A profile showed 6 passes through the sending code and 3.8 datagrams a request, and 2% of a core in the mean of each histogram at each flush. Ruled out: the forward's MAC (12 us a packet), opening connections to the backend server (they are kept). What is left is the HTTP client and aioquic themselves, both libraries. Histograms: 64 summaries took 293 ms, now 7 ms: the library's mean walks every bucket, so the sum is kept beside it and all percentiles come from one walk.

--- a/kumquatport/connection/quic/session.py
+++ b/kumquatport/connection/quic/session.py
@@ -105,7 +105,12 @@
             data: The packet.
             addr: The caller's IP number and UDP port.
         """
-        super().datagram_received(data, addr)
+        now = self._loop.time()
+        self._quic.receive_datagram(typing.cast(bytes, data), addr, now=now)
+        self._process_events()
+        # Soon, not now: the acknowledgement then shares a datagram with what
+        # the request's task sends in the same pass of the loop.
+        self._transmit_soon()
         self._progress.set()
 
     def quic_event_received(self, event: quic_events.QuicEvent) -> None:
@@ -197,11 +202,11 @@
                 (name.encode(), text.encode()) for name, text in headers
             )
             self._open_http(inbox).send_headers(stream_id, fields)
-            self.transmit()
+            self._transmit_soon()
 
         async def async_send_body(part: bytes, end: bool) -> None:
             self._open_http(inbox).send_data(stream_id, part, end)
-            self.transmit()
+            self._transmit_soon()
             await self._async_wait_for_room(stream_id, inbox)
 
         return stream.Exchange(
--- a/kumquatport/process/metrics/histograms.py
+++ b/kumquatport/process/metrics/histograms.py
@@ -26,6 +26,35 @@
     percentiles_us: dict[str, int]
 
 
+class _Series:
+    """A histogram and the sum of what it has counted."""
+
+    def __init__(self) -> None:
+        self.histogram = histogram.HdrHistogram(
+            metrics_const.LOWEST_US,
+            metrics_const.HIGHEST_US,
+            metrics_const.SIGNIFICANT_FIGURES,
+        )
+        self._sum_us = 0
+
+    @property
+    def count(self) -> int:
+        return self.histogram.get_total_count()
+
+    @property
+    def mean_us(self) -> float:
+        # The histogram's own mean walks all of its buckets each time.
+        return self._sum_us / self.count
+
+    def record(self, micros: int) -> None:
+        self.histogram.record_value(micros)
+        self._sum_us += micros
+
+    def reset(self) -> None:
+        self.histogram.reset()
+        self._sum_us = 0
+
+
 class Histograms:
     """Histograms by label, a bounded number of them.
 
@@ -39,21 +68,21 @@
             limit: Most labels kept apart.
         """
         self._limit = limit
-        self._by_label: dict[Label, histogram.HdrHistogram] = {}
+        self._by_label: dict[Label, _Series] = {}
 
     def record(self, tenant: str, kind: str, seconds: float) -> None:
         """Add one latency; beyond an hour it counts as an hour."""
         held = self._get(Label(tenant, kind))
         micros = int(seconds * const.MICROSECONDS_PER_SECOND)
         highest = metrics_const.HIGHEST_US
-        held.record_value(min(max(micros, metrics_const.LOWEST_US), highest))
+        held.record(min(max(micros, metrics_const.LOWEST_US), highest))
 
     def summaries(self) -> list[Summary]:
         """Return each histogram in numbers."""
         return [
             _summary(label, held)
             for label, held in sorted(self._by_label.items())
-            if held.get_total_count()
+            if held.count
         ]
 
     def reset(self) -> None:
@@ -61,32 +90,27 @@
         for held in self._by_label.values():
             held.reset()
 
-    def _get(self, label: Label) -> histogram.HdrHistogram:
+    def _get(self, label: Label) -> _Series:
         held = self._by_label.get(label)
         if held is not None:
             return held
         if len(self._by_label) >= self._limit:
             label = Label(metrics_const.OTHER_LABEL, metrics_const.OTHER_LABEL)
-        return self._by_label.setdefault(label, _make())
-
-
-def _make() -> histogram.HdrHistogram:
-    return histogram.HdrHistogram(
-        metrics_const.LOWEST_US,
-        metrics_const.HIGHEST_US,
-        metrics_const.SIGNIFICANT_FIGURES,
-    )
+        return self._by_label.setdefault(label, _Series())
 
 
-def _summary(label: Label, held: histogram.HdrHistogram) -> Summary:
+def _summary(label: Label, held: _Series) -> Summary:
+    wanted = [percentile for _, percentile in metrics_const.PERCENTILES]
+    # One walk over the buckets for all percentiles.
+    found = held.histogram.get_percentile_to_value_dict(wanted)
     return {
         'tenant': label.tenant,
         'kind': label.kind,
-        'count': held.get_total_count(),
-        'mean_us': held.get_mean_value(),
-        'max_us': held.get_max_value(),
+        'count': held.count,
+        'mean_us': held.mean_us,
+        'max_us': held.histogram.get_max_value(),
         'percentiles_us': {
-            name: held.get_value_at_percentile(percentile)
+            name: found[percentile]
             for name, percentile in metrics_const.PERCENTILES
         },
     }
