--- a/bench/agent_children.py
+++ b/bench/agent_children.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import weakref
 
 from aioquic.asyncio import protocol, server
 from aioquic.h3 import connection as h3_connection
@@ -29,17 +30,24 @@
     return int(statm.split()[1]) * _PAGE_BYTES
 
 
+_CONNECTIONS: weakref.WeakKeyDictionary[
+    protocol.QuicConnectionProtocol,
+    h3_connection.H3Connection,
+] = weakref.WeakKeyDictionary()
+
+
 class _Bare(protocol.QuicConnectionProtocol):
     _http: h3_connection.H3Connection | None = None
 
     def quic_event_received(self, event: events.QuicEvent) -> None:
         if isinstance(event, events.ProtocolNegotiated):
-            self._http = h3_connection.H3Connection(self._quic)
-        if self._http is None:
+            _CONNECTIONS[self] = h3_connection.H3Connection(self._quic)
+        http = _CONNECTIONS.get(self)
+        if http is None:
             return
-        for one in self._http.handle_event(event):
+        for one in http.handle_event(event):
             if isinstance(one, h3_events.HeadersReceived):
-                self._answer(self._http, one)
+                self._answer(http, one)
 
     def _answer(
         self,
