Agents announce their weight coarsely and seldom

The weight followed the learnt limit in steps of 0.05, looked at twice a second: a fleet whose limits move would spend its 25 KB/s on that alone from 15 changes a second on, which 10,000 agents reach at one change in 11 minutes each. Weighed: a longer look (late after a restart, still a rate by agent), weights only in heartbeats (the tables of others would not see them). Kept: four steps, a hysteresis of one half, pauses that double up to 600 s.

--- a/bench/bench_domains.py
+++ b/bench/bench_domains.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import pathlib
 import statistics
@@ -21,6 +22,7 @@
 
 SERIES: typing.Final = pathlib.Path('var/bench/domains.json')
 SERVERS = 6
+ANNOUNCED = 'announcements'
 DOMAIN = 'duluth'
 SERVICE = 'desk'
 SLOTS = 5
@@ -63,6 +65,11 @@
         collapses = sum(
             target.status(server)['collapses'] for server in target.servers
         )
+        announced = sum(
+            target.status(agent)['metrics']['counters'].get(ANNOUNCED, 0)
+            for agent in target.agents
+        )
+    yield figure.plain('announcements', announced, 'records')
     seconds = _by_second(notes)
     SERIES.parent.mkdir(parents=True, exist_ok=True)
     rows = [second._asdict() for second in seconds]
@@ -162,7 +169,8 @@
         SERVICE,
         local=(target.caller_address, 0),
     )
-    try:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(connection.async_close)
         started = time.monotonic()
         answer = await connection.async_request('GET', '/stock')
         seconds = time.monotonic() - started
@@ -171,8 +179,6 @@
             traffic.Note(time.monotonic(), SERVICE, 'small', result, seconds),
         )
         await asyncio.sleep(max(period_s - seconds, 0))
-    finally:
-        await connection.async_close()
 
 
 def _by_second(notes: list[traffic.Note]) -> list[Second]:
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -13,7 +13,7 @@
 from kumquatport.connection.quic import const as quic_const
 from kumquatport.connection.quic import held, listener
 from kumquatport.helpers import tags
-from kumquatport.process.agent import claiming, const, passing
+from kumquatport.process.agent import announcing, claiming, const, passing
 from kumquatport.process.instance import parts as instance_parts
 from kumquatport.process.metrics import const as metrics_const
 from kumquatport.process.settings import models
@@ -50,6 +50,7 @@
         )
         self._membership = self._parts.membership
         self._leaving = False
+        self._damper = announcing.WeightDamper()
         self._claiming = claiming.Claiming(
             settings.service,
             self._membership,
@@ -208,10 +209,11 @@
             # The backend server leaves; this agent stays for what is open.
             state = members_const.STATE_LEAVING
             self._listener.go_away()
-        change = abs(openness.weight - own.weight)
-        if own.state == state and change < const.WEIGHT_STEP:
+        weight = self._damper.due(openness.weight)
+        if own.state == state and weight is None:
             return
-        self._membership.announcer.update(state=state, weight=openness.weight)
+        self._parts.metrics.count(const.EVENT_ANNOUNCED)
+        self._membership.announcer.update(state=state, weight=weight)
 
 
 def _quic_configuration() -> quic_configuration.QuicConfiguration:
--- a/tests/unit/process/agent/__init__.py
+++ b/tests/unit/process/agent/__init__.py
@@ -1,1 +1,1 @@
-"""Unit tests of the agent's process."""
+"""Tests of the agent."""
