--- a/tests/builders/datagrams.py
+++ b/tests/builders/datagrams.py
@@ -12,6 +12,7 @@
 
 ANYWHERE = ('127.0.0.1', 9)
 MAX_DATAGRAM_BYTES = 60000
+MAX_CHANGES = 12
 
 
 def opening() -> bytes:
@@ -51,6 +52,25 @@
         yield chosen.randbytes(chosen.randrange(1, 1600))
 
 
+def mangled(
+    packet: bytes, count: int, seed: int, intact: int = 0
+) -> abc.Iterator[bytes]:
+    """Yield copies of a packet with a few random bytes changed.
+
+    Args:
+        packet: The packet to copy.
+        count: How many copies.
+        seed: Seed of the changes.
+        intact: Bytes at the front that stay as they are.
+    """
+    chosen = random.Random(seed)
+    for _ in range(count):
+        copy = bytearray(packet)
+        for _ in range(chosen.randrange(1, MAX_CHANGES)):
+            copy[chosen.randrange(intact, len(copy))] = chosen.randrange(256)
+        yield bytes(copy)
+
+
 def forward(
     payload: bytes, service_tag: int, shared_key: str = settings.SHARED_KEY
 ) -> bytes:
--- a/tests/features/bad_input.feature
+++ b/tests/features/bad_input.feature
@@ -44,6 +44,27 @@
     Then the order under replay ran once and the caller's connection lives
     And callers under bad input are answered
 
+  Scenario: Mangled copies of an open flow's packets
+    When 500 mangled copies of an open flow's packets arrive with seed 15
+    Then the caller's connection under bad input lives
+    And callers under bad input are answered
+
+  Scenario: Mangled openings
+    When 300 mangled openings with seed 16 go to a balancer
+    Then at most 100 connections are half open at each agent
+    And callers under bad input are answered
+    And within 45 seconds no agent holds a connection
+
+  Scenario Outline: Authentic forwards of bad packets to an agent
+    When 300 authentic <kind> forwards with seed 17 go to an agent
+    Then the agent counts 300 more dropped
+    And callers under bad input are answered
+
+    Examples:
+      | kind      |
+      | random    |
+      | truncated |
+
   Scenario: Callers that open connections and say nothing
     When 400 callers send an opening packet and nothing more
     Then at most 100 connections are half open at each agent
--- a/tests/features/steps/bad_input.py
+++ b/tests/features/steps/bad_input.py
@@ -11,6 +11,7 @@
 import behave
 from behave import runner
 
+from kumquatport.connection.connection_id import const as id_const
 from kumquatport.helpers import tags
 from tests import deployment, raw_control, workload
 from tests.builders import datagrams, settings
@@ -229,15 +230,85 @@
     await asyncio.to_thread(_send, context, endpoint, replayed)
 
 
-@behave.then(
-    "the order under replay ran once and the caller's connection lives"
+@behave.when(
+    "{count:d} mangled copies of an open flow's packets arrive "
+    'with seed {seed:d}'
 )
-def step_ran_once(context: runner.Context) -> None:
+def step_mangled_flow(context: runner.Context, count: int, seed: int) -> None:
+    context.run(_async_mangled_flow(context, count, seed))
+
+
+async def _async_mangled_flow(
+    context: runner.Context, count: int, seed: int
+) -> None:
+    target = context.deployment
+    context.connection = await _async_recorded(target)
+    short = [
+        packet
+        for packet in context.connection.sent
+        if not packet[0] & caller.LONG_HEADER_BIT
+    ]
+    endpoint = target.service_endpoint('storefront')
+    # The connection ID stays, so that each copy reaches the flow's agent.
+    intact = 1 + id_const.CONNECTION_ID_BYTES
+    for number, packet in enumerate(short):
+        share = count // len(short)
+        copies = list(datagrams.mangled(packet, share, seed + number, intact))
+        for copy in copies:
+            context.connection.transport.sendto(copy, endpoint)
+            await asyncio.sleep(0)
+        await asyncio.to_thread(_send, context, endpoint, copies)
+
+
+@behave.then("the caller's connection under bad input lives")
+def step_lives(context: runner.Context) -> None:
+    _assert_lives(context)
+
+
+def _assert_lives(context: runner.Context) -> None:
     answer = context.run(
         context.connection.async_request('GET', '/stock/2', {'x-echo': 'two'})
     )
     assert json.loads(answer.body)['echo'] == 'two', answer
     context.run(context.connection.async_close())
+
+
+@behave.when('{count:d} mangled openings with seed {seed:d} go to a balancer')
+def step_mangled_openings(
+    context: runner.Context, count: int, seed: int
+) -> None:
+    target = context.deployment
+    endpoint = target.address(BALANCER), target.entry_port('storefront')
+    whole = datagrams.opening()
+    _send(context, endpoint, datagrams.mangled(whole, count, seed))
+
+
+@behave.when(
+    '{count:d} authentic {kind} forwards with seed {seed:d} go to an agent'
+)
+def step_authentic(
+    context: runner.Context, count: int, kind: str, seed: int
+) -> None:
+    endpoint = context.deployment.address(AGENT), settings.DATA_PORT
+    tag = tags.service_tag('storefront')
+    packets = MAKERS[kind](count, seed)
+    _send(
+        context,
+        endpoint,
+        (datagrams.forward(packet, tag) for packet in packets),
+    )
+
+
+@behave.then('the agent counts {count:d} more dropped')
+def step_agent_dropped(context: runner.Context, count: int) -> None:
+    _assert_counted(context, [AGENT], count)
+
+
+@behave.then(
+    "the order under replay ran once and the caller's connection lives"
+)
+def step_ran_once(context: runner.Context) -> None:
+    _assert_lives(context)
     target = context.deployment
     runs = sum(
         target.status(server)['runs'].get(context.key, 0)
