--- a/bench/bench_agent.py
+++ b/bench/bench_agent.py
@@ -1,134 +1,113 @@
-"""What an agent spends for a request, a new flow and an open flow.
-
-Beside it, in the same run, a bare aioquic server that answers the same. The
-slopes by open flows are those of ``docs/CAPACITY.md``.
-"""
+"""An agent's processor time a request, beside a bare aioquic server."""
 
 import asyncio
-import contextlib
-import multiprocessing
+import os
+import pathlib
 import time
 import typing
 from collections import abc
 
-from bench import agent_children, figure
-from tests import deployment, network, workload
+from bench import figure
+from tests import deployment, network, processes, workload
 from tests.builders import plans
 from tests.standins import caller
 
-SERVICE = 'storefront'
-AGENT = 'storefront-1'
-REQUESTS = 400
-CALLERS = 4
-FLOWS = (50, 150, 300)
-MICROSECONDS = 1e6
-BARE_PORT = 4499
-START_S = 1.5
-IDLE_S = 3.0
-_SPAWN = multiprocessing.get_context('spawn')
-
-Connect = abc.Callable[[], abc.Awaitable[caller.Connection]]
+CONNECTIONS: typing.Final = 4
+REQUESTS: typing.Final = 300
+WARM_REQUESTS: typing.Final = 60
+IDLE_S: typing.Final = 3.0
+READY_S: typing.Final = 10.0
+SERVICE: typing.Final = 'storefront'
+BARE_PORT: typing.Final = 4500
+SERVICE_OPTIONS: typing.Final = ('--service-s=0.002',)
+MILLISECONDS: typing.Final = 1000
+# The agent also speaks HTTP/1.1, which a bare server does not.
+RATIO_BOUND: typing.Final = 6.0
 
 
 def run() -> abc.Iterator[figure.Figure]:
-    """Measure an agent in a real deployment and a bare server beside it."""
-    plan = plans.accra(storefront=1, manuals=1, balancers=1)
-    with deployment.Deployment(plan) as target:
-        pid = target.processes[AGENT].pid
-        connect = _connector(target, target.service_endpoint(SERVICE))
-        # A new backend server is let up to full work slowly.
-        asyncio.run(_async_requests(connect))
-        asyncio.run(_async_requests(connect))
-        agent_us = _per_request(pid, connect)
-        with _bare(target) as (bare_pid, endpoint):
-            bare_us = _per_request(bare_pid, _connector(target, endpoint))
-        yield figure.plain('agent_request_processor', agent_us, 'us')
-        yield figure.plain('bare_request_processor', bare_us, 'us')
-        yield figure.plain('agent_over_bare', agent_us / bare_us, 'ratio')
-        yield from asyncio.run(_async_flows(pid, connect))
-
-
-def _connector(
-    target: deployment.Deployment,
-    endpoint: network.Endpoint,
-) -> Connect:
-    async def async_connect() -> caller.Connection:
-        return await caller.async_connect(
-            endpoint,
-            target.ca,
-            SERVICE,
-            local=(target.caller_address, 0),
-        )
-
-    return async_connect
-
-
-@contextlib.contextmanager
-def _bare(
-    target: deployment.Deployment,
-) -> abc.Iterator[tuple[int, network.Endpoint]]:
-    address = target.caller_address
-    process = _SPAWN.Process(
-        target=agent_children.run_bare,
-        args=(address, BARE_PORT, str(target.folder)),
+    """Measure both in one run, one after the other."""
+    options = deployment.Options(backend=SERVICE_OPTIONS)
+    with deployment.Deployment(plans.accra(1, 1), options) as running:
+        agent_ms = _agent_ms(running)
+        bare_ms = _bare_ms(running)
+    yield figure.plain('agent.processor_time', agent_ms, 'ms a request')
+    yield figure.plain('agent.bare_aioquic', bare_ms, 'ms a request')
+    yield figure.at_most(
+        'agent.over_bare', agent_ms / bare_ms, 'times', RATIO_BOUND
+    )
+
+
+def _agent_ms(running: deployment.Deployment) -> float:
+    endpoint = running.service_endpoint(SERVICE)
+    pid = running.processes[f'{SERVICE}-1'].pid
+    return _measure(running, endpoint, pid)
+
+
+def _bare_ms(running: deployment.Deployment) -> float:
+    address = running.caller_address
+    bare = processes.Process(
+        'bare',
+        'bench.bare_http3',
+        [address, str(BARE_PORT), str(running.ca.parent)],
+        running.folder / 'bare.log',
     )
-    process.start()
-    time.sleep(START_S)
+    bare.start()
     try:
-        yield typing.cast(int, process.pid), (address, BARE_PORT)
+        return _measure(running, (address, BARE_PORT), bare.pid)
     finally:
-        process.terminate()
-        process.join()
+        processes.end_all([bare], READY_S)
+
+
+def _measure(
+    running: deployment.Deployment, endpoint: network.Endpoint, pid: int
+) -> float:
+    return asyncio.run(_async_measure(running, endpoint, pid))
+
+
+async def _async_measure(
+    running: deployment.Deployment, endpoint: network.Endpoint, pid: int
+) -> float:
+    async with asyncio.timeout(READY_S):
+        connections = [
+            await caller.async_connect(
+                endpoint,
+                running.ca,
+                SERVICE,
+                local=(running.caller_address, 0),
+            )
+            for _ in range(CONNECTIONS)
+        ]
+    await _async_load(connections, WARM_REQUESTS)
+    idle_share = await _async_idle_share(pid)
+    before_s, began_at = _processor_s(pid), time.monotonic()
+    await _async_load(connections, REQUESTS)
+    took_s = time.monotonic() - began_at
+    used_s = _processor_s(pid) - before_s - idle_share * took_s
+    for connection in connections:
+        await connection.async_close()
+    return MILLISECONDS * used_s / (CONNECTIONS * REQUESTS)
 
 
-def _per_request(pid: int, connect: Connect) -> float:
-    before = agent_children.processor_s(pid)
-    answered = asyncio.run(_async_requests(connect))
-    used = agent_children.processor_s(pid) - before
-    return used * MICROSECONDS / answered
+async def _async_load(
+    connections: abc.Sequence[caller.Connection], count: int
+) -> None:
+    async def _async_one(connection: caller.Connection) -> None:
+        for _ in range(count):
+            await workload.async_small(connection, SERVICE)
 
+    await asyncio.gather(*map(_async_one, connections))
 
-async def _async_requests(connect: Connect) -> int:
-    counts = await asyncio.gather(
-        *(_async_caller(connect) for _ in range(CALLERS)),
-    )
-    return sum(counts)
-
-
-async def _async_caller(connect: Connect) -> int:
-    connection = await connect()
-    answered = 0
-    for _ in range(REQUESTS // CALLERS):
-        outcome = await workload.async_small(connection, SERVICE)
-        answered += outcome.right
-    await connection.async_close()
-    return answered
-
-
-async def _async_flows(
-    pid: int,
-    connect: Connect,
-) -> list[figure.Figure]:
-    figures: list[figure.Figure] = []
-    resident: list[int] = []
-    held: list[caller.Connection] = []
-    for flows in FLOWS:
-        before = agent_children.processor_s(pid)
-        opened = flows - len(held)
-        while len(held) < flows:
-            held.append(await connect())
-        used = agent_children.processor_s(pid) - before
-        resident.append(agent_children.resident_bytes(pid))
-        per_flow = used * MICROSECONDS / opened
-        figures.append(
-            figure.plain(f'agent_new_flow_{flows}', per_flow, 'us'),
-        )
-    before = agent_children.processor_s(pid)
+
+async def _async_idle_share(pid: int) -> float:
+    before_s = _processor_s(pid)
     await asyncio.sleep(IDLE_S)
-    idle = (agent_children.processor_s(pid) - before) / IDLE_S
-    slope = (resident[-1] - resident[0]) / (FLOWS[-1] - FLOWS[0])
-    figures.append(figure.plain('agent_idle_core_share', idle, 'cores'))
-    figures.append(figure.plain('agent_bytes_a_flow', slope, 'bytes'))
-    for connection in held:
-        await connection.async_close()
-    return figures
+    return (_processor_s(pid) - before_s) / IDLE_S
+
+
+def _processor_s(pid: int) -> float:
+    """Return user and system time of a process, in seconds."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text(encoding='ascii')
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
--- a/kumquatport/process/agent/const.py
+++ b/kumquatport/process/agent/const.py
@@ -8,7 +8,4 @@
 DRAIN_POLL_S = 0.2
 ALPN = ('h3',)
 CLIENT_MAX_STREAMS = 128
-EVENT_OPENED = 'flows.opened'
-EVENT_CLOSED = 'flows.closed'
-GAUGE_FLOWS = 'flows.open'
 EVENT_ANNOUNCED = 'announcements'
