Request handler split by job; a burst of refusals shrinks the limit once

Found on the way: a 503 comes sooner than an answer, so that "once for each round" was once for each millisecond, and a burst of four took the limit from 5 to its start. A round now lasts at least the normal latency of the class; the test sends four quick refusals where it sent one slow one.

--- /dev/null
+++ b/kumquatport/request/arrival.py
@@ -0,0 +1,60 @@
+"""What is decided of a request at its arrival."""
+
+import asyncio
+
+from kumquatport.connection.quic import stream
+from kumquatport.request import deadline, errors, messages, policy
+from kumquatport.request.proxy import body, headers, job
+
+
+def build(
+    current: policy.Policy | None,
+    head: messages.RequestHead,
+    exchange: messages.Exchange,
+    now: float,
+) -> job.Job:
+    """Check a head and find its class, tenant and deadline.
+
+    Args:
+        current: Of the current document, None before the first.
+        head: What is asked for.
+        exchange: The way back to the caller.
+        now: On the handler's clock.
+
+    Raises:
+        errors.NotConfiguredError: No document has come yet.
+        errors.HeadersTooLargeError: Over the limits on the head.
+        errors.RequestMalformedError: The head can't be carried over HTTP/1.1.
+    """
+    if current is None:
+        raise errors.NotConfiguredError('no document names this service')
+    headers.check(head)
+    request_class = policy.classify(current, head)
+    return job.Job(
+        head=head,
+        exchange=exchange,
+        body=body.RequestBody(exchange),
+        request_class=request_class,
+        tenant=policy.tenant_of(current, head.headers),
+        service=current.service,
+        deadline_at=deadline.latest(head, request_class, now),
+        arrived_at=now,
+    )
+
+
+async def async_prefetch(asked: job.Job) -> None:
+    """Read the body ahead, so that a slow caller holds no slot.
+
+    Raises:
+        errors.DeadlineUnmeetableError: It did not arrive in time.
+        errors.BodyTooLargeError: It is over the limit.
+    """
+    try:
+        async with asyncio.timeout(asked.deadline_at - asked.arrived_at):
+            await asked.body.async_prefetch()
+    except TimeoutError as timeout:
+        raise errors.DeadlineUnmeetableError(
+            'the request did not arrive whole in time',
+        ) from timeout
+    except stream.BodyTooLargeError as large:
+        raise errors.BodyTooLargeError(str(large)) from large
--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -1,22 +1,21 @@
 """Everything that an agent decides about requests."""
 
-import asyncio
 import typing
 from collections import abc
 
 import mode
-import structlog
 
 from kumquatport.connection.quic import stream
 from kumquatport.request import (
+    arrival,
     cancellation,
     claims,
     const,
-    deadline,
     errors,
     messages,
     openness,
     policy,
+    progress,
     refusal,
     serving,
 )
@@ -24,9 +23,7 @@
 from kumquatport.request.budget import budget
 from kumquatport.request.health import hint
 from kumquatport.request.limit import gradient, lag, limit, sample
-from kumquatport.request.proxy import body, carrier, client, headers, job
-
-_LOGGER = structlog.get_logger(__name__)
+from kumquatport.request.proxy import carrier, client, job
 
 
 class Handler(mode.Service):
@@ -78,20 +75,13 @@
             answering=self._note_answering,
         )
         self._connections = 0
-        self._in_progress = 0
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._progress = progress.Progress()
         self._draining = False
 
     @property
     def requests_in_progress(self) -> int:
         """Requests that have come in and are not fully answered."""
-        return self._in_progress
-
-    @property
-    def connections(self) -> int:
-        """Callers' connections open now."""
-        return self._connections
+        return self._progress.count
 
     @property
     def current_limit(self) -> limit.Limit:
@@ -154,7 +144,7 @@
     async def async_drain(self) -> None:
         """Return when no request is in progress; announce leaving."""
         self._draining = True
-        await self._idle.wait()
+        await self._progress.async_wait_idle()
 
     async def async_handle(
         self,
@@ -167,14 +157,8 @@
             head: What is asked for.
             exchange: The way back to the caller.
         """
-        self._in_progress += 1
-        self._idle.clear()
-        try:
+        with self._progress.counted():
             await self._async_answer(head, exchange)
-        finally:
-            self._in_progress -= 1
-            if not self._in_progress:
-                self._idle.set()
 
     async def _async_answer(
         self,
@@ -210,8 +194,10 @@
         head: messages.RequestHead,
         exchange: messages.Exchange,
     ) -> None:
-        asked = self._job(head, exchange)
-        await self._async_prefetch(asked)
+        if self._hint.leaving:
+            raise errors.LeavingError('the backend server is leaving')
+        asked = arrival.build(self._policy, head, exchange, self._clock())
+        await arrival.async_prefetch(asked)
         if asked.request_class.holds_slot:
             await serving.async_serve(asked, self._parts)
             self._record(asked)
@@ -222,42 +208,6 @@
         finally:
             self._feeds.end()
 
-    def _job(
-        self,
-        head: messages.RequestHead,
-        exchange: messages.Exchange,
-    ) -> job.Job:
-        current = self._policy
-        if current is None:
-            raise errors.NotConfiguredError('no document names this service')
-        if self._hint.leaving:
-            raise errors.LeavingError('the backend server is leaving')
-        headers.check(head)
-        now = self._clock()
-        request_class = policy.classify(current, head)
-        return job.Job(
-            head=head,
-            exchange=exchange,
-            body=body.RequestBody(exchange),
-            request_class=request_class,
-            tenant=policy.tenant_of(current, head.headers),
-            service=current.service,
-            deadline_at=deadline.latest(head, request_class, now),
-            arrived_at=now,
-        )
-
-    async def _async_prefetch(self, asked: job.Job) -> None:
-        left_s = deadline.left(asked.deadline_at, self._clock)
-        try:
-            async with asyncio.timeout(left_s):
-                await asked.body.async_prefetch()
-        except TimeoutError as timeout:
-            raise errors.DeadlineUnmeetableError(
-                'the request did not arrive whole in time',
-            ) from timeout
-        except stream.BodyTooLargeError as large:
-            raise errors.BodyTooLargeError(str(large)) from large
-
     def _note_answering(self, asked: job.Job) -> None:
         """Record a feed once it begins: its end says nothing."""
         if not asked.request_class.holds_slot:
--- a/kumquatport/request/limit/gradient.py
+++ b/kumquatport/request/limit/gradient.py
@@ -245,7 +245,7 @@
     bounds: sample.Bounds,
 ) -> sample.State:
     """Shrink upon a refusal, time-out or break, once for each round."""
-    if observed.at - state.backed_off_at < observed.latency_s:
+    if observed.at - state.backed_off_at < _round_s(state, observed):
         return state
     value = max(state.value * const.BACK_OFF, bounds.start)
     worst = max(_cold_ratio(bounds), state.ratio)
@@ -256,6 +256,14 @@
     )
 
 
+def _round_s(state: sample.State, observed: sample.Sample) -> float:
+    """Return how long a round of requests takes; refusals come sooner."""
+    known = state.references.get(observed.class_name)
+    if known is None:
+        return observed.latency_s
+    return max(known.latency_s, observed.latency_s)
+
+
 def _cold_ratio(bounds: sample.Bounds) -> float:
     """Return the ratio that speaks for the start of a slow start."""
     return bounds.slots * const.RATIO_TOLERANCE / bounds.start
--- a/kumquatport/request/limit/limit.py
+++ b/kumquatport/request/limit/limit.py
@@ -1,10 +1,10 @@
 """The limit on requests in progress at one backend server."""
 
-import typing
 from collections import abc
 
 import structlog
 
+from kumquatport.request import policy
 from kumquatport.request.limit import gradient, reference, sample
 
 _LOGGER = structlog.get_logger(__name__)
@@ -76,7 +76,7 @@
         return reference.slow_after_s(known)
 
 
-def bounds_of(limits: typing.Any) -> sample.Bounds:
+def bounds_of(limits: policy.Limits) -> sample.Bounds:
     """Pick the limit's bounds out of a policy's limits."""
     return sample.Bounds(
         slots=limits.slots,
--- /dev/null
+++ b/kumquatport/request/progress.py
@@ -0,0 +1,36 @@
+"""How many requests are in progress, and when none is."""
+
+import asyncio
+import contextlib
+from collections import abc
+
+
+class Progress:
+    """Counts requests from their arrival to the end of their answer."""
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self._count = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def count(self) -> int:
+        """Requests in progress."""
+        return self._count
+
+    @contextlib.contextmanager
+    def counted(self) -> abc.Iterator[None]:
+        """Count a request while it lasts."""
+        self._count += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._count -= 1
+            if not self._count:
+                self._idle.set()
+
+    async def async_wait_idle(self) -> None:
+        """Return when no request is in progress."""
+        await self._idle.wait()
--- a/tests/unit/request/test_limit.py
+++ b/tests/unit/request/test_limit.py
@@ -71,7 +71,7 @@
 
     def test_refusals_shrink_it_once_for_each_round(self):
         self.server.warm()
-        self.server.answer(NORMAL_S, 1, sample.Result.shed)
+        self.server.answer(NORMAL_S / 50, 4, sample.Result.shed)
         once = self.server.state.value
         self.assertAlmostEqual(once, 5 * const.BACK_OFF)
 
