The console hands accepted documents to balancers

Until now an accepted document reached the balancers by the platform only; one that none of them could reach, or that failed right after, kept it back. The console now pushes it to three of its seeds while it answers the operator.

--- a/kumquatport/process/console/const.py
+++ b/kumquatport/process/console/const.py
@@ -29,6 +29,7 @@
 COUNT_ACCEPTED: typing.Final = 'documents.accepted'
 COUNT_CALLS_PREFIX: typing.Final = 'platform.'
 COUNT_CONFLICT: typing.Final = 'documents.conflict'
+COUNT_HANDED_OVER: typing.Final = 'documents.handed_over'
 COUNT_UNKNOWN: typing.Final = 'documents.unknown'
 COUNT_SIGN_IN_FAILED: typing.Final = 'sign_in.failed'
 
@@ -50,3 +51,5 @@
 MAX_TRACKED: typing.Final = 10000
 MAX_HASHES_AT_ONCE: typing.Final = 2
 MAX_PASSWORD_BYTES: typing.Final = 1024
+
+HAND_OVER_BALANCERS: typing.Final = 3
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -3,6 +3,8 @@
 import asyncio
 import ssl
 import time
+import typing
+from collections import abc
 
 import mode
 from aiohttp import web
@@ -10,6 +12,7 @@
 import kumquatport
 from kumquatport import const as shared_const
 from kumquatport import exceptions
+from kumquatport.connection.control import client, frame, traffic
 from kumquatport.process.console import app, const, parts, passwords
 from kumquatport.process.metrics import flusher, registry
 from kumquatport.process.platform import client as platform
@@ -20,6 +23,7 @@
 from kumquatport.process.tls import material, watcher
 from kumquatport.version import acceptance
 from kumquatport.version.acceptance import const as acceptance_const
+from kumquatport.version.spread import publish
 
 
 class Console(mode.Service):
@@ -39,7 +43,10 @@
         self._state = 'starting'
         self._context: ssl.SSLContext | None = None
         self._runner: web.AppRunner | None = None
-        self._recording: set[asyncio.Task[bool]] = set()
+        self._recording: set[asyncio.Task[typing.Any]] = set()
+        self._asker = client.ControlClient(
+            frame.control_key(settings.common.shared_key), traffic.Traffic()
+        )
         self._client = platform.PlatformClient(
             settings.common.platform.url,
             max(
@@ -56,6 +63,7 @@
             TlsMaterialError: The certificate or key does not fit.
         """
         await self.add_runtime_dependency(self._client)
+        await self.add_runtime_dependency(self._asker)
         common = self._settings.common
         await self.add_runtime_dependency(
             status_server.Server(
@@ -73,14 +81,6 @@
                 common.instance,
             )
         )
-        await self.add_runtime_dependency(
-            flusher.Flusher(
-                common.statsd,
-                self._metrics,
-                shared_const.KIND_CONSOLE,
-                common.instance,
-            )
-        )
         if self._settings.tls is not None:
             await self.add_runtime_dependency(
                 watcher.Watcher(
@@ -140,13 +140,32 @@
         return stored.value
 
     def _record(self, accepted: acceptance.Accepted) -> None:
-        """Write an audit entry while the operator is being answered."""
-        task = asyncio.create_task(
-            acceptance.async_record(self._client, accepted)
-        )
+        """Write an audit entry while the operator is being answered.
+
+        Meanwhile the document is handed to a few balancers, so that it spreads
+        although the platform may fail now.
+        """
+        self._finish(acceptance.async_record(self._client, accepted))
+        if accepted.written is not None:
+            after = accepted.written.after
+            self._finish(self._async_hand_over(after.version, after.value))
+
+    def _finish(
+        self, work: abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Let work go on that a stop waits for."""
+        task = asyncio.create_task(work)
         self._recording.add(task)
         task.add_done_callback(self._recording.discard)
 
+    async def _async_hand_over(self, version: int, value: bytes) -> None:
+        seeds = self._settings.common.seeds[: const.HAND_OVER_BALANCERS]
+        endpoints = [f'{seed.address}:{seed.port}' for seed in seeds]
+        held = await publish.async_publish(
+            self._asker, endpoints, version, value
+        )
+        self._metrics.count(const.COUNT_HANDED_OVER, held)
+
     def _status(self) -> status_models.Status:
         common = self._settings.common
         return {
--- a/tests/browser.py
+++ b/tests/browser.py
@@ -1,6 +1,8 @@
 """An operator's browser without scripts: cookies, forms, headings."""
 
 import html.parser
+import pathlib
+import ssl
 import typing
 from collections import abc
 
@@ -64,9 +66,19 @@
 class Browser:
     """One operator's browser, at one console after another."""
 
-    def __init__(self, url: str) -> None:
-        """Open at a console; cookies are kept for all of its address."""
+    def __init__(self, url: str, ca: pathlib.Path | None = None) -> None:
+        """Open at a console; cookies are kept for all of its address.
+
+        Args:
+            url: Of the console.
+            ca: Certificate to trust instead of the system's; the name in it
+                does not count.
+        """
         self.url = url
+        self._ssl: ssl.SSLContext | bool = True
+        if ca is not None:
+            self._ssl = ssl.create_default_context(cafile=ca)
+            self._ssl.check_hostname = False
         self._jar = aiohttp.CookieJar(unsafe=True)
 
     async def async_get(self, path: str) -> Page:
@@ -126,7 +138,9 @@
             aiohttp.ClientSession(
                 cookie_jar=self._jar, timeout=limit
             ) as session,
-            session.request(method, f'{self.url}{path}', **options) as response,
+            session.request(
+                method, f'{self.url}{path}', ssl=self._ssl, **options
+            ) as response,
         ):
             text = await response.text()
         reader = _Reader()
--- a/tests/consoles.py
+++ b/tests/consoles.py
@@ -68,7 +68,7 @@
         common = settings.Common('accra', platform_url, self.network.statsd, ())
         address = self.network.console
         entries = settings.console(
-            common, name, DOMAINS[0], address, _operators()
+            common, name, DOMAINS[0], address, operators()
         )
         entries.pop('tls')
         entries['listen']['port'] = FIRST_PORT + number
@@ -191,7 +191,8 @@
     return json.loads(value)
 
 
-def _operators() -> list[settings.Settings]:
+def operators() -> list[settings.Settings]:
+    """Build the settings of the operators who may sign in."""
     hasher = argon2.PasswordHasher(time_cost=1, memory_cost=1024, parallelism=1)
     return [
         {'name': name, 'password_hash': hasher.hash(password)}
--- a/tests/features/spread.feature
+++ b/tests/features/spread.feature
@@ -77,6 +77,13 @@
     Then the spread's document is in force everywhere within 4 s
     And no process of the spread showed a lower version than before
 
+  @promise-10
+  Scenario: The console accepts while no balancer reaches the platform
+    Given a spread of 5 balancers and 3 storefront servers cut off from the platform
+    When an operator takes accra-b out at a console of the spread
+    Then the spread's document is in force everywhere within 4 s
+    And no process of the spread showed a lower version than before
+
   @promise-4
   Scenario: A balancer frozen before a failure domain is taken out
     Given a spread of 5 balancers and 3 storefront servers
--- a/tests/features/steps/spread.py
+++ b/tests/features/steps/spread.py
@@ -1,5 +1,6 @@
 """Steps of documents that spread."""
 
+import pathlib
 import random
 import socket
 import time
@@ -9,7 +10,7 @@
 
 from kumquatport.connection.control import client, frame, traffic
 from kumquatport.version.spread import publish
-from tests import deployment, version_watch
+from tests import browser, consoles, deployment, version_watch
 from tests.builders import datagrams, documents, plans, settings
 
 PACKET_PAUSE_S = 0.002
@@ -42,6 +43,34 @@
     _start(context, balancers, servers, ('peers->*',))
 
 
+@behave.given(
+    'a spread of {balancers:d} balancers and {servers:d} storefront servers'
+    ' cut off from the platform'
+)
+def start_cut_off(
+    context: runner.Context, balancers: int, servers: int
+) -> None:
+    _start(context, balancers, servers, ('balancer-*->platform',))
+    rules = {'balancer-*->platform': {'both': {'cut': True}}}
+    context.deployment.set_faults(rules)
+
+
+@behave.when('an operator takes {domain} out at a console of the spread')
+def accept_at_console(context: runner.Context, domain: str) -> None:
+    url = context.deployment.add_console(consoles.operators())
+    context.deployment.start_some(['console-1'])
+    context.run(_async_take_out(url, context.deployment.ca, domain))
+    context.version += 1
+
+
+async def _async_take_out(url: str, ca: pathlib.Path, domain: str) -> None:
+    one = browser.Browser(url, ca)
+    await one.async_sign_in('ama', consoles.OPERATORS['ama'])
+    review = await one.async_review(f'out:{domain}')
+    applied = await one.async_post('/apply', review.hidden)
+    assert 'Accepted' in applied.text, applied.text
+
+
 def _start(
     context: runner.Context, balancers: int, servers: int, faults: tuple
 ) -> None:
