A standing queue is its tenant's own; a feed that does not begin blocks none

Cause: a stall of 119 ms was taken for a cold turn for a moment, and the guild's work then had only a tenth of the longest wait, because the crowd's queue had not emptied. What stands is judged for each tenant now. Ruled out: a longer share of the wait for all, which brings back the long queue. The new unit test asks for the whole wait beside a standing crowd.

It holds its turn for 0.5 s now; the test fails with that taken out.

--- a/kumquatport/request/admission/admission.py
+++ b/kumquatport/request/admission/admission.py
@@ -32,7 +32,7 @@
         self._queue = fair.FairQueue()
         self._limits = policy.Limits()
         self._in_progress = 0
-        self._filled_at = clock()
+        self._filled_at: dict[str, float] = {}
         self._long = long_classes.LongClasses(self.costs)
 
     @property
@@ -127,16 +127,19 @@
         # Half of what is left is kept at most: a cost that was learnt in bad
         # times must not refuse what would unlearn it.
         needed_s = min(ticket.cost_s, left_s / 2)
-        return min(left_s - needed_s, self._patience_s(now))
+        return min(left_s - needed_s, self._patience_s(ticket, now))
 
-    def _patience_s(self, now: float) -> float:
-        """Return how long work may wait now.
+    def _patience_s(self, ticket: waiter.Ticket, now: float) -> float:
+        """Return how long a request may wait now.
 
-        A queue that has not emptied for the longest wait only adds delay: it
-        is kept just long enough to keep the slots in use.
+        A tenant's queue that has not emptied for the longest wait only adds
+        delay: it is kept just long enough to keep the slots in use. The other
+        tenants' work is not the worse for it.
         """
         queue_s = self._limits.queue_s
-        if not self.queued or now - self._filled_at < queue_s:
+        if not self._queue.length(ticket.tenant):
+            return queue_s
+        if now - self._filled_at[ticket.tenant] < queue_s:
             return queue_s
         return queue_s * const.STANDING_SHARE
 
@@ -162,8 +165,8 @@
                 'the wait is longer than the request may wait',
                 self.retry_after_s(),
             )
-        if not self.queued:
-            self._filled_at = self._clock()
+        if not self._queue.length(ticket.tenant):
+            self._filled_at[ticket.tenant] = self._clock()
         loop = asyncio.get_running_loop()
         request = waiter.Waiter(ticket, loop.create_future())
         self._queue.push(request)
--- a/kumquatport/request/admission/const.py
+++ b/kumquatport/request/admission/const.py
@@ -13,3 +13,5 @@
 LONG_S = 2.0
 # For so long after another class had work.
 RECENT_S = 60.0
+# Longest time for which opening one feed holds up the next.
+FEED_TURN_S = 0.5
--- a/kumquatport/request/admission/feeds.py
+++ b/kumquatport/request/admission/feeds.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from kumquatport.request import errors, policy
-from kumquatport.request.admission import slot
+from kumquatport.request.admission import const, slot
 from kumquatport.request.queue import waiter
 
 
@@ -43,10 +43,14 @@
         """Return once the feed may be opened.
 
         One feed is opened at a time: it takes no slot, and a backend server
-        that has just started is not asked for all of them at once.
+        that has just started is not asked for all of them at once. One that
+        does not begin holds up the others only for a moment.
         """
         await self._opening.acquire()
-        return slot.Slot(ticket, 1, self._give_back)
+        turn = slot.Slot(ticket, 1, self._give_back)
+        loop = asyncio.get_running_loop()
+        loop.call_later(const.FEED_TURN_S, turn.release)
+        return turn
 
     def _give_back(self, ticket: waiter.Ticket) -> None:
         self._opening.release()
--- a/kumquatport/request/queue/fair.py
+++ b/kumquatport/request/queue/fair.py
@@ -42,6 +42,11 @@
         """Count the requests that wait."""
         return sum(tenant.length for tenant in self._tenants.values())
 
+    def length(self, tenant_name: str) -> int:
+        """Count the requests of one tenant that wait."""
+        tenant = self._tenants.get(tenant_name)
+        return tenant.length if tenant else 0
+
     def configure(self, shares: abc.Mapping[str, float]) -> None:
         """Take the tenants' shares of the current document."""
         self._shares = shares
--- a/tests/unit/request/test_queue.py
+++ b/tests/unit/request/test_queue.py
@@ -179,6 +179,26 @@
         kinds = {type(error) for error in ended}
         self.assertIn(errors.QueueFullError, kinds)
 
+    async def test_a_standing_queue_is_only_its_tenants_own(self):
+        self.gate = self.make(queue_s=0.2, queue_length=9)
+        await self.fill()
+
+        async def wait(tenant):
+            began_at = self.clock()
+            with self.assertRaises(errors.QueueTimeoutError):
+                await self.gate.async_acquire(
+                    self.ticket(cost_s=0.001, tenant=tenant)
+                )
+            return self.clock() - began_at
+
+        crowd = []
+        for _ in range(4):
+            crowd.append(asyncio.create_task(wait('default')))
+            await asyncio.sleep(0.09)
+        guild_s = await wait('guild')
+        self.assertGreaterEqual(guild_s, 0.19)
+        self.assertLess(await crowd[3], 0.1)
+
     async def test_a_slot_is_given_back_once(self):
         slots = await self.fill()
         slots[0].release()
@@ -202,3 +222,10 @@
             held.begin()
         held.end()
         held.begin()
+
+    async def test_a_feed_that_does_not_begin_holds_up_no_other(self):
+        held = feeds.Feeds()
+        await held.async_acquire(self.ticket())
+        async with asyncio.timeout(2):
+            later = await held.async_acquire(self.ticket())
+        later.release()
