A key that two attempts contest is not freed by the one that lost

Cause: where two attempts claim a key at once, one is granted by two of three replicas and the other holds the third. A handover that reads the third and one of the two finds both and keeps the key as of unknown outcome, under the name of either. If that was the one that lost, its release freed the key in the next generation while the other ran: a repeat ran a second time. Such an entry now has no attempt of its own; only an answer settles it, since only an attempt that was granted has one.

--- a/kumquatport/request/idempotency/const.py
+++ b/kumquatport/request/idempotency/const.py
@@ -29,6 +29,8 @@
 ROSTER_PREFIX = 'claims/'
 
 ATTEMPT_BYTES = 16
+# In place of an attempt: two may hold the key.
+CONTESTED = b''
 
 KIND_CLAIM = 32
 KIND_CLAIM_REPLY = 33
--- a/kumquatport/request/idempotency/slot.py
+++ b/kumquatport/request/idempotency/slot.py
@@ -73,7 +73,7 @@
     def settle(self, told: messages.Settle) -> bool:
         """Note what became of an attempt; tell whether it held the key."""
         kept = self._kept.get(told.key)
-        if kept is None or kept.entry.attempt != told.attempt:
+        if kept is None or not _may_settle(kept.entry, told):
             return False
         entry = kept.entry._replace(state=told.state, answer=told.answer)
         self._kept[told.key] = _Kept(entry, kept.since)
@@ -117,10 +117,22 @@
     best = _best(one, other, _OTHER_ATTEMPT)
     states = {one.state, other.state}
     if states == {const.STATE_CLAIMED}:
-        return best._replace(state=const.STATE_UNKNOWN)
+        # One of the two may have been granted, the other never was: neither
+        # may free the key by saying that it did not run itself.
+        return best._replace(
+            state=const.STATE_UNKNOWN,
+            attempt=const.CONTESTED,
+        )
     return best
 
 
+def _may_settle(entry: messages.Entry, told: messages.Settle) -> bool:
+    if entry.attempt == const.CONTESTED:
+        # Only one that was granted has an answer.
+        return told.state == const.STATE_ANSWERED
+    return entry.attempt == told.attempt
+
+
 def _best(
     one: messages.Entry,
     other: messages.Entry,
--- a/tests/builders/claims.py
+++ b/tests/builders/claims.py
@@ -8,6 +8,7 @@
 from kumquatport import exceptions
 from kumquatport.connection.quic import stream
 from kumquatport.request.idempotency import (
+    const,
     coordinator,
     messages,
     replica,
@@ -17,6 +18,7 @@
 
 SERVICE = 'desk'
 DOMAINS = ('duluth', 'kenosha', 'saginaw')
+KEY = b'key'
 
 
 class Member(typing.NamedTuple):
@@ -136,3 +138,60 @@
     """Build the head of an order with an idempotency key."""
     headers = (('idempotency-key', key), ('x-tenant', 'guild'))
     return stream.RequestHead('POST', path, 'desk', headers, 1)
+
+
+def claim(attempt: bytes, key: bytes = KEY, epoch: int = 1) -> messages.Claim:
+    """Build a claim of a key in slot 0."""
+    claimant = messages.Claimant('agent-0', 'agent-0', attempt)
+    return messages.Claim(0, epoch, key, b'request', claimant)
+
+
+def settle(attempt: bytes, state: str, answer: bytes = b'') -> messages.Settle:
+    """Build what an attempt at the key in slot 0 tells."""
+    return messages.Settle(0, 1, KEY, attempt, state, answer)
+
+
+class Replicas:
+    """Replicas named by their endpoints, joined by a network without faults."""
+
+    def __init__(self, *names: str) -> None:
+        self.found = {
+            name: replica.Replica(
+                roster.Replica(name, 1, name), self._async_ask, _count_nothing
+            )
+            for name in names
+        }
+
+    def generation(
+        self, epoch: int, *names: str, lost_at: float = 0
+    ) -> roster.Generation:
+        replicas = tuple(self.found[name].own for name in names)
+        return roster.Generation(epoch, replicas, lost_at)
+
+    def adopt(self, name: str, *generations: roster.Generation) -> None:
+        epoch = generations[0].epoch
+        self.found[name].adopt(roster.Roster(SERVICE, epoch, (generations,)))
+
+    async def async_claim(
+        self, name: str, epoch: int, attempt: bytes = b'one'
+    ) -> str:
+        reply = await self.found[name].async_claim(claim(attempt, epoch=epoch))
+        return reply.verdict
+
+    async def async_fill(self, name: str, epoch: int) -> None:
+        for number in range(const.MAX_ENTRIES):
+            filler = claim(b'filler', number.to_bytes(4, 'big'), epoch)
+            await self.found[name].async_claim(filler)
+
+    async def async_stop(self) -> None:
+        for one in self.found.values():
+            await one.stop()
+
+    async def _async_ask(
+        self, endpoint: str, message: typing.Any, timeout: float
+    ) -> typing.Any:
+        return await self.found[endpoint].async_seal(message)
+
+
+def _count_nothing(name: str) -> None:
+    """Count no event."""
