Claims that were lost stay lost over the next change of a slot's replicas

Cause: a generation whose predecessors were lost refuses each key as unknown for the retention. The generation after it took its claims over but not the refusal, so one more change of replicas, usual in a rolling replacement, let keys run again that had run. The end of the refusal is now handed over with the claims. Ruled out: reading it from the generations of the roster, since only the last four are listed and four changes may come within the retention. tests/unit/request/idempotency/test_replica.py: granted before, lost after.

--- a/kumquatport/request/idempotency/messages.py
+++ b/kumquatport/request/idempotency/messages.py
@@ -98,11 +98,14 @@
         is_complete: Whether the replica was active in that generation.
         incarnation: Start of the replica's process.
         entries: What it keeps of the slot.
+        refuse_until: Unix seconds until which claims that were lost in an
+            earlier generation might still matter; 0 if none were.
     """
 
     is_complete: bool
     incarnation: int
     entries: tuple[Entry, ...]
+    refuse_until: float = 0
 
 
 class RosterAsk(typing.NamedTuple):
--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -158,6 +158,7 @@
             is_complete=True,
             incarnation=self._own.incarnation,
             entries=term.kept.entries(),
+            refuse_until=term.refuse_until,
         )
 
     @mode.Service.task
@@ -214,24 +215,27 @@
     ) -> None:
         latest = generations[0]
         kept = slot.Slot(self._clock)
-        for previous in generations[1:2]:
-            kept.merge(await self._async_claims_of(term_id, previous, latest))
         refuse_until: float = 0
+        for previous in generations[1:2]:
+            for reply in await self._async_seals(term_id, previous, latest):
+                kept.merge(reply.entries)
+                refuse_until = max(refuse_until, reply.refuse_until)
         if latest.lost_at:
             self._count_event(const.COUNT_LOST)
-            refuse_until = latest.lost_at + const.RETENTION_S
+            lost_until = latest.lost_at + const.RETENTION_S
+            refuse_until = max(refuse_until, lost_until)
             _LOGGER.warning('claims lost', slot=term_id.slot)
         self._count_event(const.COUNT_HANDOVERS)
         self._since.pop(term_id, None)
         self._terms[term_id] = _Term(kept, refuse_until)
 
-    async def _async_claims_of(
+    async def _async_seals(
         self,
         term_id: TermId,
         previous: roster.Generation,
         latest: roster.Generation,
-    ) -> list[messages.Entry]:
-        """Return the claims of the previous generation, once enough answer."""
+    ) -> list[messages.SealReply]:
+        """Seal the previous generation; return once enough have answered."""
         needed = roster.read_quorum(len(previous.replicas))
         if latest.lost_at:
             # Whoever is left is asked; more than that is not to be had.
@@ -240,9 +244,8 @@
         while True:
             replies = await self._async_seal_all(previous, seal)
             if len(replies) >= needed:
-                break
+                return replies
             await asyncio.sleep(const.HANDOVER_PAUSE_S)
-        return [entry for reply in replies for entry in reply.entries]
 
     async def _async_seal_all(
         self,
--- /dev/null
+++ b/tests/unit/request/idempotency/test_replica.py
@@ -0,0 +1,29 @@
+"""Tests of replicas whose earlier claims were lost, and of full ones."""
+
+import asyncio
+import time
+import unittest
+
+from kumquatport.request.idempotency import const
+from tests.builders import claims as builders
+
+
+class ReplicaTest(unittest.IsolatedAsyncioTestCase):
+    """Generations of one slot follow each other."""
+
+    async def asyncSetUp(self):
+        self.replicas = builders.Replicas('first', 'second', 'third')
+        self.first = self.replicas.generation(1, 'first')
+        self.lost = self.replicas.generation(2, 'second', lost_at=time.time())
+
+    async def asyncTearDown(self):
+        await self.replicas.async_stop()
+
+    async def test_lost_claims_stay_lost_in_the_next_generation(self):
+        third = self.replicas.generation(3, 'third')
+        self.replicas.adopt('second', self.lost, self.first)
+        await asyncio.sleep(0.01)
+        self.replicas.adopt('third', third, self.lost, self.first)
+        await asyncio.sleep(0.01)
+        verdict = await self.replicas.async_claim('third', 3)
+        self.assertEqual(verdict, const.LOST)
