A replica grants nothing more in a generation that was declared lost

Cause: a generation that follows lost claims does not wait for seals, so a replica that was only cut off went on granting in the old one to claimants that had not heard of the new roster either. Those claims are not in the new generation; once its refusal has ended, the keys could run again. A replica now closes such generations itself when it adopts the roster. Left: a replica and a claimant that both hear neither of a peer nor of the platform for the retention. tests/unit/request/idempotency/test_replica.py: held by the old generation before, stale after.

--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -105,6 +105,7 @@
             for place, one in enumerate(generations):
                 if self._own in one.replicas:
                     self._begin(number, generations[place:])
+            self._close_lost(number, generations)
         self._forget_others(listed)
 
     def confirm(self) -> None:
@@ -188,6 +189,20 @@
         generations = self._roster.slots[term_id.slot]
         return generations[0].epoch == term_id.epoch
 
+    def _close_lost(
+        self,
+        number: int,
+        generations: tuple[roster.Generation, ...],
+    ) -> None:
+        # Nobody need ask to seal what was declared lost, and its claims would
+        # be missing where it is granted still.
+        lost = [one.epoch for one in generations if one.lost_at]
+        self._sealed.update(
+            TermId(number, one.epoch)
+            for one in generations
+            if lost and one.epoch < max(lost)
+        )
+
     def _forget_others(self, listed: set[TermId]) -> None:
         for term_id in set(self._terms) - listed:
             self._terms.pop(term_id)
--- a/tests/unit/request/idempotency/test_replica.py
+++ b/tests/unit/request/idempotency/test_replica.py
@@ -27,3 +27,12 @@
         await asyncio.sleep(0.01)
         verdict = await self.replicas.async_claim('third', 3)
         self.assertEqual(verdict, const.LOST)
+
+    async def test_nothing_is_granted_in_what_was_declared_lost(self):
+        self.replicas.adopt('first', self.first)
+        await asyncio.sleep(0.01)
+        before = await self.replicas.async_claim('first', 1)
+        self.replicas.adopt('first', self.lost, self.first)
+        after = await self.replicas.async_claim('first', 1, b'two')
+        verdicts = (before, after)
+        self.assertEqual(verdicts, (const.GRANTED, const.STALE))
