A full replica still answers for the keys that it keeps

Cause: a replica with 50,000 keys of a slot refused every claim, also the repeat of a key it holds, so that a caller was told not run of an order whose receipt was kept. tests/unit/request/idempotency/test_replica.py: full before, held after.

--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -122,7 +122,8 @@
         wait_s = term.refuse_until - time.time()
         if wait_s > 0:
             return self._reply(const.LOST, retry_after_s=wait_s)
-        if len(term.kept) >= const.MAX_ENTRIES:
+        is_full = len(term.kept) >= const.MAX_ENTRIES
+        if is_full and asked.key not in term.kept:
             return self._reply(const.FULL)
         holder = term.kept.claim(asked)
         if holder is None:
--- a/kumquatport/request/idempotency/slot.py
+++ b/kumquatport/request/idempotency/slot.py
@@ -42,6 +42,10 @@
         """Return the number of keys that are kept."""
         return len(self._kept)
 
+    def __contains__(self, key: bytes) -> bool:
+        """Tell whether anything is kept of a key."""
+        return key in self._kept
+
     def claim(self, asked: messages.Claim) -> messages.Entry | None:
         """Give a key to an attempt if nobody holds it.
 
--- a/tests/unit/request/idempotency/test_replica.py
+++ b/tests/unit/request/idempotency/test_replica.py
@@ -36,3 +36,11 @@
         after = await self.replicas.async_claim('first', 1, b'two')
         verdicts = (before, after)
         self.assertEqual(verdicts, (const.GRANTED, const.STALE))
+
+    async def test_a_full_replica_still_knows_its_keys(self):
+        self.replicas.adopt('first', self.first)
+        await asyncio.sleep(0.01)
+        await self.replicas.async_claim('first', 1)
+        await self.replicas.async_fill('first', 1)
+        repeat = await self.replicas.async_claim('first', 1, b'two')
+        self.assertEqual(repeat, const.HELD)
