--- /dev/null
+++ b/bench/bench_flows.py
@@ -0,0 +1,69 @@
+"""What an agent spends for a new flow and for an open one.
+
+The slopes by open flows are those of ``docs/CAPACITY.md``.
+"""
+
+import asyncio
+import typing
+from collections import abc
+
+from bench import figure, usage
+from tests import deployment
+from tests.builders import plans
+from tests.standins import caller
+
+SERVICE: typing.Final = 'storefront'
+FLOWS: typing.Final = (100, 300, 600)
+MICROSECONDS: typing.Final = 1e6
+IDLE_S: typing.Final = 3.0
+
+
+def run() -> abc.Iterator[figure.Figure]:
+    """Open flows at one agent of a real deployment, in three sizes."""
+    plan = plans.accra(storefront=1, manuals=1, balancers=1)
+    with deployment.Deployment(plan) as target:
+        yield from asyncio.run(_async_flows(target))
+
+
+async def _async_flows(
+    target: deployment.Deployment,
+) -> list[figure.Figure]:
+    pid = target.processes[f'{SERVICE}-1'].pid
+    figures: list[figure.Figure] = []
+    resident: list[int] = []
+    held: list[caller.Connection] = []
+    for flows in FLOWS:
+        before = usage.processor_s(pid)
+        opened = flows - len(held)
+        while len(held) < flows:
+            held.append(await _async_connect(target))
+        used = usage.processor_s(pid) - before
+        resident.append(usage.resident_bytes(pid))
+        figures.append(
+            figure.plain(
+                f'flows.open_processor_{flows}',
+                used * MICROSECONDS / opened,
+                'us a flow',
+            ),
+        )
+        figures.append(
+            figure.plain(f'flows.resident_{flows}', resident[-1], 'B'),
+        )
+    before = usage.processor_s(pid)
+    await asyncio.sleep(IDLE_S)
+    idle = (usage.processor_s(pid) - before) / IDLE_S
+    slope = (resident[-1] - resident[0]) / (FLOWS[-1] - FLOWS[0])
+    figures.append(figure.plain('flows.idle_core', idle, 'share'))
+    figures.append(figure.plain('flows.bytes_of_one', slope, 'B'))
+    for connection in held:
+        await connection.async_close()
+    return figures
+
+
+async def _async_connect(target: deployment.Deployment) -> caller.Connection:
+    return await caller.async_connect(
+        target.service_endpoint(SERVICE),
+        target.ca,
+        SERVICE,
+        local=(target.caller_address, 0),
+    )
