A weight is announced as all processes encode it

An agent that announced the weight 1 in place of 1.0 would differ in digest from everybody who decoded its record, and be compared and exchanged for ever; one outside 0 to 1 was refused by its own registry. The test fails without the change; the spread's unit tests pass.

--- a/kumquatport/version/spread/own_record.py
+++ b/kumquatport/version/spread/own_record.py
@@ -1,5 +1,6 @@
 """This instance's own record, which nobody else writes."""
 
+import math
 import typing
 
 import structlog
@@ -51,7 +52,7 @@
         present = self._present
         changed = present._replace(
             state=present.state if state is None else state,
-            weight=present.weight if weight is None else weight,
+            weight=present.weight if weight is None else _share(weight),
         )
         if changed != present:
             self.publish(changed._replace(sequence=present.sequence + 1))
@@ -84,6 +85,13 @@
         )
 
 
+def _share(weight: float) -> float:
+    """Return a weight as all processes encode it, a float from 0 to 1."""
+    if math.isnan(weight):
+        weight = 0
+    return float(min(max(weight, 0), 1))
+
+
 def _above(
     record: members.InstanceRecord,
     present: members.InstanceRecord,
