--- a/kumquatport/request/idempotency/messages.py
+++ b/kumquatport/request/idempotency/messages.py
@@ -54,7 +54,7 @@
     """A replica's answer to a claim.
 
     Attributes:
-        verdict: ``granted``, ``held``, ``stale`` or ``full``.
+        verdict: ``granted``, ``held``, ``stale``, ``full`` or ``lost``.
         roster_epoch: The replica's own version of the roster.
         entry: What holds the key, if it is held.
         retry_after_s: When to come back, where the claims were lost.
--- /dev/null
+++ b/tests/unit/bench/test_ways.py
@@ -0,0 +1,36 @@
+"""Tests of the model that weighs ways of carrying established flows."""
+
+import unittest
+
+from bench import bench_ways, flow_plans, flow_ways
+
+
+class WaysTest(unittest.TestCase):
+    """The model is seeded and treats the ways as they are defined."""
+
+    def setUp(self):
+        self.replace, self.drain = flow_plans.plans()
+
+    def test_same_outcome_at_each_run(self):
+        for way in bench_ways.WAYS.values():
+            self.assertEqual(way(self.drain), way(self.drain))
+
+    def test_one_previous_owner_is_right_for_one_move(self):
+        once = self.drain._replace(tables=self.drain.tables[:2])
+        self.assertEqual(flow_ways.previous(once).broken, 0)
+
+    def test_one_previous_owner_is_wrong_for_several(self):
+        self.assertGreater(flow_ways.previous(self.replace).broken, 0)
+
+    def test_copied_tables_break_nothing_unless_a_balancer_restarts(self):
+        calm = self.replace._replace(replaced_at=frozenset())
+        self.assertEqual(flow_ways.copied(calm).broken, 0)
+
+    def test_a_flow_is_registered_again_only_where_its_owner_changed(self):
+        last = self.drain.tables[1]
+        still = self.drain._replace(tables=(*self.drain.tables[:2], last))
+        moved = self.drain._replace(tables=self.drain.tables[:2])
+        self.assertEqual(
+            flow_ways.registered(still).control_bytes,
+            flow_ways.registered(moved).control_bytes,
+        )
