Pauses of claims are noticed by a clock that goes on while suspended

Cause: replicas and claimants reckoned with CLOCK_MONOTONIC, which stands still while a machine is suspended. Two replicas and a claimant on a suspended host could go on in a generation whose loss had long been waited out, and a key could run again. They use the clock of leases now (CLOCK_BOOTTIME).

--- a/kumquatport/request/idempotency/coordinator.py
+++ b/kumquatport/request/idempotency/coordinator.py
@@ -4,7 +4,6 @@
 import collections
 import hashlib
 import secrets
-import time
 import types
 import typing
 from collections import abc
@@ -12,6 +11,7 @@
 import msgspec
 
 from kumquatport import exceptions
+from kumquatport.helpers import clock
 from kumquatport.request import claims, errors
 from kumquatport.request import const as request_const
 from kumquatport.request import messages as request_messages
@@ -183,7 +183,7 @@
             self._local.own.endpoint,
             secrets.token_bytes(const.ATTEMPT_BYTES),
         )
-        started = time.monotonic()
+        started = clock.now()
         known = self._rosters.current
         if not known.slots:
             return None
@@ -326,7 +326,7 @@
 
 def _was_paused(asked: _Round) -> bool:
     """Tell whether this process stood still: the key may soon be forgotten."""
-    return time.monotonic() - asked.started > const.MAX_USE_S
+    return clock.now() - asked.started > const.MAX_USE_S
 
 
 def _holder(asked: _Round) -> messages.Entry | None:
--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -9,6 +9,7 @@
 import structlog
 
 from kumquatport import exceptions
+from kumquatport.helpers import clock as clocks
 from kumquatport.request.idempotency import const, messages, roster, slot
 
 _LOGGER = structlog.get_logger(__name__)
@@ -43,7 +44,7 @@
         own: roster.Replica,
         ask: Ask,
         count_event: abc.Callable[[str], None],
-        clock: abc.Callable[[], float] = time.monotonic,
+        clock: abc.Callable[[], float] = clocks.now,
     ) -> None:
         """Start without slots.
 
@@ -51,7 +52,7 @@
             own: This process, as rosters list it.
             ask: Sends a control message to an endpoint.
             count_event: Counts an event by name.
-            clock: Monotonic time in seconds.
+            clock: Monotonic seconds that go on while suspended.
         """
         super().__init__()
         self._own = own
--- a/tests/unit/request/idempotency/test_claims.py
+++ b/tests/unit/request/idempotency/test_claims.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import collections
+import itertools
 import random
+import time
 import unittest
+from unittest import mock
 
 from kumquatport import exceptions
+from kumquatport.helpers import clock
 from kumquatport.request import claims
 from kumquatport.request.idempotency import const, coordinator
 from tests.builders import claims as builders
@@ -99,6 +103,19 @@
         verdict = await self.service.async_claim('agent-0', 'key')
         self.assertIsNone(verdict.answer)
 
+    async def test_machine_that_was_suspended_grants_nothing(self):
+        later = time.clock_gettime(time.CLOCK_BOOTTIME) + const.PAUSE_NOTICED_S
+        with mock.patch('time.clock_gettime', return_value=later + 1):
+            with self.assertRaises(coordinator.ClaimsUnavailableError):
+                await self.service.async_claim('agent-0', 'key')
+
+    async def test_machine_suspended_in_each_round_uses_none(self):
+        # Replicas have taken their clock already; this one is the claimant's.
+        jumps = itertools.count(0, const.MAX_USE_S + 1)
+        with mock.patch.object(clock, 'now', side_effect=jumps):
+            with self.assertRaises(coordinator.ClaimsUnavailableError):
+                await self.service.async_claim('agent-0', 'key')
+
 
 class RandomFaultsTest(unittest.IsolatedAsyncioTestCase):
     """Random restarts, roster changes and lost messages, many callers."""
