--- a/kumquatport/request/idempotency/rostering.py
+++ b/kumquatport/request/idempotency/rostering.py
@@ -9,6 +9,7 @@
 import structlog
 
 from kumquatport import exceptions
+from kumquatport.helpers import backoff
 from kumquatport.process.platform import client
 from kumquatport.request.idempotency import const, messages, replica, roster
 from kumquatport.version import members
@@ -63,6 +64,8 @@
         self._local = local
         self._roster = roster.NO_ROSTER
         self._misfit_since: float | None = None
+        self._act_at: float = 0
+        self._delays: abc.Iterator[float] | None = None
         self._confirmed_at = -const.ROSTER_CONFIRM_S
         self._asked_at: float = 0
 
@@ -140,8 +143,20 @@
             except exceptions.KumquatportError as err:
                 # The platform is away: the present roster goes on.
                 _LOGGER.debug('roster not changed', code=err.code)
+                self._back_off()
             await self.sleep(const.ROSTER_LOOK_S)
 
+    def _back_off(self) -> None:
+        """Wait longer after each failure, each service for itself.
+
+        When a failure domain goes, thousands of services change their rosters;
+        the claims go on with the replicas that are left meanwhile.
+        """
+        if self._delays is None:
+            first_s = const.ROSTER_SETTLE_S
+            self._delays = backoff.delays(first_s, const.ROSTER_BACKOFF_S)
+        self._act_at = time.monotonic() + next(self._delays)
+
     async def _async_look(self) -> None:
         able = [
             record
@@ -174,6 +189,8 @@
         able: abc.Sequence[members.InstanceRecord],
         now: float,
     ) -> None:
+        if self._delays is not None and now < self._act_at:
+            return
         is_due = now - self._confirmed_at > const.ROSTER_CONFIRM_S
         if self._local.is_suspended or is_due:
             await self._async_read()
@@ -184,10 +201,27 @@
             return
         if self._misfit_since is None:
             self._misfit_since = now
-        misfit_s = now - self._misfit_since
-        if misfit_s >= const.ROSTER_SETTLE_S:
-            may_lose = misfit_s >= const.LOST_SETTLE_S
+            self._act_at = now + self._settle_s(able)
+        if now >= self._act_at:
+            may_lose = now - self._misfit_since >= const.LOST_SETTLE_S
             await self._async_change(able, may_lose=may_lose)
+            self._delays = None
+
+    def _settle_s(self, able: abc.Sequence[members.InstanceRecord]) -> float:
+        """Return how long to wait before the roster is changed, in seconds.
+
+        Replicas in a failure domain that operators have taken out still keep
+        their claims, so there is time to spread the writes of all services.
+        """
+        alive = {_replica(record) for record in able}
+        is_calm = bool(self._roster.slots) and all(
+            alive.issuperset(generations[0].replicas)
+            for generations in self._roster.slots
+        )
+        most_s = const.ROSTER_CALM_JITTER_S
+        if not is_calm or len(alive) <= const.REPLICAS:
+            most_s = const.ROSTER_JITTER_S
+        return const.ROSTER_SETTLE_S + random.uniform(0, most_s)
 
     def _propose(
         self,
