Unit tests run beside the features

Cause: the unit tests have grown to 205 s on a busy machine and ran before the features; they are one of the jobs at a time now, with their output in var/test/unit.log.

--- a/script/testing/__main__.py
+++ b/script/testing/__main__.py
@@ -59,13 +59,12 @@
 
 
 def _run(options: argparse.Namespace) -> abc.Iterator[outcome.Outcome]:
-    if not options.features:
-        yield from unit.run(FOLDER / 'unit.json')
-    if options.unit:
-        return
-    chosen = options.features or features.find()
+    chosen = [] if options.unit else options.features or features.find()
     with futures.ThreadPoolExecutor(options.jobs) as pool:
-        running = [
+        running = []
+        if not options.features:
+            running.append(pool.submit(unit.run, FOLDER))
+        running += [
             pool.submit(features.run, feature, number, FOLDER)
             for number, feature in enumerate(chosen)
         ]
@@ -75,12 +74,11 @@
             yield from report.outcomes
 
 
-def _print_report(report: features.Report) -> None:
+def _print_report(report: outcome.Report) -> None:
     passed = sum(end.passed for end in report.outcomes)
     failed = len(report.outcomes) - passed
     _say(
-        f'{report.feature}: {passed} passed, {failed} not, '
-        f'{report.seconds:.1f} s'
+        f'{report.name}: {passed} passed, {failed} not, {report.seconds:.1f} s'
     )
 
 
--- a/script/testing/features.py
+++ b/script/testing/features.py
@@ -21,20 +21,14 @@
 FIRST_BLOCK: typing.Final = 101
 
 
-class Report(typing.NamedTuple):
-    """The outcomes of one feature file."""
-
-    feature: str
-    outcomes: list[outcome.Outcome]
-    seconds: float
-
-
 def find() -> list[pathlib.Path]:
     """Return the feature files, in order of their names."""
     return sorted(FOLDER.glob('**/*.feature'))
 
 
-def run(feature: pathlib.Path, number: int, folder: pathlib.Path) -> Report:
+def run(
+    feature: pathlib.Path, number: int, folder: pathlib.Path
+) -> outcome.Report:
     """Run one feature file.
 
     Args:
@@ -50,7 +44,8 @@
     if code and all(end.passed for end in outcomes):
         detail = f'behave ended with code {code}; see {_log(results)}'
         outcomes.append(outcome.failure(str(feature), detail))
-    return Report(str(feature), outcomes, time.monotonic() - started)
+    seconds = time.monotonic() - started
+    return outcome.Report(str(feature), outcomes, seconds)
 
 
 def _log(results: pathlib.Path) -> pathlib.Path:
--- a/script/testing/outcome.py
+++ b/script/testing/outcome.py
@@ -17,6 +17,14 @@
     detail: str
 
 
+class Report(typing.NamedTuple):
+    """The outcomes of the unit tests, or of one feature file."""
+
+    name: str
+    outcomes: list[Outcome]
+    seconds: float
+
+
 def failure(test: str, detail: str) -> Outcome:
     """Return the outcome of a test that did not pass."""
     return Outcome(test, passed=False, detail=detail)
--- a/script/testing/unit.py
+++ b/script/testing/unit.py
@@ -5,10 +5,10 @@
 """
 
 import json
-import os
 import pathlib
 import subprocess
 import sys
+import time
 import typing
 import unittest
 
@@ -16,7 +16,7 @@
 
 NAME: typing.Final = 'unit'
 FOLDER: typing.Final = 'tests/unit'
-TIMEOUT_S: typing.Final = 420
+TIMEOUT_S: typing.Final = 600
 
 
 class Recorder(unittest.TextTestResult):
@@ -49,22 +49,39 @@
             self.outcomes[owner.id()] = text
 
 
-def run(results: pathlib.Path) -> list[outcome.Outcome]:
+def run(folder: pathlib.Path) -> outcome.Report:
     """Run all unit tests.
 
     Args:
-        results: File for the outcomes.
+        folder: Folder for results and output.
     """
+    results = folder / f'{NAME}.json'
     results.unlink(missing_ok=True)
+    started = time.monotonic()
+    outcomes = _outcomes(results, _start(results))
+    return outcome.Report(NAME, outcomes, time.monotonic() - started)
+
+
+def _start(results: pathlib.Path) -> str:
+    """Run the tests in another process; say what it broke off with."""
     command = [sys.executable, '-m', 'script.testing.unit', str(results)]
-    try:
-        ended = subprocess.run(
-            command, timeout=TIMEOUT_S, check=False, env=dict(os.environ)
-        )
-    except subprocess.TimeoutExpired:
-        return [outcome.failure(NAME, f'took over {TIMEOUT_S} s')]
+    with results.with_suffix('.log').open('wb') as log:
+        try:
+            ended = subprocess.run(
+                command,
+                timeout=TIMEOUT_S,
+                check=False,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        except subprocess.TimeoutExpired:
+            return f'took over {TIMEOUT_S} s'
+    return f'ended without outcomes, code {ended.returncode}'
+
+
+def _outcomes(results: pathlib.Path, broken: str) -> list[outcome.Outcome]:
     if not results.exists():
-        detail = f'ended without outcomes, code {ended.returncode}'
+        detail = f'{broken}; see {results.with_suffix(".log")}'
         return [outcome.failure(NAME, detail)]
     found = json.loads(results.read_text())
     return [
