--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -105,6 +105,7 @@
             for place, one in enumerate(generations):
                 if self._own in one.replicas:
                     self._begin(number, generations[place:])
+            self._close_lost(number, generations)
         self._forget_others(listed)
 
     def confirm(self) -> None:
@@ -121,7 +122,8 @@
         wait_s = term.refuse_until - time.time()
         if wait_s > 0:
             return self._reply(const.LOST, retry_after_s=wait_s)
-        if len(term.kept) >= const.MAX_ENTRIES:
+        is_full = len(term.kept) >= const.MAX_ENTRIES
+        if is_full and asked.key not in term.kept:
             return self._reply(const.FULL)
         holder = term.kept.claim(asked)
         if holder is None:
@@ -158,6 +160,7 @@
             is_complete=True,
             incarnation=self._own.incarnation,
             entries=term.kept.entries(),
+            refuse_until=term.refuse_until,
         )
 
     @mode.Service.task
@@ -187,6 +190,20 @@
         generations = self._roster.slots[term_id.slot]
         return generations[0].epoch == term_id.epoch
 
+    def _close_lost(
+        self,
+        number: int,
+        generations: tuple[roster.Generation, ...],
+    ) -> None:
+        # Nobody need ask to seal what was declared lost, and its claims would
+        # be missing where it is granted still.
+        lost = [one.epoch for one in generations if one.lost_at]
+        self._sealed.update(
+            TermId(number, one.epoch)
+            for one in generations
+            if lost and one.epoch < max(lost)
+        )
+
     def _forget_others(self, listed: set[TermId]) -> None:
         for term_id in set(self._terms) - listed:
             self._terms.pop(term_id)
@@ -214,24 +231,27 @@
     ) -> None:
         latest = generations[0]
         kept = slot.Slot(self._clock)
-        for previous in generations[1:2]:
-            kept.merge(await self._async_claims_of(term_id, previous, latest))
         refuse_until: float = 0
+        for previous in generations[1:2]:
+            for reply in await self._async_seals(term_id, previous, latest):
+                kept.merge(reply.entries)
+                refuse_until = max(refuse_until, reply.refuse_until)
         if latest.lost_at:
             self._count_event(const.COUNT_LOST)
-            refuse_until = latest.lost_at + const.RETENTION_S
+            lost_until = latest.lost_at + const.RETENTION_S
+            refuse_until = max(refuse_until, lost_until)
             _LOGGER.warning('claims lost', slot=term_id.slot)
         self._count_event(const.COUNT_HANDOVERS)
         self._since.pop(term_id, None)
         self._terms[term_id] = _Term(kept, refuse_until)
 
-    async def _async_claims_of(
+    async def _async_seals(
         self,
         term_id: TermId,
         previous: roster.Generation,
         latest: roster.Generation,
-    ) -> list[messages.Entry]:
-        """Return the claims of the previous generation, once enough answer."""
+    ) -> list[messages.SealReply]:
+        """Seal the previous generation; return once enough have answered."""
         needed = roster.read_quorum(len(previous.replicas))
         if latest.lost_at:
             # Whoever is left is asked; more than that is not to be had.
@@ -240,9 +260,8 @@
         while True:
             replies = await self._async_seal_all(previous, seal)
             if len(replies) >= needed:
-                break
+                return replies
             await asyncio.sleep(const.HANDOVER_PAUSE_S)
-        return [entry for reply in replies for entry in reply.entries]
 
     async def _async_seal_all(
         self,
