--- a/kumquatport/connection/forward/header.py
+++ b/kumquatport/connection/forward/header.py
@@ -96,6 +96,18 @@
     return read
 
 
+def onward(write: Write, forward: Forward) -> bytearray:
+    """Build the datagram that carries a forward one hop further.
+
+    Args:
+        write: Writes headers, see ``make_writer``.
+        forward: As it was received.
+    """
+    buffer = bytearray(const.PREFIX_BYTES) + forward.payload
+    write(buffer, forward.hops + 1, forward.service_tag, forward.caller)
+    return buffer
+
+
 def _keyed(shared_key: bytes) -> 'hashlib.blake2s':
     key = keys.derive(shared_key, const.PURPOSE_FORWARD, keys.SHARED_KEY_BYTES)
     return hashlib.blake2s(key=key, digest_size=const.MAC_BYTES)
--- a/kumquatport/connection/forward/outgoing.py
+++ b/kumquatport/connection/forward/outgoing.py
@@ -11,8 +11,7 @@
 import typing
 from collections import abc
 
-from kumquatport import exceptions
-from kumquatport.connection.forward import const, header
+from kumquatport.connection.forward import const, header, sockets
 
 _IP_RECVERR = 11
 _ERROR_LAYOUT = struct.Struct('=IBBBBII')
@@ -53,7 +52,7 @@
         """
         self._on_refused = on_refused
         self._count_event = count_event
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = sockets.udp()
 
     def async_setup(self, address: str) -> abc.Callable[[], None]:
         """Bind the socket to the instance's own address.
@@ -64,17 +63,12 @@
         Raises:
             StartError: The address cannot be had.
         """
-        self._socket.setblocking(False)
         self._socket.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_SNDBUF,
-            _SEND_BUFFER_BYTES,
+        sockets.bind(
+            self._socket,
+            (address, 0),
+            send_bytes=_SEND_BUFFER_BYTES,
         )
-        try:
-            self._socket.bind((address, 0))
-        except OSError as err:
-            raise exceptions.StartError(f'cannot bind {address}') from err
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._read_errors)
         return self._async_stop
--- a/kumquatport/connection/forward/relay.py
+++ b/kumquatport/connection/forward/relay.py
@@ -1,13 +1,17 @@
 """Taking callers' packets from an entry socket and forwarding them."""
 
 import asyncio
-import socket
 import typing
 from collections import abc
 
-from kumquatport import exceptions
 from kumquatport.connection.connection_id import codec
-from kumquatport.connection.forward import const, header, outgoing, route
+from kumquatport.connection.forward import (
+    const,
+    header,
+    outgoing,
+    route,
+    sockets,
+)
 from kumquatport.connection.quic import invariants, reset
 
 _BATCH = 64
@@ -52,7 +56,7 @@
         self._buffer = bytearray(const.MAX_DATAGRAM_BYTES)
         self._view = memoryview(self._buffer)
         self._packet = self._view[const.PREFIX_BYTES :]
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = sockets.udp()
 
     def async_setup(self, address: str, port: int) -> abc.Callable[[], None]:
         """Bind the entry socket and start to forward.
@@ -63,18 +67,11 @@
         Raises:
             StartError: The address or port cannot be had.
         """
-        self._socket.setblocking(False)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            _RECEIVE_BUFFER_BYTES,
+        sockets.bind(
+            self._socket,
+            (address, port),
+            receive_bytes=_RECEIVE_BUFFER_BYTES,
         )
-        try:
-            self._socket.bind((address, port))
-        except OSError as err:
-            self._socket.close()
-            endpoint = f'{address}:{port}'
-            raise exceptions.StartError(f'cannot bind {endpoint}') from err
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._receive)
         return self._async_stop
--- a/kumquatport/connection/quic/listener.py
+++ b/kumquatport/connection/quic/listener.py
@@ -11,7 +11,7 @@
 from kumquatport import exceptions
 from kumquatport.connection.connection_id import codec
 from kumquatport.connection.forward import const as forward_const
-from kumquatport.connection.forward import header
+from kumquatport.connection.forward import header, sockets
 from kumquatport.connection.quic import (
     held,
     invariants,
@@ -102,7 +102,7 @@
         )
         self._validation = opening.AddressValidation(self._identifiers.issue)
         self._held = held.Held(hooks.handle, hooks.watchers)
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = sockets.udp()
 
     @property
     def sessions(self) -> tuple[session.Session, ...]:
@@ -118,18 +118,11 @@
         Raises:
             StartError: The address or port cannot be had.
         """
-        self._socket.setblocking(False)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET,
-            socket.SO_RCVBUF,
-            _RECEIVE_BUFFER_BYTES,
+        sockets.bind(
+            self._socket,
+            (self._place.address, self._place.port),
+            receive_bytes=_RECEIVE_BUFFER_BYTES,
         )
-        address = self._place.listen_address or self._place.address
-        endpoint = (address, self._place.port)
-        try:
-            self._socket.bind(endpoint)
-        except OSError as err:
-            raise exceptions.StartError(f'cannot bind {endpoint}') from err
         loop = asyncio.get_running_loop()
         loop.add_reader(self._socket.fileno(), self._receive)
         return self._async_stop
--- a/kumquatport/process/agent/passing.py
+++ b/kumquatport/process/agent/passing.py
@@ -75,14 +75,8 @@
         endpoint = self._next(flow, forward.hops)
         if endpoint is None:
             return False
-        buffer = bytearray(const.PREFIX_BYTES) + forward.payload
-        self._write(
-            buffer,
-            forward.hops + 1,
-            forward.service_tag,
-            forward.caller,
-        )
-        self._outgoing.send(buffer, endpoint)
+        datagram = header.onward(self._write, forward)
+        self._outgoing.send(datagram, endpoint)
         return True
 
     def _on_refused(self, packet: outgoing.Refused) -> None:
--- a/kumquatport/process/balancer/entries.py
+++ b/kumquatport/process/balancer/entries.py
@@ -183,12 +183,6 @@
         if not found or forward.hops >= const.MAX_HOPS:
             self._count_event('dropped.no_agent')
             return
-        buffer = bytearray(const.PREFIX_BYTES) + forward.payload
-        self._write(
-            buffer,
-            forward.hops + 1,
-            forward.service_tag,
-            forward.caller,
-        )
         self._count_event('opening_placed_again')
-        self._outgoing.send(buffer, found[0])
+        datagram = header.onward(self._write, forward)
+        self._outgoing.send(datagram, found[0])
