--- a/kumquatport/connection/quic/held.py
+++ b/kumquatport/connection/quic/held.py
@@ -35,6 +35,7 @@
         self._by_id: dict[bytes, session.Session] = {}
         self._ids: dict[session.Session, set[bytes]] = {}
         self._half_open: set[session.Session] = set()
+        self._is_leaving = False
 
     @property
     def sessions(self) -> tuple[session.Session, ...]:
@@ -46,6 +47,12 @@
         """Number of connections whose handshake is not complete."""
         return len(self._half_open)
 
+    def go_away(self) -> None:
+        """Tell every caller, and each that comes yet, to go elsewhere."""
+        self._is_leaving = True
+        for one in self.sessions:
+            one.go_away()
+
     def find(self, connection_id: bytes) -> session.Session | None:
         """Return the connection with this ID, if it is held here."""
         return self._by_id.get(connection_id)
@@ -90,6 +97,9 @@
     def _opened(self, held: session.Session) -> None:
         self._half_open.discard(held)
         self._watchers.opened()
+        if self._is_leaving:
+            # Its handshake was under way when the others were told.
+            held.go_away()
 
     def _issued(self, held: session.Session, connection_id: bytes) -> None:
         if held not in self._ids:
--- a/kumquatport/connection/quic/listener.py
+++ b/kumquatport/connection/quic/listener.py
@@ -139,8 +139,7 @@
 
     def go_away(self) -> None:
         """Tell every caller that this agent is leaving."""
-        for one in self.sessions:
-            one.go_away()
+        self._held.go_away()
 
     def _async_stop(self) -> None:
         for one in self.sessions:
