The listening address is bound again; large services keep replicas they do not know

Cause 1: the shared way to bind sockets bound an agent's own address also where its settings name another to listen on; every scenario with faults between peers failed to start (orders.feature: cannot bind). The new unit test fails without the change. Cause 2: an agent of a service of more than 64 agents, or one that has just started, took replicas of claims that it does not know for gone and would change the roster against others. Now only a departure that is known counts, until the view is whole; in large services agents that keep claims lead as well, after a random pause.

--- a/kumquatport/connection/quic/listener.py
+++ b/kumquatport/connection/quic/listener.py
@@ -120,7 +120,10 @@
         """
         sockets.bind(
             self._socket,
-            (self._place.address, self._place.port),
+            (
+                self._place.listen_address or self._place.address,
+                self._place.port,
+            ),
             receive_bytes=_RECEIVE_BUFFER_BYTES,
         )
         loop = asyncio.get_running_loop()
--- a/kumquatport/process/agent/claiming.py
+++ b/kumquatport/process/agent/claiming.py
@@ -51,6 +51,7 @@
             rostering.Surroundings(
                 service=service,
                 agents=lambda: member.registry.agents(service),
+                record_of=member.registry.get,
                 out=lambda: member.tables.out,
                 platform=platform,
                 ask=member.async_ask,
--- a/kumquatport/request/idempotency/roster.py
+++ b/kumquatport/request/idempotency/roster.py
@@ -113,12 +113,15 @@
         may_lose: Whether a slot may be given up whose replicas are gone; its
             claims are lost then, and the slot refuses for the retention.
         stuck: Slots whose replicas cannot take the claims over.
+        unknown: Replicas of which nothing is known here. That they are gone
+            is for those to say who know them, so they stay.
     """
 
     eligible: abc.Sequence[Eligible]
     now: float
     may_lose: bool
     stuck: frozenset[int]
+    unknown: frozenset[Replica] = frozenset()
 
 
 def propose(roster: Roster, service: str, wanted: Wanted) -> Roster | None:
@@ -151,7 +154,7 @@
     wanted: Wanted,
 ) -> tuple[Generation, ...]:
     present = generations[0].replicas if generations else ()
-    able = {one.replica for one in wanted.eligible}
+    able = {one.replica for one in wanted.eligible} | wanted.unknown
     kept = tuple(replica for replica in present if replica in able)
     size = min(const.REPLICAS, len(wanted.eligible))
     is_stuck = number in wanted.stuck
@@ -178,7 +181,7 @@
     others = [one.replica for one in eligible if one.replica not in kept]
     others.sort(key=lambda replica: _score(number, replica))
     while others and len(chosen) < const.REPLICAS:
-        used = {domains[replica] for replica in chosen}
+        used = {domains.get(replica) for replica in chosen}
         fresh = [one for one in others if domains[one] not in used]
         best = (fresh or others)[0]
         others.remove(best)
--- a/kumquatport/request/idempotency/rostering.py
+++ b/kumquatport/request/idempotency/rostering.py
@@ -28,6 +28,8 @@
     Attributes:
         service: Name of the service.
         agents: Returns the records of the service's agents.
+        record_of: Returns the record of an instance, also a departed one, or
+            nothing where none is known.
         out: Returns the failure domains that are taken out.
         platform: Client of the platform.
         ask: Sends a control message to an endpoint.
@@ -35,6 +37,7 @@
 
     service: str
     agents: abc.Callable[[], abc.Sequence[members.InstanceRecord]]
+    record_of: abc.Callable[[str], members.InstanceRecord | None]
     out: abc.Callable[[], abc.Container[str]]
     platform: client.PlatformClient
     ask: replica.Ask
@@ -63,6 +66,7 @@
         self._surroundings = surroundings
         self._local = local
         self._roster = roster.NO_ROSTER
+        self._started_at = time.monotonic()
         self._misfit_since: float | None = None
         self._act_at: float = 0
         self._delays: abc.Iterator[float] | None = None
@@ -165,7 +169,7 @@
         ]
         now = time.monotonic()
         is_needed = self._local.is_suspended or bool(self._local.stuck)
-        if is_needed or self._is_first(able):
+        if is_needed or self._is_first(able) or self._is_witness():
             await self._async_lead(able, now)
             return
         others = [
@@ -184,6 +188,29 @@
         first = min(record.instance for record in able)
         return first == self._local.own.instance
 
+    def _is_witness(self) -> bool:
+        """Tell whether this agent must lead where nobody knows all agents."""
+        known = self._surroundings.agents()
+        return len(known) >= const.WHOLE_VIEW_AGENTS and self.is_listed
+
+    def _unknown(self) -> frozenset[roster.Replica]:
+        """Return the replicas of which nothing is known here.
+
+        An agent of a large service knows only some of the others, and one that
+        has just started knows few; for anybody else what is unknown is gone.
+        """
+        known = len(self._surroundings.agents())
+        view_s = time.monotonic() - self._started_at
+        is_whole = known < const.WHOLE_VIEW_AGENTS
+        if is_whole and view_s > const.ROSTER_VIEW_S:
+            return frozenset()
+        return frozenset(
+            one
+            for generations in self._roster.slots
+            for one in generations[0].replicas
+            if self._surroundings.record_of(one.instance) is None
+        )
+
     async def _async_lead(
         self,
         able: abc.Sequence[members.InstanceRecord],
@@ -219,7 +246,8 @@
             for generations in self._roster.slots
         )
         most_s = const.ROSTER_CALM_JITTER_S
-        if not is_calm or len(alive) <= const.REPLICAS:
+        is_urgent = not is_calm and self._is_first(able)
+        if is_urgent or len(alive) <= const.REPLICAS:
             most_s = const.ROSTER_JITTER_S
         return const.ROSTER_SETTLE_S + random.uniform(0, most_s)
 
@@ -243,6 +271,7 @@
                 time.time(),
                 may_lose,
                 self._local.stuck,
+                self._unknown(),
             ),
         )
 
--- a/tests/builders/claims.py
+++ b/tests/builders/claims.py
@@ -57,6 +57,7 @@
         surroundings = rostering.Surroundings(
             SERVICE,
             lambda: (),
+            lambda _instance: None,
             lambda: (),
             typing.cast(typing.Any, None),
             self._async_ask,
--- a/tests/unit/connection/test_listener.py
+++ b/tests/unit/connection/test_listener.py
@@ -108,3 +108,23 @@
         )
         self.assertEqual(len(self.answers), 1)
         self.assertEqual(len(self.listener.sessions), 0)
+
+
+class ListenAddressTest(unittest.IsolatedAsyncioTestCase):
+    """The address that is bound may differ from the one that is named."""
+
+    async def test_listen_address_is_bound(self):
+        quiet = listener.Hooks(
+            may_open=lambda: True,
+            pass_on=lambda forward: False,
+            handle=handle,
+            count_event=lambda name: None,
+            watchers=held.Watchers(lambda: None, lambda: None),
+        )
+        place = PLACE._replace(listen_address='127.0.0.3')
+        one = listener.Listener(
+            place, KEY, configuration.QuicConfiguration(is_client=False), quiet
+        )
+        stop = one.async_setup()
+        self.addCleanup(stop)
+        self.assertEqual(one._socket.getsockname()[0], '127.0.0.3')
--- a/tests/unit/request/idempotency/test_rostering.py
+++ b/tests/unit/request/idempotency/test_rostering.py
@@ -49,6 +49,33 @@
             raise exceptions.PlatformUnavailableError('down')
 
 
+class ProposalTest(unittest.TestCase):
+    """Only a departure that is known counts, not an absence."""
+
+    def setUp(self):
+        self.eligible = [
+            roster.Eligible(
+                roster.Replica(f'agent-{number}', 1, ''), DOMAINS[number % 3]
+            )
+            for number in range(9)
+        ]
+        wanted = roster.Wanted(self.eligible, 0, False, frozenset())
+        self.roster = roster.propose(roster.NO_ROSTER, 'desk', wanted)
+
+    def test_unknown_replicas_stay(self):
+        seen = self.eligible[3:]
+        unknown = frozenset(one.replica for one in self.eligible[:3])
+        wanted = roster.Wanted(seen, 0, True, frozenset(), unknown)
+        self.assertIsNone(roster.propose(self.roster, 'desk', wanted))
+
+    def test_departed_replicas_are_replaced(self):
+        wanted = roster.Wanted(self.eligible[3:], 0, True, frozenset())
+        proposed = roster.propose(self.roster, 'desk', wanted)
+        gone = {one.replica for one in self.eligible[:3]}
+        for generations in proposed.slots:
+            self.assertFalse(gone & set(generations[0].replicas))
+
+
 class RosteringTest(unittest.IsolatedAsyncioTestCase):
     """Rosters follow the members without a burst at the platform."""
 
@@ -93,6 +120,7 @@
             rostering.Surroundings(
                 service,
                 lambda: self.records[service],
+                self.record_of,
                 lambda: self.out,
                 self.platform,
                 mock.AsyncMock(side_effect=exceptions.PeerUnavailableError),
@@ -100,6 +128,13 @@
             local,
         )
 
+    def record_of(self, instance):
+        service = instance.rsplit('-', 1)[0]
+        for record in self.records[service]:
+            if record.instance == instance:
+                return record
+        return None
+
     async def settle(self, is_done, timeout_s=15):
         async with asyncio.timeout(timeout_s):
             while not is_done():
