--- a/tests/unit/connection/test_listener.py
+++ b/tests/unit/connection/test_listener.py
@@ -126,5 +126,6 @@
             place, KEY, configuration.QuicConfiguration(is_client=False), quiet
         )
         stop = one.async_setup()
-        self.addCleanup(stop)
-        self.assertEqual(one._socket.getsockname()[0], '127.0.0.3')
+        bound = one._socket.getsockname()
+        stop()
+        self.assertEqual(bound[0], '127.0.0.3')
