make run comes back after refusals that ask for it

Cause: on a busy machine 1 to 4 of 140 requests to a fresh deployment were refused as not run with a time to come back (no slot came free, too few replicas answered), and the run ended with 1: three of four runs at a load of 10 to 12. Slow start is meant to refuse; a caller that comes back is what the refusal asks for. Nothing else is retried.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,6 +1,7 @@
 """Run both deployments of the brief as processes and call each service.
 
-Prints what each request kind of each service answered. Exit code 0 when all
+Prints what each request kind of each service answered. What was refused as not
+run is sent again, as its refusal asks, at most three times. Exit code 0 when all
 were answered right and all processes ended cleanly, else 1.
 """
 
@@ -14,6 +15,9 @@
 from tests import deployment, workload
 
 CONNECTIONS = 5
+NOT_RUN = 'not-run'
+RETURNS = 3
+RETURN_S = 1.0
 KINDS = ('small', 'order', 'order', 'pull', 'feed', 'order', 'small')
 SERVICES = ('storefront', 'manuals', 'desk', 'archive')
 FULL = {'accra': (7, 3, 3), 'lakes': (7, 3, 3)}
@@ -49,10 +53,7 @@
     started: list[deployment.Deployment], options: argparse.Namespace
 ) -> bool:
     batches = await asyncio.gather(
-        *[
-            workload.async_call_all(one, options.connections, KINDS)
-            for one in started
-        ]
+        *[_async_call(one, options.connections) for one in started]
     )
     outcomes = [outcome for batch in batches for outcome in batch]
     _print_outcomes(outcomes)
@@ -63,6 +64,28 @@
     return right
 
 
+async def _async_call(
+    one: deployment.Deployment, connections: int
+) -> list[workload.Outcome]:
+    """Call every service; come back with what was refused as not run.
+
+    Backend servers that have just started are let up to full work slowly, and
+    a refusal says when to come back.
+    """
+    outcomes = await workload.async_call_all(one, connections, KINDS)
+    for number in range(1, RETURNS + 1):
+        refused = [outcome for outcome in outcomes if NOT_RUN in outcome.result]
+        if not refused:
+            break
+        print(f'{len(refused)} refused as not run, return {number}', flush=True)
+        await asyncio.sleep(RETURN_S)
+        for outcome in refused:
+            outcomes.remove(outcome)
+            kinds = (outcome.kind,)
+            outcomes += await workload.async_call(one, outcome.service, kinds)
+    return outcomes
+
+
 async def _async_stay(started: list[deployment.Deployment]) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
