--- a/kumquatport/process/agent/passing.py
+++ b/kumquatport/process/agent/passing.py
@@ -38,7 +38,6 @@
                 that was paused may know agents of a failure domain that was
                 taken out since.
         """
-        self._own = own
         self._is_fresh = is_fresh
         self._count_event = count_event
         self._gone = refused.RefusedEndpoints()
@@ -51,13 +50,16 @@
             const.MAX_HOPS,
         )
 
-    def async_setup(self) -> abc.Callable[[], None]:
+    def async_setup(self, address: str) -> abc.Callable[[], None]:
         """Bind the socket towards other agents.
 
+        Args:
+            address: IPv4 number that this instance's sockets are bound to.
+
         Returns:
             A callable that closes it.
         """
-        return self._outgoing.async_setup(self._own[0])
+        return self._outgoing.async_setup(address)
 
     def pass_on(self, forward: header.Forward) -> bool:
         """Send an opening packet on; tell whether there was an agent for it.
--- a/kumquatport/process/agent/service.py
+++ b/kumquatport/process/agent/service.py
@@ -91,7 +91,8 @@
         Raises:
             StartError: The address or port cannot be had.
         """
-        self._undo.append(self._passing.async_setup())
+        address = self._settings.common.listen_address
+        self._undo.append(self._passing.async_setup(address))
         self._undo.append(self._listener.async_setup())
         self._undo.append(self._membership.current.subscribe(self._apply))
         held_now = self._membership.current.held
@@ -107,7 +108,7 @@
     async def async_drain(self) -> None:
         """Leave: no new flows, and those that are open go on to their end.
 
-        Raises nothing and has no limit; a second signal ends the wait.
+        The wait has no limit; a second signal to the process ends it.
         """
         self._leaving = True
         await self._membership.async_leave()
--- a/tests/features/steps/domains.py
+++ b/tests/features/steps/domains.py
@@ -1,6 +1,5 @@
 """Steps of failure domains and servers that leave, and of the platform."""
 
-import asyncio
 import time
 
 import behave
@@ -26,14 +25,7 @@
     context.traffic = traffic.Traffic(context.deployment)
     context.run(context.traffic.async_start(FEEDS, WORKERS))
     wanted = FEEDS * len(plan.service_names)
-    context.run(_async_wait_feeds(context, wanted))
-    context.stopped = False
-
-
-async def _async_wait_feeds(context, wanted):
-    async with asyncio.timeout(RETURN_S):
-        while len(context.traffic.feeds) < wanted:
-            await asyncio.sleep(0.1)
+    context.run(context.traffic.async_wait_feeds(wanted))
 
 
 @behave.given(
--- a/tests/features/steps/flows.py
+++ b/tests/features/steps/flows.py
@@ -1,6 +1,5 @@
 """Steps of flows that must survive changes."""
 
-import asyncio
 import time
 
 import behave
@@ -49,14 +48,8 @@
 def start_traffic(context, feeds, workers):
     context.traffic = traffic.Traffic(context.deployment)
     context.run(context.traffic.async_start(feeds, workers))
-    context.feeds_wanted = feeds * len(context.deployment.plan.service_names)
-    context.run(_async_wait_feeds(context))
-
-
-async def _async_wait_feeds(context):
-    async with asyncio.timeout(LEAVE_TIMEOUT_S):
-        while len(context.traffic.feeds) < context.feeds_wanted:
-            await asyncio.sleep(0.1)
+    wanted = feeds * len(context.deployment.plan.service_names)
+    context.run(context.traffic.async_wait_feeds(wanted))
 
 
 def _replace_server(context, name):
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -73,6 +73,12 @@
                 self._begin(self._async_work(service))
         await asyncio.sleep(1)
 
+    async def async_wait_feeds(self, feeds: int) -> None:
+        """Wait until so many feeds have sent something."""
+        async with asyncio.timeout(END_TIMEOUT_S):
+            while len(self.feeds) < feeds:
+                await asyncio.sleep(PAUSE_S)
+
     async def async_stop(self) -> None:
         """Let every caller end what it does, then leave."""
         self._stopping = True
