--- a/kumquatport/process/agent/claiming.py
+++ b/kumquatport/process/agent/claiming.py
@@ -99,13 +99,22 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + const.LEAVE_TIMEOUT_S
-        while self._must_stay() and loop.time() < deadline:
+        stay_until = loop.time()
+        while self._rosters.has_successors and loop.time() < deadline:
+            if self._is_needed():
+                stay_until = loop.time() + const.LEAVE_GRACE_S
+            if loop.time() >= stay_until:
+                return
             await asyncio.sleep(_POLL_S)
-        if self._rosters.has_successors:
-            await asyncio.sleep(const.LEAVE_GRACE_S)
 
-    def _must_stay(self) -> bool:
-        return self._rosters.is_listed and self._rosters.has_successors
+    def _is_needed(self) -> bool:
+        """Tell whether others still need the claims that are kept here.
+
+        A successor that has not taken them over asks again and again, also
+        long after the roster has stopped listing this agent.
+        """
+        is_asked = self._replica.quiet_s < 2 * const.HANDOVER_PAUSE_S
+        return self._rosters.is_listed or is_asked
 
     def _register(self, control: server.ControlServer) -> None:
         control.handle(messages.Claim, self._replica.async_claim)
--- a/kumquatport/request/idempotency/replica.py
+++ b/kumquatport/request/idempotency/replica.py
@@ -65,6 +65,12 @@
         self._since: dict[TermId, float] = {}
         self._ticked_at = clock()
         self._is_suspended = False
+        self._sealed_at = clock()
+
+    @property
+    def quiet_s(self) -> float:
+        """Seconds since another replica last asked for claims kept here."""
+        return self._clock() - self._sealed_at
 
     @property
     def is_suspended(self) -> bool:
@@ -157,6 +163,7 @@
                 entries=(),
             )
         self._sealed.add(term_id)
+        self._sealed_at = self._clock()
         return messages.SealReply(
             is_complete=True,
             incarnation=self._own.incarnation,
--- a/kumquatport/request/idempotency/roster.py
+++ b/kumquatport/request/idempotency/roster.py
@@ -115,6 +115,7 @@
         stuck: Slots whose replicas cannot take the claims over.
         unknown: Replicas of which nothing is known here. That they are gone
             is for those to say who know them, so they stay.
+        leaving: Replicas that are to be replaced and can still hand over.
     """
 
     eligible: abc.Sequence[Eligible]
@@ -122,6 +123,7 @@
     may_lose: bool
     stuck: frozenset[int]
     unknown: frozenset[Replica] = frozenset()
+    leaving: frozenset[Replica] = frozenset()
 
 
 def propose(roster: Roster, service: str, wanted: Wanted) -> Roster | None:
@@ -156,19 +158,28 @@
     present = generations[0].replicas if generations else ()
     able = {one.replica for one in wanted.eligible} | wanted.unknown
     kept = tuple(replica for replica in present if replica in able)
-    size = min(const.REPLICAS, len(wanted.eligible))
+    is_whole = len(kept) >= min(const.REPLICAS, len(wanted.eligible))
     is_stuck = number in wanted.stuck
-    if len(kept) == len(present) and len(kept) >= size and not is_stuck:
+    if len(kept) == len(present) and is_whole and not is_stuck:
         return generations
-    is_gone = bool(present) and len(kept) < read_quorum(len(present))
-    lost_at = wanted.now if is_gone or is_stuck else 0
-    if lost_at and not wanted.may_lose:
+    is_lost = is_stuck or _is_gone(present, able | wanted.leaving)
+    if is_lost and not wanted.may_lose:
         return generations
-    chosen = _fill(number, kept, wanted.eligible)
-    return (
-        Generation(epoch, chosen, lost_at),
-        *generations,
-    )[: const.MAX_GENERATIONS]
+    latest = Generation(
+        epoch,
+        _fill(number, kept, wanted.eligible),
+        wanted.now if is_lost else 0,
+    )
+    return (latest, *generations)[: const.MAX_GENERATIONS]
+
+
+def _is_gone(
+    present: tuple[Replica, ...],
+    givers: set[Replica],
+) -> bool:
+    """Tell whether too few replicas are left to hand their claims over."""
+    left = len(givers.intersection(present))
+    return bool(present) and left < read_quorum(len(present))
 
 
 def _fill(
--- a/kumquatport/request/idempotency/rostering.py
+++ b/kumquatport/request/idempotency/rostering.py
@@ -272,6 +272,7 @@
                 may_lose,
                 self._local.stuck,
                 self._unknown(),
+                frozenset(map(_replica, self._surroundings.agents())),
             ),
         )
 
--- a/tests/features/domains.feature
+++ b/tests/features/domains.feature
@@ -5,7 +5,7 @@
 
   @promise-4 @promise-1
   Scenario: Out and back under load
-    Given a lakes deployment of 6 desk and 3 archive servers under load
+    Given a lakes deployment of 7 desk and 3 archive servers under load
     When operators take duluth out
     Then no packet reaches duluth 4 s after acceptance
     And no flow outside of duluth is broken
@@ -16,7 +16,7 @@
 
   @promise-4
   Scenario: A balancer frozen through the change sends nothing when it resumes
-    Given an accra deployment of 3 storefront and 3 manuals servers under load
+    Given an accra deployment of 7 storefront and 3 manuals servers under load
     When balancer-1 is frozen and operators take accra-b out
     And balancer-1 resumes 6 s later
     Then no packet reaches accra-b 4 s after acceptance
@@ -24,14 +24,14 @@
 
   @promise-4
   Scenario: The platform goes down right after acceptance
-    Given an accra deployment of 3 storefront and 3 manuals servers under load
+    Given an accra deployment of 7 storefront and 3 manuals servers under load
     When operators take accra-c out and the platform goes down at once
     Then no packet reaches accra-c 4 s after acceptance
     And no flow outside of accra-c is broken
 
   @promise-8
   Scenario Outline: A leaving backend server gets no new work
-    Given an accra deployment of 3 storefront and 3 manuals servers under load
+    Given an accra deployment of 7 storefront and 3 manuals servers under load
     When the platform is <state> and storefront-1 starts leaving
     Then storefront-1 gets no new work 3 s later
     And no flow is broken by the leaving
@@ -44,7 +44,7 @@
 
   @promise-1 @promise-5
   Scenario: The platform is down while a balancer restarts and servers go
-    Given an accra deployment of 4 storefront and 3 manuals servers under load
+    Given an accra deployment of 7 storefront and 3 manuals servers under load
     When the platform goes down for 40 s
     And a balancer restarts, a server leaves and another crashes meanwhile
     Then requests are answered in every 5 s of it
@@ -53,6 +53,6 @@
 
   @promise-1
   Scenario: Two balancers killed at once, and again
-    Given an accra deployment of 3 storefront and 3 manuals servers under load
+    Given an accra deployment of 7 storefront and 3 manuals servers under load
     When two balancers are killed at once and come back, twice
     Then no flow is broken by the killing
--- a/tests/features/flows.feature
+++ b/tests/features/flows.feature
@@ -5,7 +5,7 @@
 
   @promise-1 @promise-9
   Scenario: Rolling replacement of every balancer and backend server
-    Given flows through a lakes deployment of 3 desk and 2 archive servers
+    Given flows through a lakes deployment of 7 desk and 3 archive servers
     And 4 feeds and 2 workers at each service
     When every backend server is replaced while balancers are replaced too
     Then at least 10 table changes were seen by a balancer
@@ -15,7 +15,7 @@
 
   @promise-1
   Scenario: Balancers are killed and join under load
-    Given flows through an accra deployment of 3 storefront and 2 manuals servers
+    Given flows through an accra deployment of 7 storefront and 3 manuals servers
     And 6 feeds and 2 workers at each service
     When each balancer is killed and another joins
     Then no flow is broken
@@ -30,7 +30,7 @@
     And no request reached a wrong service
 
   Scenario: An agent is killed and its callers learn of it
-    Given flows through an accra deployment of 3 storefront and 2 manuals servers
+    Given flows through an accra deployment of 7 storefront and 3 manuals servers
     And 6 feeds and 2 workers at each service
     When the agent of a storefront server is killed
     Then the callers of its flows learn of it within 2 s
@@ -38,7 +38,7 @@
     And new flows open elsewhere within 2 s
 
   Scenario: An agent is killed and restarted at once
-    Given flows through an accra deployment of 3 storefront and 2 manuals servers
+    Given flows through an accra deployment of 7 storefront and 3 manuals servers
     And 6 feeds and 2 workers at each service
     When the agent of a storefront server is killed and restarted
     Then the callers of its flows learn of it within 2 s
--- a/tests/features/steps/flows.py
+++ b/tests/features/steps/flows.py
@@ -41,7 +41,7 @@
 
 @behave.given('flows through a lakes deployment with faults at "{path}"')
 def start_faulty(context, path):
-    _begin(context, plans.lakes(3, 2), (path,))
+    _begin(context, plans.lakes(), (path,))
 
 
 @behave.given('{feeds:d} feeds and {workers:d} workers at each service')
--- a/tests/features/steps/orders.py
+++ b/tests/features/steps/orders.py
@@ -13,7 +13,7 @@
 
 SEED = 20261204
 CALLERS = 16
-FAULT_PAUSE_S = 0.5
+FAULT_PAUSE_S = 1.0
 CUT_S = 1.0
 BAD = {'drop': 0.02, 'duplicate': 0.03, 'delay_s': 0.001, 'jitter_s': 0.01}
 SETTLE_S = 1.0
--- a/tests/unit/request/idempotency/test_rostering.py
+++ b/tests/unit/request/idempotency/test_rostering.py
@@ -75,6 +75,17 @@
         for generations in proposed.slots:
             self.assertFalse(gone & set(generations[0].replicas))
 
+    def test_leaving_replicas_hand_over_and_lose_nothing(self):
+        present = self.roster.slots[0][0].replicas
+        stay = [one for one in self.eligible if one.replica not in present[:2]]
+        leaving = frozenset(present[:2])
+        wanted = roster.Wanted(
+            stay, 5, False, frozenset(), frozenset(), leaving
+        )
+        latest = roster.propose(self.roster, 'desk', wanted).slots[0][0]
+        self.assertFalse(leaving & set(latest.replicas))
+        self.assertEqual(latest.lost_at, 0)
+
 
 class RosteringTest(unittest.IsolatedAsyncioTestCase):
     """Rosters follow the members without a burst at the platform."""
