--- a/bench/report.py
+++ b/bench/report.py
@@ -7,10 +7,11 @@
 import matplotlib as mpl
 from matplotlib import pyplot
 
-from bench import figure, results
+from bench import figure, results, series
 
 FOLDER: typing.Final = pathlib.Path('var/report')
 PAGE: typing.Final = 'index.md'
+SERIES: typing.Final = 'domains-by-second.png'
 BAR_HEIGHT_INCHES: typing.Final = 0.3
 MARGIN_INCHES: typing.Final = 1.0
 WIDTH_INCHES: typing.Final = 10.0
@@ -26,6 +27,13 @@
     mpl.use('Agg')
     FOLDER.mkdir(parents=True, exist_ok=True)
     parts = [_section(name, group) for name, group in groups.items()]
+    if series.draw(FOLDER / SERIES):
+        parts += [
+            '## A failure domain leaves and returns, by second',
+            '',
+            f'![by second]({SERIES})',
+            '',
+        ]
     page = FOLDER / PAGE
     page.write_text('\n'.join(['# Measurements', '', *parts]))
     sys.stdout.write(f'{page}\n')
