--- a/kumquatport/const.py
+++ b/kumquatport/const.py
@@ -6,11 +6,8 @@
 KIND_AGENT: typing.Final = 'agent'
 KIND_CONSOLE: typing.Final = 'console'
 
-SECONDS_PER_MINUTE: typing.Final = 60
 NANOSECONDS_PER_SECOND: typing.Final = 1_000_000_000
-MILLISECONDS_PER_SECOND: typing.Final = 1000
 MICROSECONDS_PER_SECOND: typing.Final = 1_000_000
-BYTES_PER_KIB: typing.Final = 1024
 
 MAX_PORT: typing.Final = 65535
 MAX_NAME_CHARACTERS: typing.Final = 63
--- a/kumquatport/process/console/const.py
+++ b/kumquatport/process/console/const.py
@@ -17,7 +17,6 @@
 COOKIE_SESSION: typing.Final = 'kumquatport_session'
 
 FIELD_ACTION: typing.Final = 'action'
-FIELD_BASE: typing.Final = 'base_version'
 FIELD_COMMENT: typing.Final = 'comment'
 FIELD_CONFIRM: typing.Final = 'confirm'
 FIELD_CSRF: typing.Final = 'csrf'
--- a/kumquatport/version/acceptance/const.py
+++ b/kumquatport/version/acceptance/const.py
@@ -12,10 +12,4 @@
 MAX_AUDIT_LINE_CHARS = 300
 DEFAULT_HISTORY_COUNT = 20
 
-ATTR_BASE_VERSION = 'base_version'
-ATTR_CHANGES = 'changes'
-ATTR_COMMENT = 'comment'
-ATTR_IDENTIFIER = 'identifier'
-ATTR_OPERATOR = 'operator'
-ATTR_SUBMITTED_S = 'submitted_s'
 ATTR_VERSION = 'version'
