--- a/tests/unit/process/agent/test_passing.py
+++ b/tests/unit/process/agent/test_passing.py
@@ -34,7 +34,7 @@
             lambda event: self.events.update((event,)),
             lambda: self.fresh,
         )
-        self.stop = self.passing.async_setup()
+        self.stop = self.passing.async_setup(OWN)
         self.other = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(self.other.close)
         self.other.bind((OTHER, PORT))
