--- /dev/null
+++ b/kumquatport/connection/packets/cold.py
@@ -0,0 +1,56 @@
+"""How many new flows a cold backend server is given.
+
+Load pattern: a backend server that just started, or came back cold, is the
+emptiest of its service and would be offered everything at once.
+"""
+
+import collections
+import typing
+
+WINDOW_S: typing.Final = 1.0
+
+# Flows kept back from the allowance: the arrival at the backend server shifts
+# against the window that is counted here.
+MARGIN: typing.Final = 1
+
+# The window is counted a little longer than the second that is promised.
+WINDOW_SLACK_S: typing.Final = 0.1
+
+
+class ColdAllowance:
+    """New flows within a sliding second."""
+
+    def __init__(self, factor: float, slack: float) -> None:
+        """Start with an unused allowance.
+
+        Args:
+            factor: Times the rate that the backend server bears.
+            slack: Flows a second on top of that.
+        """
+        self._factor = factor
+        self._slack = slack
+        self._taken: collections.deque[float] = collections.deque()
+
+    def take(self, per_s: float, now: float) -> bool:
+        """Use one flow of the allowance.
+
+        Args:
+            per_s: Flows a second that the backend server bears.
+            now: Monotonic seconds.
+
+        Returns:
+            False if the allowance of this second is used up.
+        """
+        while self._taken and self._taken[0] <= now - WINDOW_S - WINDOW_SLACK_S:
+            self._taken.popleft()
+        limit = int(per_s * self._factor + self._slack) - MARGIN
+        if len(self._taken) >= limit:
+            return False
+        self._taken.append(now)
+        return True
+
+    def note(self, now: float) -> None:
+        """Count a flow that was opened while not known to be cold."""
+        self._taken.append(now)
+        while self._taken[0] <= now - WINDOW_S - WINDOW_SLACK_S:
+            self._taken.popleft()
--- /dev/null
+++ b/kumquatport/connection/packets/held.py
@@ -0,0 +1,183 @@
+"""Flows that an agent's backend server holds, as its packets show."""
+
+import typing
+from collections import abc
+
+from kumquatport.connection.packets import packet as packets
+
+# Largest difference of sequence numbers that counts as the same flow: what
+# both ends may have in flight, many times over.
+SAME_FLOW_RANGE: typing.Final = 1 << 20
+
+# Seconds that an ended flow is remembered for late copies of its packets.
+LINGER_S: typing.Final = 4.0
+
+# Seconds after which a flow that never opened is forgotten; clients give up
+# opening after 1.4 s.
+HALF_OPEN_S: typing.Final = 3.0
+
+
+class Flow:
+    """One flow at the backend server."""
+
+    __slots__ = (
+        'acknowledged',
+        'client_closed',
+        'is_open',
+        'opened_at',
+        'seen_at',
+        'server_closed',
+        'server_seen_at',
+        'server_sequence',
+        'waiting_since',
+    )
+
+    def __init__(self, now: float) -> None:
+        """Start half open.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self.opened_at = now
+        self.seen_at = now
+        self.is_open = False
+        self.server_sequence: int | None = None
+        self.server_seen_at = now
+        self.acknowledged = 0
+        self.client_closed = False
+        self.server_closed = False
+        self.waiting_since = 0.0
+
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether both ends have closed."""
+        return self.client_closed and self.server_closed
+
+
+class HeldFlows:
+    """The flows of one backend server."""
+
+    def __init__(self) -> None:
+        """Start without flows."""
+        self.flows: dict[bytes, Flow] = {}
+        self.busy = 0
+        self.service_s = 0.0
+
+    def __len__(self) -> int:
+        """Return how many flows are known, half-open and ended ones too."""
+        return len(self.flows)
+
+    def get(self, flow: bytes) -> Flow | None:
+        """Return a flow that is known."""
+        return self.flows.get(flow)
+
+    def begin(self, flow: bytes, now: float) -> Flow:
+        """Note a flow whose opening packet is delivered."""
+        held = self.flows.get(flow)
+        if held is None:
+            held = Flow(now)
+            self.flows[flow] = held
+        held.seen_at = now
+        return held
+
+    def learn(self, flow: bytes, now: float) -> Flow:
+        """Note an open flow that this process did not see begin."""
+        held = self.begin(flow, now)
+        held.is_open = True
+        return held
+
+    def belongs(self, held: Flow, packet: packets.Packet) -> bool:
+        """Tell whether a client's packet is of the flow that opened here.
+
+        The client acknowledges the number of just one backend server when
+        two of them answered its opening packets.
+        """
+        if held.is_open or held.server_sequence is None:
+            return held.is_open
+        ahead = packets.distance(packet.acknowledged, held.server_sequence)
+        return ahead < SAME_FLOW_RANGE
+
+    def from_client(
+        self, held: Flow, packet: packets.Packet, now: float
+    ) -> None:
+        """Note a packet of the client on a flow that opened here."""
+        held.is_open = True
+        held.seen_at = now
+        held.acknowledged = packet.acknowledged
+        if packet.length and not held.waiting_since:
+            held.waiting_since = now
+            self.busy += 1
+        if packet.flags & packets.FLAG_FIN:
+            held.client_closed = True
+
+    def from_backend_server(self, packet: packets.Packet, now: float) -> Flow:
+        """Note a packet of the backend server; it shows that it holds it."""
+        held = self.flows.get(packet.flow)
+        if held is None:
+            held = Flow(now)
+            self.flows[packet.flow] = held
+            held.is_open = not packet.flags & packets.FLAG_SYN
+        held.seen_at = now
+        held.server_seen_at = now
+        if packet.flags & packets.FLAG_SYN:
+            held.server_sequence = packet.sequence
+            return held
+        if packet.length:
+            self._answered(held, now)
+        if packet.flags & (packets.FLAG_FIN | packets.FLAG_RST):
+            held.server_closed = True
+            self._idle(held)
+        if packet.is_reset:
+            held.client_closed = True
+        return held
+
+    def drop(self, flow: bytes) -> None:
+        """Forget a flow."""
+        held = self.flows.pop(flow, None)
+        if held is not None:
+            self._idle(held)
+
+    def expire(self, now: float, idle_s: float) -> int:
+        """Forget flows that ended, never opened or went idle.
+
+        Returns:
+            How many were forgotten.
+        """
+        due = [
+            flow
+            for flow, held in self.flows.items()
+            if now - held.seen_at > _kept_s(held, idle_s)
+        ]
+        for flow in due:
+            self.drop(flow)
+        return len(due)
+
+    def open_flows(self) -> abc.Iterator[tuple[bytes, Flow]]:
+        """Yield the flows that are open."""
+        for flow, held in self.flows.items():
+            if held.is_open and not held.is_ended:
+                yield flow, held
+
+    def open_count(self) -> int:
+        """Return how many flows are open or opening."""
+        return sum(not held.is_ended for held in self.flows.values())
+
+    def _answered(self, held: Flow, now: float) -> None:
+        if not held.waiting_since:
+            return
+        took_s = now - held.waiting_since
+        self.service_s += (took_s - self.service_s) * 0.1
+        self._idle(held)
+
+    def _idle(self, held: Flow) -> None:
+        if held.waiting_since:
+            held.waiting_since = 0.0
+            self.busy -= 1
+
+
+def _kept_s(held: Flow, idle_s: float) -> float:
+    if held.is_ended:
+        return LINGER_S
+    if not held.is_open:
+        return HALF_OPEN_S
+    return idle_s
--- /dev/null
+++ b/kumquatport/connection/packets/placement.py
@@ -0,0 +1,85 @@
+"""Which agent is offered a new flow.
+
+Load pattern: long flows with pauses mixed with short ones, many balancers that
+decide by reports a few hundred milliseconds old. Each picks the best of a few
+random candidates, so that the emptiest agent is not chosen by all at once, and
+counts what it placed itself since the report.
+"""
+
+import random
+import typing
+from collections import abc
+
+# Candidates compared for each flow; more follow old reports into herds.
+SAMPLE: typing.Final = 4
+
+# Score of crossing a failure domain, in shares of an agent's slots: the other
+# side must be busier by this much before bytes leave the failure domain.
+CROSSING_COST: typing.Final = 0.15
+
+# Score of an agent that has missed reports; used when no other is left.
+SUSPECT_COST: typing.Final = 10.0
+
+# Score of an agent whose backend server is cold: slow, and soon at its
+# allowance of new flows.
+COLD_COST: typing.Final = 0.5
+
+
+class Candidate(typing.NamedTuple):
+    """What a balancer knows of an agent that may take a new flow.
+
+    Attributes:
+        instance: Its name.
+        slots: Requests that its backend server works on at a time.
+        busy: Requests in progress when it reported.
+        flows: Flows open when it reported.
+        placed: Flows placed on it since, by this balancer.
+        crosses: Whether it is in another failure domain than the balancer.
+        is_suspect: Whether its reports have stopped.
+        penalty: Further score, 0 for an agent in good order.
+    """
+
+    instance: str
+    slots: int
+    busy: int
+    flows: int
+    placed: int
+    crosses: bool
+    is_suspect: bool
+    penalty: float = 0.0
+
+
+def busy_per_flow(candidates: abc.Sequence[Candidate]) -> float:
+    """Return the mean requests in progress of an open flow."""
+    flows = sum(candidate.flows for candidate in candidates)
+    if not flows:
+        return 1.0
+    return sum(candidate.busy for candidate in candidates) / flows
+
+
+def score(candidate: Candidate, flow_cost: float) -> float:
+    """Return the expected share of slots in use; less is better.
+
+    Args:
+        candidate: An agent.
+        flow_cost: Mean requests in progress of an open flow.
+    """
+    expected = candidate.flows * flow_cost
+    load = (expected + candidate.busy) / 2 + candidate.placed
+    total = load / max(candidate.slots, 1) + candidate.penalty
+    if candidate.crosses:
+        total += CROSSING_COST
+    if candidate.is_suspect:
+        total += SUSPECT_COST
+    return total
+
+
+def choose(
+    candidates: abc.Sequence[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Pick the agent that is offered a new flow; None if there is none."""
+    if not candidates:
+        return None
+    flow_cost = busy_per_flow(candidates)
+    drawn = rng.sample(candidates, min(SAMPLE, len(candidates)))
+    return min(drawn, key=lambda candidate: score(candidate, flow_cost))
--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -108,6 +108,12 @@
     code = 'KQ-2005'
 
 
+class HistoryGoneError(PlatformUnavailableError):
+    """A watch began before the changes that the platform remembers."""
+
+    code = 'KQ-2006'
+
+
 class DocumentRejectedError(KumquatportError):
     """A document is not valid; it is rejected as a whole."""
 
@@ -130,6 +136,12 @@
     code = 'KQ-3002'
 
 
+class HeartbeatRejectedError(KumquatportError):
+    """A heartbeat of a backend server is malformed."""
+
+    code = 'KQ-4006'
+
+
 class FrameError(KumquatportError):
     """A control message or forward is malformed or not authentic."""
 
--- /dev/null
+++ b/kumquatport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and no decision."""
--- /dev/null
+++ b/kumquatport/platform/__main__.py
@@ -0,0 +1,93 @@
+"""Programs that run on the users' platform."""
+
+import argparse
+import asyncio
+import sys
+import typing
+
+import mode
+import structlog
+
+import kumquatport
+from kumquatport import exceptions
+from kumquatport.platform import (
+    client,
+    configuration,
+    heartbeat,
+    packet,
+    settings,
+)
+from kumquatport.process import logs
+from kumquatport.process.packets import models, watch
+from kumquatport.process.program import const, runner
+
+_LOGGER = structlog.get_logger(__name__)
+
+ROLE_AGENT: typing.Final = 'agent'
+ROLE_BALANCER: typing.Final = 'balancer'
+
+# Seconds for one call to the store; a slow answer is worth waiting for, but a
+# connection may also have gone silent.
+STORE_TIMEOUT_S: typing.Final = 1.5
+
+
+def main(argv: typing.Sequence[str] | None = None) -> int:
+    """Run a program until it is stopped; return its exit code."""
+    options = _parser().parse_args(argv)
+    logs.setup_output('info')
+    try:
+        own = settings.load(options.settings or settings.path())
+    except exceptions.KumquatportError as error:
+        _LOGGER.error('settings refused', error=error, role=options.role)
+        return const.EXIT_USAGE
+    if options.check:
+        _LOGGER.info('settings accepted', role=options.role)
+        return const.EXIT_GRACEFUL
+    logs.bind(own.instance, own.failure_domain)
+    return asyncio.run(runner.async_run(lambda: _service(options.role, own)))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='python3 -m kumquatport.platform', description=__doc__
+    )
+    parser.add_argument('role', choices=(ROLE_BALANCER, ROLE_AGENT))
+    parser.add_argument(
+        '--settings',
+        metavar='FILE',
+        help=f'settings; else the file named by {settings.ENVIRONMENT_VARIABLE}',
+    )
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
+    )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=f'%(prog)s {kumquatport.__version__}',
+    )
+    return parser
+
+
+def _service(role: str, own: models.Settings) -> mode.Service:
+    # Imported here, so that a role loads what it uses and nothing else.
+    store = client.PlatformClient(own.store.url, STORE_TIMEOUT_S)
+    if role == ROLE_AGENT:
+        from kumquatport.process.packets import agent
+
+        return agent.Agent(own, packet.CODEC, store, heartbeat.decode)
+    from kumquatport.process.packets import balancer
+
+    return balancer.Balancer(
+        own,
+        packet.CODEC,
+        store,
+        watch.Operators(
+            configuration.KEY_CONFIGURATION,
+            configuration.KIND_EVACUATIONS,
+            configuration.decode,
+        ),
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/kumquatport/process/platform/client.py
+++ b/kumquatport/platform/client.py
@@ -1,19 +1,23 @@
-"""Client of the platform's object API, the only adapter to it."""
+"""Client of the platform's store, the only one in the project."""
 
 import asyncio
 import collections
 import typing
+from collections import abc
 
 import aiohttp
 import mode
 import structlog
 import yarl
 
-from kumquatport import exceptions
-from kumquatport.process.platform import answers, calls, const, model
+from kumquatport import exceptions, objects
+from kumquatport.platform import answers, calls, const
 
 _LOGGER = structlog.get_logger(__name__)
 
+MS_PER_S: typing.Final = 1000
+_JSON: typing.Final = {'Content-Type': 'application/json'}
+
 
 class PlatformClient(mode.Service):
     """One process's access to the platform.
@@ -70,7 +74,7 @@
             if session is not None:
                 await session.close()
 
-    async def async_get(self, key: str) -> model.StoredObject:
+    async def async_get(self, key: str) -> objects.StoredObject:
         """Read one object.
 
         Raises:
@@ -80,16 +84,19 @@
         answer = await self._async_read(
             const.CALL_GET, calls.object_url(self._url, key)
         )
-        return model.StoredObject(key, answer.version, answer.body)
+        return answers.stored(answer.body, key)
 
     async def async_put(
         self, key: str, value: bytes, expected: int | None
     ) -> int:
         """Write one object.
 
+        An unconditional write of an object that does not exist creates it,
+        with a second call.
+
         Args:
-            key: Name of the object.
-            value: At most ``const.MAX_VALUE_BYTES``.
+            key: Kind and name of the object, joined by a slash.
+            value: At most ``const.MAX_VALUE_BYTES`` as encoded.
             expected: Version that must be in place; 0 for an object that must
                 not exist; None writes unconditionally.
 
@@ -105,14 +112,18 @@
             raise exceptions.PlatformRefusedError(
                 f'{key}: {len(value)} bytes exceed {const.MAX_VALUE_BYTES}'
             )
-        answer = await self._async_write(
-            const.CALL_PUT, key, calls.condition(expected), value
-        )
-        if answer.version == 0:
+        call = calls.put(self._url, key, value, expected)
+        answer = await self._async_send(call)
+        if answer.status == const.STATUS_MISSING and expected is None:
+            call = calls.put(self._url, key, value, 0)
+            answer = await self._async_send(call)
+        answers.check_write(answer, key, deleting=False)
+        try:
+            return answers.stored(answer.body, key).version
+        except exceptions.PlatformUnavailableError as error:
             raise exceptions.OutcomeUnknownError(
                 f'{key}: answer has no version'
-            )
-        return answer.version
+            ) from error
 
     async def async_delete(self, key: str, expected: int | None) -> None:
         """Delete one object.
@@ -123,27 +134,55 @@
             OutcomeUnknownError: Sent, but the answer was lost.
             PlatformUnavailableError: Not sent, nothing changed.
         """
-        await self._async_write(
-            const.CALL_DELETE, key, calls.condition(expected), None
-        )
+        call = calls.delete(self._url, key, expected)
+        answer = await self._async_send(call)
+        answers.check_write(answer, key, deleting=True)
 
-    async def async_list(self, prefix: str) -> model.Listing:
-        """Read all objects whose keys start with the prefix.
+    async def async_list(self, prefix: str) -> objects.Listing:
+        """Read all objects of a kind whose keys start with the prefix.
+
+        Args:
+            prefix: Kind, a slash and the start of the names.
+
+        Returns:
+            The objects, with the revision of the first page, from which a
+            watch shows what changed while the others were read.
 
         Raises:
             PlatformUnavailableError: The platform did not answer.
         """
-        url = calls.query_url(self._url, 'objects', {'prefix': prefix})
-        answer = await self._async_read(const.CALL_LIST, url)
-        return answers.listing(answer.body)
+        kind, _, start = prefix.partition('/')
+        page = await self.async_page(kind, '')
+        revision = page.revision
+        found = list(page.objects)
+        while page.has_more and page.objects:
+            page = await self.async_page(kind, page.objects[-1].name)
+            found.extend(page.objects)
+        return objects.Listing(revision, _starting(found, start))
+
+    async def async_page(self, kind: str, after: str) -> objects.Listing:
+        """Read one page of the objects of a kind, in the order of names.
+
+        Args:
+            kind: Of objects.
+            after: Name after which the page begins.
+
+        Raises:
+            PlatformUnavailableError: The platform did not answer.
+        """
+        query = {const.QUERY_AFTER: after} if after else None
+        answer = await self._async_read(
+            const.CALL_LIST, calls.kind_url(self._url, kind, query)
+        )
+        return answers.page(answer.body, kind)
 
     async def async_watch(
         self, prefix: str, since: int, timeout: float
-    ) -> model.Listing:
+    ) -> objects.Listing:
         """Wait for writes under the prefix.
 
         Args:
-            prefix: Start of the keys to watch.
+            prefix: Kind, a slash and the start of the names to watch.
             since: Revision after which writes count.
             timeout: Longest wait at the platform, in seconds.
 
@@ -151,15 +190,21 @@
             The objects written since, or none when the wait ran out.
 
         Raises:
+            HistoryGoneError: The platform forgot what came after ``since``.
             PlatformUnavailableError: The platform did not answer.
         """
-        query = {'prefix': prefix, 'since': str(since), 'timeout': f'{timeout}'}
+        kind, _, start = prefix.partition('/')
+        query = {
+            const.QUERY_WATCH: str(since),
+            const.QUERY_WAIT_MS: str(int(timeout * MS_PER_S)),
+        }
         answer = await self._async_read(
             const.CALL_WATCH,
-            calls.query_url(self._url, 'watch', query),
+            calls.kind_url(self._url, kind, query),
             timeout,
         )
-        return answers.listing(answer.body)
+        listing = answers.events(answer.body, kind)
+        return listing._replace(objects=_starting(listing.objects, start))
 
     async def _async_read(
         self, kind: str, url: yarl.URL, extra_s: float = 0
@@ -180,22 +225,16 @@
         self._note_available()
         return answer
 
-    async def _async_write(
-        self,
-        kind: str,
-        key: str,
-        headers: typing.Mapping[str, str],
-        body: bytes | None,
-    ) -> answers.Answer:
+    async def _async_send(self, call: calls.Call) -> answers.Answer:
         """Send one write; a failure after connecting leaves the outcome open."""
-        self.calls[kind] += 1
+        self.calls[call.kind] += 1
         limit = aiohttp.ClientTimeout(total=self._timeout)
         session = _opened(self._writes)
         request = session.request(
-            kind.upper(),
-            calls.object_url(self._url, key),
-            headers=headers,
-            data=body,
+            call.kind.upper(),
+            call.url,
+            headers=_JSON,
+            data=call.body,
             timeout=limit,
             middlewares=(calls.sent_once(),),
         )
@@ -203,16 +242,15 @@
             async with request as response:
                 answer = await answers.async_take(response)
         except aiohttp.ClientConnectorError as unsent:
-            self._note_unavailable(kind, unsent)
+            self._note_unavailable(call.kind, unsent)
             raise exceptions.PlatformUnavailableError(
-                f'{kind}: {type(unsent).__name__} {unsent}'
+                f'{call.kind}: {type(unsent).__name__} {unsent}'
             ) from unsent
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
-            self._note_unavailable(kind, error)
+            self._note_unavailable(call.kind, error)
             raise exceptions.OutcomeUnknownError(
-                f'{kind}: {type(error).__name__} {error}'
+                f'{call.kind}: {type(error).__name__} {error}'
             ) from error
-        answers.check_write(answer, key, body is None)
         self._note_available()
         return answer
 
@@ -236,3 +274,10 @@
     if session is None:
         raise exceptions.PlatformUnavailableError('client is not set up')
     return session
+
+
+def _starting(
+    found: abc.Iterable[objects.StoredObject], start: str
+) -> tuple[objects.StoredObject, ...]:
+    """Return the objects whose names start with the given text."""
+    return tuple(stored for stored in found if stored.name.startswith(start))
--- a/kumquatport/process/console/parts.py
+++ b/kumquatport/process/console/parts.py
@@ -6,8 +6,8 @@
 import aiohttp_jinja2
 from aiohttp import web
 
+from kumquatport import objects
 from kumquatport.process.console import const, drafts, passwords, sessions
-from kumquatport.process.platform import client as platform
 from kumquatport.version import document
 
 Record = abc.Callable[[typing.Any], None]
@@ -26,7 +26,7 @@
         count_event: Adds one to a counter of the metrics.
     """
 
-    client: platform.PlatformClient
+    client: objects.ObjectApi
     passwords: passwords.Passwords
     key: bytes
     instances: tuple[str, ...]
--- a/kumquatport/process/console/service.py
+++ b/kumquatport/process/console/service.py
@@ -13,9 +13,9 @@
 from kumquatport import const as shared_const
 from kumquatport import exceptions
 from kumquatport.connection.control import client, frame, traffic
+from kumquatport.platform import client as platform
 from kumquatport.process.console import app, const, parts, passwords
 from kumquatport.process.metrics import flusher, registry
-from kumquatport.process.platform import client as platform
 from kumquatport.process.settings import models
 from kumquatport.process.status import models as status_models
 from kumquatport.process.status import server as status_server
--- a/kumquatport/process/ctl/__main__.py
+++ b/kumquatport/process/ctl/__main__.py
@@ -8,6 +8,7 @@
 from collections import abc
 
 from kumquatport import exceptions
+from kumquatport.platform import client as platform
 from kumquatport.process import logs
 from kumquatport.process.ctl import (
     arguments,
@@ -17,7 +18,6 @@
     status,
     verbs,
 )
-from kumquatport.process.platform import client as platform
 from kumquatport.process.settings import models
 from kumquatport.version.acceptance import const as acceptance_const
 
--- a/kumquatport/process/ctl/verbs.py
+++ b/kumquatport/process/ctl/verbs.py
@@ -7,10 +7,9 @@
 
 import msgspec
 
-from kumquatport import exceptions
+from kumquatport import exceptions, objects
 from kumquatport.process.ctl import const, output
 from kumquatport.process.load import source
-from kumquatport.process.platform import client as platform
 from kumquatport.version import acceptance, document
 
 
@@ -24,7 +23,7 @@
         emit: Prints a report.
     """
 
-    client: platform.PlatformClient
+    client: objects.ObjectApi
     operator: str
     instances: tuple[str, ...]
     emit: output.Emit
--- a/kumquatport/process/instance/parts.py
+++ b/kumquatport/process/instance/parts.py
@@ -6,9 +6,9 @@
 import mode
 
 import kumquatport
+from kumquatport.platform import client
 from kumquatport.process.metrics import control, flusher
 from kumquatport.process.metrics import registry as metrics_registry
-from kumquatport.process.platform import client
 from kumquatport.process.settings import models
 from kumquatport.process.status import const as status_const
 from kumquatport.process.status import models as status_models
--- a/kumquatport/process/logs/__init__.py
+++ b/kumquatport/process/logs/__init__.py
@@ -6,7 +6,7 @@
 import mode
 import structlog
 
-from kumquatport.process.logs import const, processors
+from kumquatport.process.logs import const, output, processors
 from kumquatport.process.settings import models
 
 
@@ -58,3 +58,22 @@
     quiet = level if level <= logging.DEBUG else logging.WARNING
     for name in const.CHATTY_LOGGERS:
         logging.getLogger(name).setLevel(max(quiet, level))
+
+
+def setup_output(level: str) -> None:
+    """Send structlog's lines to standard output, and never wait for it.
+
+    Args:
+        level: Lowest level of the lines.
+    """
+    structlog.configure(
+        processors=[*processors.shared(), processors.compact()],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.WriteLoggerFactory(output.open_stdout()),
+        cache_logger_on_first_use=True,
+    )
+    mode.Service.mundane_level = const.LEVEL_DEBUG
+    root = logging.getLogger()
+    root.handlers = [logging.NullHandler()]
--- a/kumquatport/process/logs/processors.py
+++ b/kumquatport/process/logs/processors.py
@@ -2,6 +2,7 @@
 
 import sys
 
+import msgspec
 import structlog
 
 from kumquatport import exceptions
@@ -58,3 +59,14 @@
     if isinstance(info, tuple):
         return info[1]
     return info
+
+
+def compact() -> structlog.typing.Processor:
+    """Return the last step that makes one JSON line by a fast encoder."""
+
+    def render(
+        _logger: object, _method: str, event_dict: structlog.typing.EventDict
+    ) -> str:
+        return msgspec.json.encode(event_dict, enc_hook=repr).decode('utf-8')
+
+    return render
--- /dev/null
+++ b/kumquatport/process/packets/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that carry packets: a balancer and an agent."""
--- /dev/null
+++ b/kumquatport/process/packets/backend_server.py
@@ -0,0 +1,206 @@
+"""What an agent knows of the backend server beside it."""
+
+import collections
+import math
+import typing
+
+import structlog
+
+from kumquatport.helpers import clock
+from kumquatport.process.packets import models
+
+_LOGGER = structlog.get_logger(__name__)
+
+# Heartbeats that may be missing before a backend server counts as silent.
+MISSED_HEARTBEATS: typing.Final = 2.5
+
+# Seconds within which a backend server answers an opening packet, unless it
+# is gone: both run on one machine.
+OPENING_ANSWER_S: typing.Final = 0.12
+
+# Opening packets without an answer, one after the other, that show that it is
+# gone or stands still.
+UNANSWERED_LIMIT: typing.Final = 2
+
+# Seconds between the opening packets that test a silent backend server.
+PROBE_S: typing.Final = 0.5
+
+# Incarnations whose late heartbeats are known as such.
+MAX_FORMER: typing.Final = 64
+
+_MS_PER_S: typing.Final = 1000.0
+
+
+class Started(typing.NamedTuple):
+    """A new incarnation of the backend server.
+
+    Attributes:
+        age_s: Seconds since it started; NaN where that is not known.
+    """
+
+    age_s: float
+
+
+class BackendServer:
+    """State of the backend server, from its heartbeats and its packets."""
+
+    def __init__(self, heartbeat_s: float) -> None:
+        """Start without a heartbeat.
+
+        Args:
+            heartbeat_s: Seconds between two heartbeats.
+        """
+        self.report: models.BackendServerReport | None = None
+        self.is_gone = False
+        self._heartbeat_s = heartbeat_s
+        self._heard_at = clock.now()
+        self._cold_until = -math.inf
+        self._former: collections.deque[str] = collections.deque(
+            maxlen=MAX_FORMER
+        )
+        self._pending: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+        self._unanswered = 0
+        self._probed_at = -math.inf
+        self._was_answering = True
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether it is about to leave, or is gone."""
+        return self.is_gone or bool(self.report and self.report.is_draining)
+
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether it bears just a few new flows."""
+        return clock.now() < self._cold_until
+
+    @property
+    def slots(self) -> int:
+        """Return the requests that it works on at a time."""
+        return self.report.slots if self.report else 1
+
+    def take(self, report: models.BackendServerReport) -> Started | None:
+        """Take a heartbeat; one of a former incarnation is left out.
+
+        Returns:
+            What is new, if an incarnation is heard for the first time.
+        """
+        held = self.report
+        if report.identifier in self._former:
+            return None
+        is_same = held is not None and _is_same(held, report)
+        if held is not None and not is_same and _is_older(report, held):
+            return None
+        if held is not None and is_same and report.sequence < held.sequence:
+            return None
+        now = clock.now()
+        self._heard_at = now
+        self._unanswered = 0
+        self._cold_until = now + report.cold_left_s
+        self._note_changes(held, report)
+        self.report = report
+        if is_same:
+            return None
+        self.is_gone = False
+        if held is not None and held.identifier != report.identifier:
+            self._former.append(held.identifier)
+        return Started(_age_s(report))
+
+    def leave(self, identifier: str) -> bool:
+        """Note that the backend server has said that it exits.
+
+        Returns:
+            Whether it was the one that is known.
+        """
+        if self.report is not None and identifier != self.report.identifier:
+            self._former.append(identifier)
+            return False
+        self.is_gone = True
+        _LOGGER.info('backend server gone', backend_server=identifier)
+        return True
+
+    def opening(self, flow: bytes) -> None:
+        """Note an opening packet that was delivered."""
+        self._pending.setdefault(flow, clock.now())
+
+    def spoke(self, flow: bytes) -> None:
+        """Note a packet from the backend server."""
+        self._heard_at = clock.now()
+        self._unanswered = 0
+        self._pending.pop(flow, None)
+
+    def is_answering(self) -> bool:
+        """Tell whether it has answered of late; count what it did not."""
+        now = clock.now()
+        while self._pending:
+            flow, delivered_at = next(iter(self._pending.items()))
+            if now - delivered_at < OPENING_ANSWER_S:
+                break
+            self._pending.pop(flow)
+            self._unanswered += delivered_at > self._heard_at
+        silent_s = now - self._heard_at
+        is_silent = silent_s > MISSED_HEARTBEATS * self._heartbeat_s
+        is_answering = not is_silent and self._unanswered < UNANSWERED_LIMIT
+        if is_answering != self._was_answering:
+            self._was_answering = is_answering
+            _LOGGER.info(
+                'backend server answers'
+                if is_answering
+                else 'backend server silent',
+                silent_s=round(silent_s, 3),
+                unanswered=self._unanswered,
+            )
+        return is_answering
+
+    def may_probe(self) -> bool:
+        """Tell whether one more opening packet may test it; notes that."""
+        now = clock.now()
+        if now - self._probed_at < PROBE_S:
+            return False
+        self._probed_at = now
+        return True
+
+    def _note_changes(
+        self,
+        held: models.BackendServerReport | None,
+        report: models.BackendServerReport,
+    ) -> None:
+        is_new = held is None or not _is_same(held, report)
+        if is_new or (held and held.is_draining != report.is_draining):
+            _LOGGER.info(
+                'backend server state',
+                backend_server=report.identifier,
+                draining=report.is_draining,
+                slots=report.slots,
+                cold_left_s=report.cold_left_s,
+                sequence=report.sequence,
+                born_ms=report.born_ms,
+            )
+
+
+def _is_same(
+    held: models.BackendServerReport, report: models.BackendServerReport
+) -> bool:
+    if held.identifier != report.identifier:
+        return False
+    return held.born_ms == report.born_ms
+
+
+def _is_older(
+    report: models.BackendServerReport, held: models.BackendServerReport
+) -> bool:
+    """Tell whether a heartbeat is of an incarnation before the one held."""
+    return bool(report.born_ms) and report.born_ms < held.born_ms
+
+
+def _age_s(report: models.BackendServerReport) -> float:
+    """Return the seconds since an incarnation's start.
+
+    Both clocks are of one machine; an age that cannot be means that the time
+    of day was set in between.
+    """
+    age_s = (clock.unix_ms() - report.born_ms) / _MS_PER_S
+    if not report.born_ms or not 0 <= age_s <= 3600:
+        return math.nan
+    return age_s
--- /dev/null
+++ b/kumquatport/process/packets/beliefs.py
@@ -0,0 +1,161 @@
+"""What this process believes to be the configuration, and how old that is."""
+
+import math
+import typing
+from collections import abc
+
+import structlog
+
+from kumquatport.helpers import clock, listeners
+from kumquatport.process.packets import messages
+from kumquatport.version import current, routes
+
+_LOGGER = structlog.get_logger(__name__)
+
+_Listener = abc.Callable[[], None]
+
+
+class Beliefs:
+    """Routes and failure domains taken out; neither ever goes back.
+
+    Attributes:
+        has_watch: Whether this process asks the store itself.
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.has_watch = False
+        self._current = current.Current(routes.parse)
+        self._domains_revision = 0
+        self._domains_out: frozenset[str] = frozenset()
+        self._confirmed_at = -math.inf
+        self._changes: listeners.Listeners[_Listener] = listeners.Listeners()
+
+    @property
+    def routes(self) -> routes.RouteTable | None:
+        """Return the routes in force, None before the first."""
+        return typing.cast(
+            typing.Optional[routes.RouteTable], self._current.document
+        )
+
+    @property
+    def routes_version(self) -> int:
+        """Return the version of the routes, 0 before the first."""
+        return self._current.version
+
+    @property
+    def encoded_routes(self) -> bytes:
+        """Return the routes as they are passed on."""
+        return self._current.held.encoded
+
+    @property
+    def domains_out(self) -> frozenset[str]:
+        """Return the failure domains that get no new flow."""
+        return self._domains_out
+
+    @property
+    def knows_domains(self) -> bool:
+        """Tell whether the domains taken out were ever learnt."""
+        return self._domains_revision > 0
+
+    @property
+    def age_s(self) -> float:
+        """Return seconds since the store confirmed them, as far as known."""
+        return clock.now() - self._confirmed_at
+
+    def subscribe(self, callback: _Listener) -> abc.Callable[[], None]:
+        """Call back after each change."""
+        return self._changes.subscribe(callback)
+
+    def offer_routes(self, encoded: bytes, source: str) -> bool:
+        """Take routes if they are newer than those in force.
+
+        Args:
+            encoded: As passed between instances.
+            source: Who told them, for the log.
+
+        Raises:
+            DocumentRejectedError: They are newer but malformed.
+        """
+        age_s = self.age_s
+        version = routes.parse(encoded).version
+        if not self._current.offer(version, encoded):
+            return False
+        _LOGGER.info(
+            'routes changed',
+            version=version,
+            source=source,
+            age_s=_finite(age_s),
+        )
+        self._changes.notify()
+        return True
+
+    def offer_domains(
+        self, revision: int, out: abc.Iterable[str], source: str
+    ) -> bool:
+        """Take the failure domains that are out at a revision.
+
+        Args:
+            revision: Revision of the store at which they were.
+            out: Their names.
+            source: Who told them, for the log.
+
+        Returns:
+            Whether the set changed.
+        """
+        if revision <= self._domains_revision:
+            return False
+        names = frozenset(out)
+        was_known = self.knows_domains
+        self._domains_revision = revision
+        if names == self._domains_out and was_known:
+            return False
+        self._domains_out = names
+        _LOGGER.info(
+            'failure domains out',
+            domains=sorted(names),
+            revision=revision,
+            source=source,
+        )
+        self._changes.notify()
+        return True
+
+    def confirm(self, age_s: float = 0.0) -> None:
+        """Note that the store confirmed what is held.
+
+        Args:
+            age_s: Seconds since it did.
+        """
+        self._confirmed_at = max(self._confirmed_at, clock.now() - age_s)
+
+    def take(self, told: messages.Beliefs, source: str) -> bool:
+        """Take what a peer believes, but for its routes.
+
+        Returns:
+            Whether the peer has newer routes, which must be fetched.
+        """
+        self.offer_domains(told.domains_revision, told.domains_out, source)
+        if told.routes_version > self.routes_version:
+            return True
+        is_same = told.routes_version == self.routes_version
+        if is_same and told.domains_revision >= self._domains_revision:
+            self.confirm(told.age_s)
+        return False
+
+    def told(self) -> messages.Beliefs:
+        """Return what peers are told."""
+        return messages.Beliefs(
+            self.routes_version,
+            self._domains_revision,
+            tuple(sorted(self._domains_out)),
+            min(self.age_s, _NEVER_S),
+            self.has_watch,
+        )
+
+
+# Age in seconds that stands for never; infinity is no number on the wire.
+_NEVER_S: typing.Final = 1e6
+
+
+def _finite(age_s: float) -> float | None:
+    return round(age_s, 3) if math.isfinite(age_s) else None
--- /dev/null
+++ b/kumquatport/process/packets/const.py
@@ -0,0 +1,63 @@
+"""Periods and limits of the processes that carry packets."""
+
+import typing
+
+# Seconds between two heartbeats to each peer. A peer is suspect after three,
+# well within the 1.4 s after which a client gives up opening a flow.
+HEARTBEAT_S: typing.Final = 0.25
+SUSPECT_S: typing.Final = 0.9
+
+# Bytes a second that heartbeats may take; beyond it they become rarer. A node
+# has 25 KB/s for control.
+HEARTBEAT_BYTES_PER_S: typing.Final = 60_000
+HEARTBEAT_BYTES: typing.Final = 260
+
+# Seconds of silence after which a peer is forgotten, if nobody else hears it.
+FORGET_S: typing.Final = 90.0
+
+# Seconds between two comparisons of the members with one peer.
+COMPARE_S: typing.Final = 1.0
+
+# Records in one datagram, so that it stays under 8 KB.
+RECORDS_PER_MESSAGE: typing.Final = 40
+
+# Largest message to a peer over TCP.
+MAX_TABLE_BYTES: typing.Final = 16 * 1024 * 1024
+FETCH_TIMEOUT_S: typing.Final = 1.0
+FETCH_RETRY_S: typing.Final = 0.1
+
+# Datagrams read at one wake-up, so that one socket cannot starve the others.
+BATCH: typing.Final = 64
+MAX_DATAGRAM_BYTES: typing.Final = 65536
+RECEIVE_BUFFER_BYTES: typing.Final = 1024 * 1024
+
+# Watching the store. Two watchers find each change; a watch is renewed well
+# within the bounds of configuration and evacuation, since a connection may go
+# silent. Further watchers join when nobody has had an answer for a while.
+WATCHERS: typing.Final = 2
+WATCH_S: typing.Final = 2.0
+WATCH_JOIN_S: typing.Final = 3.0
+WATCH_JOIN_STEP_S: typing.Final = 0.7
+STORE_TIMEOUT_S: typing.Final = 1.0
+STORE_RETRY_FIRST_S: typing.Final = 0.1
+STORE_RETRY_MAX_S: typing.Final = 0.6
+
+# Kind of the store's objects that hold members.
+KIND_INSTANCES: typing.Final = 'kumquatport-instances'
+
+# Seconds that a leaving balancer goes on forwarding: the platform asks twice
+# a second whether it is ready and turns away after two refusals.
+BALANCER_LEAVE_S: typing.Final = 1.7
+
+# Seconds that a leaving agent waits, at most, for a moment without requests
+# in progress at its backend server.
+AGENT_LEAVE_MAX_S: typing.Final = 1.5
+AGENT_LEAVE_MIN_S: typing.Final = 0.15
+AGENT_LEAVE_POLL_S: typing.Final = 0.01
+
+SWEEP_S: typing.Final = 1.0
+WATCH_POLL_S: typing.Final = 0.2
+
+# Seconds that a process waits for its peers before it asks the store what
+# they would tell it.
+PEERS_FIRST_S: typing.Final = 0.1
--- /dev/null
+++ b/kumquatport/process/packets/datagrams.py
@@ -0,0 +1,83 @@
+"""UDP sockets read in batches by the event loop."""
+
+import asyncio
+import socket
+from collections import abc
+
+import structlog
+
+from kumquatport.connection.forward import sockets
+from kumquatport.process.packets import const
+
+_LOGGER = structlog.get_logger(__name__)
+
+Handler = abc.Callable[[bytes, tuple[str, int]], None]
+
+
+def listen(
+    endpoint: tuple[str, int], handle: Handler
+) -> tuple[socket.socket, abc.Callable[[], None]]:
+    """Bind a socket and pass on what arrives.
+
+    A datagram that makes the handler fail is logged and left out; the next
+    ones are read all the same.
+
+    Args:
+        endpoint: IPv4 address and port.
+        handle: Called with each datagram and its sender.
+
+    Returns:
+        The socket, and a function that stops listening and closes it.
+
+    Raises:
+        StartError: The address or port cannot be had.
+    """
+    bound = sockets.udp()
+    sockets.bind(
+        endpoint=endpoint,
+        unbound=bound,
+        receive_bytes=const.RECEIVE_BUFFER_BYTES,
+    )
+    loop = asyncio.get_running_loop()
+
+    def read() -> None:
+        for _ in range(const.BATCH):
+            try:
+                datagram, sender = bound.recvfrom(const.MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The kernel reports here that an earlier send was refused.
+                _LOGGER.debug('datagram refused', error=error)
+                continue
+            _guarded(handle, datagram, sender)
+
+    def close() -> None:
+        loop.remove_reader(bound)
+        bound.close()
+
+    loop.add_reader(bound, read)
+    return bound, close
+
+
+def send(
+    bound: socket.socket, datagram: bytes, endpoint: tuple[str, int]
+) -> bool:
+    """Send a datagram; one that the kernel will not take is dropped.
+
+    Returns:
+        Whether the kernel took it.
+    """
+    try:
+        bound.sendto(datagram, endpoint)
+    except OSError as error:
+        _LOGGER.debug('datagram not sent', error=error, to=endpoint)
+        return False
+    return True
+
+
+def _guarded(handle: Handler, datagram: bytes, sender: tuple[str, int]) -> None:
+    try:
+        handle(datagram, sender)
+    except Exception:
+        _LOGGER.exception('datagram not handled', sender=sender[0])
--- /dev/null
+++ b/kumquatport/process/packets/discovery.py
@@ -0,0 +1,143 @@
+"""Finding the other instances through the store.
+
+Each instance first makes sure that its record is there and then reads the
+others'. Of any two instances at least one so finds the other, and greets it.
+After that instances tell each other who is there.
+"""
+
+import mode
+import msgspec
+import structlog
+
+from kumquatport import exceptions, objects
+from kumquatport.helpers import backoff
+from kumquatport.process.packets import const, mesh
+from kumquatport.version import members
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Discovery(mode.Service):
+    """This instance's record in the store, and those of others."""
+
+    def __init__(
+        self, store: objects.ObjectApi, peers: mesh.Mesh, *, is_first: bool
+    ) -> None:
+        """Set up.
+
+        Args:
+            store: The platform's store.
+            peers: Takes the records found.
+            is_first: Whether the whole deployment starts for the first time,
+                so that no record of this instance can be there.
+        """
+        super().__init__()
+        self._store = store
+        self._mesh = peers
+        self._is_first = is_first
+
+    async def on_start(self) -> None:
+        """Begin to look for others."""
+        self.add_future(self._async_run())
+
+    async def async_remove(self) -> None:
+        """Delete this instance's record, which will not come back."""
+        await self._async_remove(self._mesh.own.present)
+
+    async def async_remove_forgotten(
+        self, record: members.InstanceRecord
+    ) -> None:
+        """Delete the record of an instance that nobody hears any more."""
+        await self._async_remove(record)
+
+    async def _async_run(self) -> None:
+        retries = backoff.delays(
+            const.STORE_RETRY_FIRST_S, const.STORE_RETRY_MAX_S
+        )
+        reported = False
+        while not self.should_stop:
+            try:
+                await self._async_find()
+                break
+            except exceptions.KumquatportError as error:
+                if not reported:
+                    _LOGGER.warning('members not read', error=error)
+                reported = True
+            await self.sleep(next(retries))
+        _LOGGER.info('members read', known=len(self._mesh.registry))
+
+    async def _async_find(self) -> None:
+        own = self._mesh.own.present
+        if self._is_first:
+            await self._async_register(own)
+            self._is_first = False
+        if await self._async_read(own):
+            return
+        await self._async_register(own)
+        await self._async_read(own)
+
+    async def _async_register(self, own: members.InstanceRecord) -> None:
+        try:
+            await self._store.async_put(
+                _key(own.instance), msgspec.msgpack.encode(own), None
+            )
+        except exceptions.VersionConflictError:
+            # Another write of the same record came in between.
+            _LOGGER.info('record written meanwhile', instance=own.instance)
+
+    async def _async_read(self, own: members.InstanceRecord) -> bool:
+        """Read some of the members; tell whether this one is among them."""
+        page = await self._store.async_page(const.KIND_INSTANCES, '')
+        found = list(page.objects)
+        if page.has_more:
+            # The others are learnt from those of the pages read.
+            page = await self._store.async_page(
+                const.KIND_INSTANCES, own.instance[:-1]
+            )
+            found.extend(page.objects)
+        is_own_there = False
+        for stored in found:
+            record = _decoded(stored)
+            if record is None:
+                continue
+            if record.instance == own.instance:
+                is_own_there = _is_same_place(record, own)
+            else:
+                self._mesh.learn(record)
+        return is_own_there
+
+    async def _async_remove(self, record: members.InstanceRecord) -> None:
+        key = _key(record.instance)
+        try:
+            stored = await self._store.async_get(key)
+            held = _decoded(stored)
+            if held is None or _is_same_place(held, record):
+                await self._store.async_delete(key, stored.version)
+        except exceptions.ObjectMissingError:
+            return
+        except exceptions.KumquatportError as error:
+            _LOGGER.warning(
+                'record not removed', peer=record.instance, error=error
+            )
+
+
+def _key(instance: str) -> str:
+    return f'{const.KIND_INSTANCES}/{instance}'
+
+
+def _decoded(stored: objects.StoredObject) -> members.InstanceRecord | None:
+    try:
+        return msgspec.msgpack.decode(stored.value, type=members.InstanceRecord)
+    except msgspec.MsgspecError as error:
+        _LOGGER.warning('record refused', key=stored.key, error=error)
+        return None
+
+
+def _is_same_place(
+    one: members.InstanceRecord, other: members.InstanceRecord
+) -> bool:
+    return (one.address, one.control_port, one.service) == (
+        other.address,
+        other.control_port,
+        other.service,
+    )
--- /dev/null
+++ b/kumquatport/process/packets/mesh.py
@@ -0,0 +1,428 @@
+"""Heartbeats between instances: who lives, how busy, what they believe."""
+
+import asyncio
+import math
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport import exceptions
+from kumquatport.connection.packets import frame
+from kumquatport.helpers import backoff, clock
+from kumquatport.process.packets import (
+    beliefs,
+    const,
+    datagrams,
+    fetch,
+    messages,
+    models,
+)
+from kumquatport.version import members
+from kumquatport.version.spread import own_record
+
+_LOGGER = structlog.get_logger(__name__)
+
+FrameHandler = abc.Callable[[bytes, str], None]
+
+
+class Peer:
+    """What this process has heard from another instance.
+
+    Attributes:
+        heard_at: Monotonic seconds of its last heartbeat.
+        incarnation: Of the process that sent it.
+        load: Of an agent.
+        placed: Flows placed on it since that heartbeat.
+        has_watch: Whether it asks the store itself.
+        compared_at: Monotonic seconds of the last comparison of members.
+        is_suspect: Whether it has been logged as silent.
+    """
+
+    __slots__ = (
+        'compared_at',
+        'has_watch',
+        'heard_at',
+        'incarnation',
+        'is_suspect',
+        'load',
+        'placed',
+    )
+
+    def __init__(self) -> None:
+        """Start as never heard."""
+        self.heard_at = -math.inf
+        self.incarnation = 0
+        self.load: messages.Load | None = None
+        self.placed = 0
+        self.has_watch = False
+        self.compared_at = -math.inf
+        self.is_suspect = True
+
+
+class Mesh(mode.Service):
+    """This process among the others.
+
+    Attributes:
+        registry: Records of all instances known.
+        own: This instance's record.
+        on_frame: Called with each frame that carries a packet or names flows,
+            and the address of its sender.
+        on_return: Called with the record of a peer that is heard for the
+            first time, or that has started again.
+        load: Returns the load that heartbeats tell; None for none.
+    """
+
+    def __init__(
+        self,
+        settings: models.Settings,
+        kind: str,
+        held: beliefs.Beliefs,
+    ) -> None:
+        """Set up; nothing is bound yet.
+
+        Args:
+            settings: Of this process.
+            kind: ``agent`` or ``balancer``.
+            held: Beliefs of this process.
+        """
+        super().__init__()
+        self.registry = members.Registry()
+        self.own = own_record.OwnRecord(
+            own_record.first_record(
+                instance=settings.instance,
+                kind=kind,
+                region=settings.region,
+                failure_domain=settings.failure_domain,
+                service=settings.service,
+                address=settings.address,
+                control_port=settings.peer_port,
+                data_port=settings.peer_port,
+            ),
+            self.registry,
+        )
+        self.on_frame: FrameHandler = _ignore_frame
+        self.on_return: abc.Callable[[members.InstanceRecord], None] = _ignore
+        self.load: abc.Callable[[], messages.Load | None] = _no_load
+        self._settings = settings
+        self._beliefs = held
+        self._is_balancer = kind == members.KIND_BALANCER
+        self._peers: dict[str, Peer] = {}
+        self._by_address: dict[str, str] = {}
+        self._undo: list[abc.Callable[[], None]] = []
+        self._soon: asyncio.TimerHandle | None = None
+        self._fetching = False
+        self.registry.subscribe(self._on_record)
+        self.own.changes.subscribe(self.tell_soon)
+        held.subscribe(self.tell_soon)
+
+    async def on_start(self) -> None:
+        """Bind the socket and begin to tell others.
+
+        Raises:
+            StartError: The address or port cannot be had.
+        """
+        where = (self._settings.address, self._settings.peer_port)
+        self._socket, close = datagrams.listen(where, self._on_datagram)
+        self._undo.append(close)
+        server = await fetch.async_serve(
+            where, lambda: self._beliefs.encoded_routes
+        )
+        self._undo.append(server.close)
+        self.hello(self._settings.seeds)
+        self.add_future(self._async_tell())
+
+    async def on_stop(self) -> None:
+        """Close the sockets."""
+        while self._undo:
+            self._undo.pop()()
+
+    def send(self, datagram: bytes, address: str) -> bool:
+        """Send a frame to the instance at an address."""
+        return datagrams.send(
+            self._socket, datagram, (address, self._settings.peer_port)
+        )
+
+    def send_to_client(self, datagram: bytes, address: str) -> bool:
+        """Send a packet to a client."""
+        return datagrams.send(
+            self._socket, datagram, (address, self._settings.client_port)
+        )
+
+    def instance_at(self, address: str) -> str:
+        """Return the instance at an address, empty if none is known."""
+        return self._by_address.get(address, '')
+
+    def peer(self, instance: str) -> Peer | None:
+        """Return what was heard from an instance."""
+        return self._peers.get(instance)
+
+    def is_suspect(self, instance: str) -> bool:
+        """Tell whether an instance has gone silent."""
+        peer = self._peers.get(instance)
+        if peer is None:
+            return True
+        return clock.now() - peer.heard_at > self._suspect_s()
+
+    def live_balancers(self) -> list[str]:
+        """Return the balancers that are heard, this process too if one."""
+        names = [
+            record.instance
+            for record in self.registry.balancers()
+            if not self.is_suspect(record.instance)
+        ]
+        if self._is_balancer:
+            names.append(self._settings.instance)
+        return sorted(set(names))
+
+    def hello(self, addresses: abc.Iterable[str]) -> None:
+        """Tell instances of this one that may not know it."""
+        message = messages.encode(self._heartbeat(wants_answer=True))
+        for address in addresses:
+            if address != self._settings.address:
+                self.send(message, address)
+
+    def learn(self, record: members.InstanceRecord) -> None:
+        """Take a record from the store and greet its instance."""
+        if self.registry.merge(record) and not members.is_departed(record):
+            self.hello((record.address,))
+
+    def tell_soon(self) -> None:
+        """Send heartbeats at the end of this turn of the event loop."""
+        if self._soon is None and self._undo:
+            loop = asyncio.get_running_loop()
+            self._soon = loop.call_later(0, self._tell_now)
+
+    def _tell_now(self) -> None:
+        self._soon = None
+        if self._undo:
+            self._tell()
+
+    async def _async_tell(self) -> None:
+        while not self.should_stop:
+            self._tell()
+            self._sweep()
+            await self.sleep(backoff.jittered(self._period_s()))
+
+    def _tell(self) -> None:
+        now = clock.now()
+        heard = messages.encode(self._heartbeat(wants_answer=False))
+        unheard = messages.encode(self._heartbeat(wants_answer=True))
+        for record in self._others():
+            peer = self._peers.get(record.instance)
+            is_heard = (
+                peer is not None and now - peer.heard_at < const.SUSPECT_S
+            )
+            self.send(heard if is_heard else unheard, record.address)
+
+    def _others(self) -> abc.Iterator[members.InstanceRecord]:
+        """Yield the instances that this one exchanges heartbeats with."""
+        own = self._settings.instance
+        for record in self.registry.balancers():
+            if record.instance != own:
+                yield record
+        if not self._is_balancer:
+            return
+        for service in self.registry.services():
+            yield from self.registry.agents(service)
+
+    def _period_s(self) -> float:
+        return period_s(len(self.registry))
+
+    def _suspect_s(self) -> float:
+        return max(const.SUSPECT_S, 3.6 * self._period_s())
+
+    def _heartbeat(self, *, wants_answer: bool) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            self.own.present,
+            self.load(),
+            self._beliefs.told(),
+            self.registry.total_digest(),
+            wants_answer,
+        )
+
+    def _on_datagram(self, datagram: bytes, sender: tuple[str, int]) -> None:
+        if datagram and datagram[0] != frame.KIND_CONTROL:
+            self.on_frame(datagram, sender[0])
+            return
+        try:
+            message = messages.decode(datagram)
+        except exceptions.FramePayloadError as error:
+            _LOGGER.warning('message refused', error=error, sender=sender[0])
+            return
+        if isinstance(message, messages.Heartbeat):
+            self._on_heartbeat(message)
+        elif isinstance(message, messages.Records):
+            self._on_records(message)
+        else:
+            self._on_digests(message, sender[0])
+
+    def _on_heartbeat(self, message: messages.Heartbeat) -> None:
+        record = message.record
+        if record.instance == self._settings.instance:
+            return
+        peer = self._peers.setdefault(record.instance, Peer())
+        if record.incarnation < peer.incarnation:
+            return
+        is_new = record.incarnation > peer.incarnation
+        peer.incarnation = record.incarnation
+        peer.heard_at = clock.now()
+        peer.load = message.load
+        peer.placed = 0
+        peer.has_watch = message.beliefs.has_watch
+        self.registry.merge(record)
+        self._note_heard(peer, record)
+        if self._beliefs.take(message.beliefs, record.instance):
+            self._fetch_from(record)
+        if message.wants_answer or is_new:
+            self.send(
+                messages.encode(self._heartbeat(wants_answer=False)),
+                record.address,
+            )
+        if is_new:
+            self.on_return(record)
+        self._compare(peer, record, message.members_digest)
+
+    def _note_heard(self, peer: Peer, record: members.InstanceRecord) -> None:
+        if peer.is_suspect:
+            peer.is_suspect = False
+            _LOGGER.info(
+                'instance heard',
+                peer=record.instance,
+                incarnation=record.incarnation,
+                state=record.state,
+            )
+
+    def _compare(
+        self, peer: Peer, record: members.InstanceRecord, digest: int
+    ) -> None:
+        """Ask for the records that differ, now and then."""
+        now = clock.now()
+        if digest == self.registry.total_digest():
+            return
+        if now - peer.compared_at < const.COMPARE_S:
+            return
+        peer.compared_at = now
+        message = messages.Digests(self.registry.digests())
+        self.send(messages.encode(message), record.address)
+
+    def _on_digests(self, message: messages.Digests, sender: str) -> None:
+        own = self.registry.digests()
+        differing = [
+            record
+            for bucket, digest in enumerate(message.digests[: len(own)])
+            if digest != own[bucket]
+            for record in self.registry.bucket(bucket)
+        ]
+        self._send_records(differing, (sender,))
+
+    def _on_records(self, message: messages.Records) -> None:
+        for record in message.records:
+            self.learn(record)
+
+    def _send_records(
+        self,
+        records: abc.Sequence[members.InstanceRecord],
+        addresses: abc.Iterable[str],
+    ) -> None:
+        step = const.RECORDS_PER_MESSAGE
+        for start in range(0, len(records), step):
+            part = messages.Records(tuple(records[start : start + step]))
+            for address in addresses:
+                self.send(messages.encode(part), address)
+
+    def _on_record(
+        self,
+        record: members.InstanceRecord,
+        previous: members.InstanceRecord | None,
+    ) -> None:
+        if members.is_departed(record):
+            if self._by_address.get(record.address) == record.instance:
+                self._by_address.pop(record.address)
+            return
+        if previous is None or previous.state != record.state:
+            _LOGGER.info(
+                'instance changed',
+                peer=record.instance,
+                state=record.state,
+                service=record.service,
+                incarnation=record.incarnation,
+            )
+        self._take_address(record)
+
+    def _take_address(self, record: members.InstanceRecord) -> None:
+        """Note who is at an address; an earlier instance there is gone."""
+        former = self._by_address.get(record.address, record.instance)
+        held = self.registry.get(former)
+        if former != record.instance and held is not None:
+            if held.incarnation > record.incarnation:
+                return
+            _LOGGER.info('instance replaced', peer=former, by=record.instance)
+            self.registry.forget(former)
+            self._peers.pop(former, None)
+        self._by_address[record.address] = record.instance
+
+    def _fetch_from(self, record: members.InstanceRecord) -> None:
+        if not self._fetching:
+            self._fetching = True
+            self.add_future(self._async_fetch(record))
+
+    async def _async_fetch(self, record: members.InstanceRecord) -> None:
+        """Fetch the routes of a peer that has newer ones."""
+        try:
+            encoded = await fetch.async_fetch(
+                (record.address, self._settings.peer_port)
+            )
+            self._beliefs.offer_routes(encoded, record.instance)
+        except exceptions.KumquatportError as error:
+            _LOGGER.warning(
+                'routes not fetched', peer=record.instance, error=error
+            )
+            await self.sleep(const.FETCH_RETRY_S)
+        finally:
+            self._fetching = False
+
+    def _sweep(self) -> None:
+        now = clock.now()
+        for instance, peer in tuple(self._peers.items()):
+            silent_s = now - peer.heard_at
+            if silent_s > self._suspect_s() and not peer.is_suspect:
+                peer.is_suspect = True
+                _LOGGER.warning(
+                    'instance silent',
+                    peer=instance,
+                    silent_s=round(silent_s, 3),
+                )
+            if silent_s > const.FORGET_S:
+                _LOGGER.warning(
+                    'instance forgotten',
+                    peer=instance,
+                    silent_s=round(silent_s, 1),
+                )
+                self._peers.pop(instance)
+                self.registry.forget(instance)
+        self.registry.expire()
+
+
+def period_s(count: int) -> float:
+    """Return the seconds between two heartbeats to each peer.
+
+    Args:
+        count: Instances known.
+    """
+    return max(
+        const.HEARTBEAT_S,
+        count * const.HEARTBEAT_BYTES / const.HEARTBEAT_BYTES_PER_S,
+    )
+
+
+def _ignore_frame(_datagram: bytes, _address: str) -> None:
+    """Take a frame before anybody wants it."""
+
+
+def _ignore(_record: members.InstanceRecord) -> None:
+    """Take a return before anybody wants it."""
+
+
+def _no_load() -> messages.Load | None:
+    return None
--- /dev/null
+++ b/kumquatport/process/packets/watch.py
@@ -0,0 +1,176 @@
+"""Routes and failure domains taken out, as the store has them."""
+
+import math
+import typing
+from collections import abc
+
+import mode
+import structlog
+
+from kumquatport import exceptions, objects
+from kumquatport.helpers import backoff, clock
+from kumquatport.process.packets import beliefs, const, mesh
+from kumquatport.version import routes
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class Operators(typing.NamedTuple):
+    """How operators write to the store.
+
+    Attributes:
+        routes_key: Key of the object with the routes.
+        domains_kind: Kind of the objects that each take out the failure
+            domain of their name.
+        decode_routes: Reads the routes; raises ``DocumentRejectedError``.
+    """
+
+    routes_key: str
+    domains_kind: str
+    decode_routes: abc.Callable[[bytes], routes.RouteTable]
+
+
+class StoreWatch(mode.Service):
+    """Watches the store while this process is one of those that do.
+
+    A few instances watch and the others hear from them. One that has heard
+    of no confirmation for a while joins, by its rank, since the store may
+    refuse or not reach just the ones that watch.
+    """
+
+    def __init__(
+        self,
+        operators: Operators,
+        store: objects.ObjectApi,
+        held: beliefs.Beliefs,
+        peers: mesh.Mesh,
+    ) -> None:
+        """Set up.
+
+        Args:
+            operators: How operators write.
+            store: The platform's store.
+            held: Beliefs of this process.
+            peers: The other instances.
+        """
+        super().__init__()
+        self._operators = operators
+        self._store = store
+        self._beliefs = held
+        self._mesh = peers
+        self._confirmed: dict[str, float] = {}
+        self._domains: set[str] = set()
+
+    async def on_start(self) -> None:
+        """Begin to watch when it is this process's turn."""
+        self.add_future(self._async_run('routes', self._async_watch_routes))
+        self.add_future(self._async_run('domains', self._async_watch_domains))
+
+    def is_watcher(self) -> bool:
+        """Tell whether this process is to ask the store."""
+        names = self._mesh.live_balancers()
+        own = self._mesh.own.present.instance
+        rank = names.index(own) if own in names else len(names)
+        return watches(rank, self._beliefs.age_s)
+
+    async def _async_run(
+        self,
+        part: str,
+        watch: abc.Callable[[], abc.Awaitable[None]],
+    ) -> None:
+        retries = _retries()
+        reported = False
+        while not self.should_stop:
+            if not self.is_watcher():
+                self._beliefs.has_watch = False
+                await self.sleep(backoff.jittered(const.WATCH_POLL_S))
+                continue
+            self._beliefs.has_watch = True
+            try:
+                await watch()
+                retries = _retries()
+                if reported:
+                    _LOGGER.info('store regained', part=part)
+                reported = False
+            except exceptions.HistoryGoneError:
+                _LOGGER.info('store forgot its history', part=part)
+            except exceptions.KumquatportError as error:
+                if not reported:
+                    _LOGGER.warning('store lost', part=part, error=error)
+                reported = True
+                await self.sleep(next(retries))
+
+    async def _async_watch_routes(self) -> None:
+        """Read the routes, then wait for changes until others watch."""
+        kind = self._operators.routes_key.partition('/')[0]
+        listing = await self._store.async_list(f'{kind}/')
+        self._take_routes(listing)
+        while self.is_watcher():
+            listing = await self._store.async_watch(
+                f'{kind}/', listing.revision, const.WATCH_S
+            )
+            self._take_routes(listing)
+
+    async def _async_watch_domains(self) -> None:
+        """Read the failure domains, then wait for changes."""
+        prefix = f'{self._operators.domains_kind}/'
+        listing = await self._store.async_list(prefix)
+        self._domains = {stored.name for stored in listing.objects}
+        self._take_domains(listing.revision)
+        while self.is_watcher():
+            listing = await self._store.async_watch(
+                prefix, listing.revision, const.WATCH_S
+            )
+            for stored in listing.objects:
+                if stored.deleted:
+                    self._domains.discard(stored.name)
+                else:
+                    self._domains.add(stored.name)
+            self._take_domains(listing.revision)
+
+    def _take_domains(self, revision: int) -> None:
+        self._beliefs.offer_domains(revision, self._domains, 'store')
+        self._confirm('domains')
+
+    def _take_routes(self, listing: objects.Listing) -> None:
+        for stored in listing.objects:
+            if stored.key == self._operators.routes_key and not stored.deleted:
+                self._take_table(stored)
+        self._confirm('routes')
+
+    def _take_table(self, stored: objects.StoredObject) -> None:
+        try:
+            table = self._operators.decode_routes(stored.value)
+        except exceptions.DocumentRejectedError as error:
+            _LOGGER.error(
+                'routes refused', error=error, revision=stored.version
+            )
+            return
+        self._beliefs.offer_routes(routes.encode(table), 'store')
+
+    def _confirm(self, part: str) -> None:
+        """Both parts must be confirmed; the older one counts."""
+        now = clock.now()
+        self._confirmed[part] = now
+        oldest = min(
+            self._confirmed.get('routes', -math.inf),
+            self._confirmed.get('domains', -math.inf),
+        )
+        self._beliefs.confirm(now - oldest)
+
+
+def watches(rank: int, age_s: float) -> bool:
+    """Tell whether the instance of a rank asks the store.
+
+    Args:
+        rank: Place among the live balancers, from 0.
+        age_s: Seconds since anybody was known to have an answer.
+    """
+    if rank < const.WATCHERS:
+        return True
+    groups = rank // const.WATCHERS - 1
+    return age_s > const.WATCH_JOIN_S + groups * const.WATCH_JOIN_STEP_S
+
+
+def _retries() -> abc.Iterator[float]:
+    return backoff.delays(const.STORE_RETRY_FIRST_S, const.STORE_RETRY_MAX_S)
--- a/kumquatport/process/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Access to the platform's object API."""
--- a/kumquatport/request/idempotency/rostering.py
+++ b/kumquatport/request/idempotency/rostering.py
@@ -8,9 +8,8 @@
 import mode
 import structlog
 
-from kumquatport import exceptions
+from kumquatport import exceptions, objects
 from kumquatport.helpers import backoff
-from kumquatport.process.platform import client
 from kumquatport.request.idempotency import const, messages, replica, roster
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -39,7 +38,7 @@
     agents: abc.Callable[[], abc.Sequence[members.InstanceRecord]]
     record_of: abc.Callable[[str], members.InstanceRecord | None]
     out: abc.Callable[[], abc.Container[str]]
-    platform: client.PlatformClient
+    platform: objects.ObjectApi
     ask: replica.Ask
 
 
--- a/kumquatport/version/acceptance/accept.py
+++ b/kumquatport/version/acceptance/accept.py
@@ -4,8 +4,7 @@
 import uuid
 from collections import abc
 
-from kumquatport import exceptions
-from kumquatport.process.platform import client as platform
+from kumquatport import exceptions, objects
 from kumquatport.version import document
 from kumquatport.version.acceptance import (
     const,
@@ -27,7 +26,7 @@
 
 
 async def async_accept(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     submitted: document.Document,
     check: rails.Check,
     identifier: str = '',
@@ -67,7 +66,7 @@
 
 
 async def async_change(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     edit: Edit,
     check: rails.Check,
 ) -> model.Accepted:
@@ -121,7 +120,7 @@
 
 
 async def _async_again(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     submitted: document.Document,
     check: rails.Check,
     identifier: str,
@@ -139,7 +138,7 @@
 
 
 async def _async_write(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     before: model.InForce,
     prepared: document.Document,
 ) -> model.Accepted:
--- a/kumquatport/version/acceptance/audit.py
+++ b/kumquatport/version/acceptance/audit.py
@@ -8,8 +8,7 @@
 import msgspec
 import structlog
 
-from kumquatport import exceptions
-from kumquatport.process.platform import client as platform
+from kumquatport import exceptions, objects
 from kumquatport.version import document
 from kumquatport.version.acceptance import const, model, pauses
 from kumquatport.version.document import const as document_const
@@ -18,7 +17,7 @@
 
 
 async def async_record(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     accepted: model.Accepted,
 ) -> bool:
     """Write the entry of an acceptance, and the one before if it is missing.
@@ -81,7 +80,7 @@
 
 
 async def async_entry(
-    client: platform.PlatformClient, version: int
+    client: objects.ObjectApi, version: int
 ) -> model.AuditEntry | None:
     """Return the entry of one version, or None when it has none.
 
@@ -100,7 +99,7 @@
 
 
 async def async_history(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     in_force: model.InForce,
     count: int = const.DEFAULT_HISTORY_COUNT,
 ) -> list[model.AuditEntry]:
@@ -126,7 +125,7 @@
 
 
 async def _async_write(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     entry: model.AuditEntry,
     expected: int | None,
 ) -> bool:
--- a/kumquatport/version/acceptance/settle.py
+++ b/kumquatport/version/acceptance/settle.py
@@ -1,7 +1,6 @@
 """Finding out what became of an attempt whose answer was lost."""
 
-from kumquatport import exceptions
-from kumquatport.process.platform import client as platform
+from kumquatport import exceptions, objects
 from kumquatport.version import document
 from kumquatport.version.acceptance import (
     audit,
@@ -21,7 +20,7 @@
 
 
 async def async_ask(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     identifier: str,
     base_version: int,
     submitted: document.Document | None = None,
@@ -59,7 +58,7 @@
 
 
 async def async_settle(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     submitted: document.Document,
     patience_s: float = const.SETTLE_PATIENCE_S,
 ) -> model.Accepted:
@@ -91,7 +90,7 @@
 
 
 async def _async_resend(
-    client: platform.PlatformClient, submitted: document.Document
+    client: objects.ObjectApi, submitted: document.Document
 ) -> int:
     """Send the same update again; 0 when its outcome is still open."""
     try:
@@ -105,7 +104,7 @@
 
 
 async def _async_found(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     in_force: model.InForce,
     identifier: str,
     base_version: int,
@@ -123,7 +122,7 @@
 
 
 async def _async_is_other(
-    client: platform.PlatformClient, identifier: str, base_version: int
+    client: objects.ObjectApi, identifier: str, base_version: int
 ) -> bool:
     """Tell whether the audit shows another attempt on the same base."""
     try:
--- a/kumquatport/version/acceptance/store.py
+++ b/kumquatport/version/acceptance/store.py
@@ -2,15 +2,14 @@
 
 import asyncio
 
-from kumquatport import exceptions
-from kumquatport.process.platform import client as platform
+from kumquatport import exceptions, objects
 from kumquatport.version import document
 from kumquatport.version.acceptance import const, model, pauses
 from kumquatport.version.document import const as document_const
 
 
 async def async_in_force(
-    client: platform.PlatformClient,
+    client: objects.ObjectApi,
     patience_s: float = const.READ_PATIENCE_S,
 ) -> model.InForce:
     """Read the document in force, repeating the read for a while.
@@ -32,7 +31,7 @@
     raise exceptions.PlatformUnavailableError(str(failure)) from failure
 
 
-async def async_read(client: platform.PlatformClient) -> model.InForce:
+async def async_read(client: objects.ObjectApi) -> model.InForce:
     """Read the document in force with one call.
 
     Raises:
--- a/kumquatport/version/spread/leases.py
+++ b/kumquatport/version/spread/leases.py
@@ -5,10 +5,8 @@
 import msgspec
 import structlog
 
-from kumquatport import exceptions
+from kumquatport import exceptions, objects
 from kumquatport.helpers import clock
-from kumquatport.process.platform import client as platforms
-from kumquatport.process.platform import model
 from kumquatport.version.spread import const
 
 _LOGGER = structlog.get_logger(__name__)
@@ -40,7 +38,7 @@
 
     def __init__(
         self,
-        platform: platforms.PlatformClient,
+        platform: objects.ObjectApi,
         name: str,
         holder: str,
         incarnation: int,
@@ -128,7 +126,7 @@
         self._version = version
         self._valid_until = asked_at + const.LEASE_DURATION_S
 
-    def _is_own(self, stored: model.StoredObject) -> bool:
+    def _is_own(self, stored: objects.StoredObject) -> bool:
         held = _decode(stored)
         return held is not None and (held.holder, held.incarnation) == (
             self._own.holder,
@@ -136,7 +134,7 @@
         )
 
 
-def _decode(stored: model.StoredObject) -> Holding | None:
+def _decode(stored: objects.StoredObject) -> Holding | None:
     try:
         return typing.cast(
             Holding, msgspec.json.decode(stored.value, type=Holding)
--- a/kumquatport/version/spread/membership.py
+++ b/kumquatport/version/spread/membership.py
@@ -6,9 +6,9 @@
 
 import mode
 
+from kumquatport import objects
 from kumquatport.connection.control import client, frame, server, traffic
 from kumquatport.helpers import clock
-from kumquatport.process.platform import client as platforms
 from kumquatport.version import current as currents
 from kumquatport.version import members, table
 from kumquatport.version.members import const as members_const
@@ -46,7 +46,7 @@
         own: members.InstanceRecord,
         seeds: abc.Iterable[str],
         key: bytes,
-        platform: platforms.PlatformClient,
+        platform: objects.ObjectApi,
         parse: currents.Parser,
         listen_address: str = '',
     ) -> None:
@@ -128,7 +128,7 @@
     def _add_parts(
         self,
         own: members.InstanceRecord,
-        platform: platforms.PlatformClient,
+        platform: objects.ObjectApi,
     ) -> None:
         state = self._state
         fetcher = documents.Documents(state, self.server)
--- a/kumquatport/version/spread/snapshots.py
+++ b/kumquatport/version/spread/snapshots.py
@@ -8,9 +8,8 @@
 import structlog
 import xxhash
 
-from kumquatport import exceptions
+from kumquatport import exceptions, objects
 from kumquatport.helpers import clock
-from kumquatport.process.platform import client as platforms
 from kumquatport.version import members
 from kumquatport.version.spread import const, leases, order, peers, shared
 
@@ -35,7 +34,7 @@
         self,
         state: shared.Shared,
         incarnation: int,
-        platform: platforms.PlatformClient,
+        platform: objects.ObjectApi,
         known: peers.Peers,
     ) -> None:
         """Set up.
--- a/kumquatport/version/spread/source.py
+++ b/kumquatport/version/spread/source.py
@@ -5,10 +5,8 @@
 import mode
 import structlog
 
-from kumquatport import exceptions
+from kumquatport import exceptions, objects
 from kumquatport.helpers import clock
-from kumquatport.process.platform import client as platforms
-from kumquatport.process.platform import model
 from kumquatport.version import members
 from kumquatport.version.spread import const, documents, order, shared
 
@@ -26,7 +24,7 @@
     def __init__(
         self,
         state: shared.Shared,
-        platform: platforms.PlatformClient,
+        platform: objects.ObjectApi,
         fetcher: documents.Documents,
     ) -> None:
         """Set up.
@@ -109,7 +107,7 @@
             _LOGGER.debug('document not watched', error=str(error))
             await self.sleep(const.WATCH_RETRY_S)
 
-    async def _async_watch_once(self, revision: int) -> model.Listing:
+    async def _async_watch_once(self, revision: int) -> objects.Listing:
         listing = await self._platform.async_watch(
             const.KEY_DOCUMENT,
             revision,
@@ -118,13 +116,13 @@
         await self._async_take_all(listing)
         return listing
 
-    async def _async_take_all(self, listing: model.Listing) -> None:
+    async def _async_take_all(self, listing: objects.Listing) -> None:
         self._state.contact.seen()
         for stored in listing.objects:
             if stored.key == const.KEY_DOCUMENT:
                 await self._async_take(stored)
 
-    async def _async_take(self, stored: model.StoredObject) -> None:
+    async def _async_take(self, stored: objects.StoredObject) -> None:
         if stored.deleted:
             _LOGGER.error('document deleted at the platform, kept in force')
             return
--- a/tests/builders/memberships.py
+++ b/tests/builders/memberships.py
@@ -3,8 +3,7 @@
 import asyncio
 import json
 
-from kumquatport import exceptions
-from kumquatport.process.platform import model
+from kumquatport import exceptions, objects
 from kumquatport.version.spread import membership
 from tests import network
 from tests.builders import members
@@ -36,7 +35,7 @@
         if expected not in (None, version):
             raise exceptions.VersionConflictError(key)
         self.revision += 1
-        self.objects[key] = model.StoredObject(key, version + 1, value)
+        self.objects[key] = objects.StoredObject(key, version + 1, value)
         return version + 1
 
     async def async_delete(self, key, expected):
@@ -50,7 +49,7 @@
             for key, stored in self.objects.items()
             if key.startswith(prefix)
         ]
-        return model.Listing(self.revision, tuple(found))
+        return objects.Listing(self.revision, tuple(found))
 
     async def async_watch(self, prefix, since, timeout):
         self._call()
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -14,8 +14,8 @@
 import hypothesis
 from behave import runner
 
+from kumquatport.platform import client as platform
 from kumquatport.process.ctl import __main__ as ctl
-from kumquatport.process.platform import client as platform
 from kumquatport.version import acceptance, document
 from tests import browser, consoles
 from tests.builders import broken_documents, documents
--- a/tests/standins/memory_platform.py
+++ b/tests/standins/memory_platform.py
@@ -3,8 +3,7 @@
 import typing
 from collections import abc
 
-from kumquatport import exceptions
-from kumquatport.process.platform import model
+from kumquatport import exceptions, objects
 from kumquatport.version.document import const
 
 DONE = 'done'
@@ -51,13 +50,13 @@
             other: Returns the document that another operator puts on top of
                 a version and its value.
         """
-        self.objects: dict[str, model.StoredObject] = {}
+        self.objects: dict[str, objects.StoredObject] = {}
         self.effective: dict[bytes, int] = {}
         self._script = iter(script)
         self._other = other
         self._late: list[Update] = []
 
-    async def async_get(self, key: str) -> model.StoredObject:
+    async def async_get(self, key: str) -> objects.StoredObject:
         fault = next(self._script, DONE)
         if fault in {LOST, UNSENT, VANISHED}:
             raise exceptions.PlatformUnavailableError(fault)
@@ -126,5 +125,5 @@
     def _write(self, key: str, value: bytes) -> int:
         held = self.objects.get(key)
         version = 1 if held is None else held.version + 1
-        self.objects[key] = model.StoredObject(key, version, value)
+        self.objects[key] = objects.StoredObject(key, version, value)
         return version
--- a/tests/unit/process/platform/test_client.py
+++ b/tests/unit/process/platform/test_client.py
@@ -3,7 +3,7 @@
 import unittest
 
 from kumquatport import exceptions
-from kumquatport.process.platform import client
+from kumquatport.platform import client
 from tests import network
 from tests.standins import platform, runner
 
--- a/tests/unit/request/idempotency/test_rostering.py
+++ b/tests/unit/request/idempotency/test_rostering.py
@@ -6,8 +6,7 @@
 import unittest
 from unittest import mock
 
-from kumquatport import exceptions
-from kumquatport.process.platform import model
+from kumquatport import exceptions, objects
 from kumquatport.request.idempotency import (
     const,
     roster,
@@ -41,7 +40,7 @@
         if expected != version:
             raise exceptions.VersionConflictError(key)
         self.writes[int(time.monotonic())] += 1
-        self.objects[key] = model.StoredObject(key, version + 1, value, False)
+        self.objects[key] = objects.StoredObject(key, version + 1, value, False)
         return version + 1
 
     def _check(self):
