--- a/kumquatport/process/agent/__main__.py
+++ b/kumquatport/process/agent/__main__.py
@@ -2,15 +2,16 @@
 
 import sys
 
-from kumquatport.process import program, settings
+from kumquatport.process import settings
 from kumquatport.process.agent import const, service
+from kumquatport.process.program import entry
 from kumquatport.process.settings import models
 from kumquatport.process.tls import source
 
 
 def main() -> int:
     """Run the agent; return its exit code."""
-    return program.run(
+    return entry.run(
         const.PROGRAM,
         settings.load_agent,
         service.Agent,
--- a/kumquatport/process/balancer/__main__.py
+++ b/kumquatport/process/balancer/__main__.py
@@ -2,13 +2,14 @@
 
 import sys
 
-from kumquatport.process import program, settings
+from kumquatport.process import settings
 from kumquatport.process.balancer import const, service
+from kumquatport.process.program import entry
 
 
 def main() -> int:
     """Run the balancer; return its exit code."""
-    return program.run(
+    return entry.run(
         const.PROGRAM,
         settings.load_balancer,
         service.Balancer,
--- a/kumquatport/process/console/__main__.py
+++ b/kumquatport/process/console/__main__.py
@@ -2,15 +2,16 @@
 
 import sys
 
-from kumquatport.process import program, settings
+from kumquatport.process import settings
 from kumquatport.process.console import service
+from kumquatport.process.program import entry
 from kumquatport.process.settings import models
 from kumquatport.process.tls import source
 
 
 def main() -> int:
     """Run a console and return its exit code."""
-    return program.run(
+    return entry.run(
         'kumquatport-console',
         settings.load_console,
         service.Console,
--- a/kumquatport/process/logs/__init__.py
+++ b/kumquatport/process/logs/__init__.py
@@ -1,13 +1,19 @@
 """Log of a process: structlog lines to standard error."""
 
+from __future__ import annotations
+
 import logging
 import sys
+import typing
 
 import mode
 import structlog
 
 from kumquatport.process.logs import const, output, processors
-from kumquatport.process.settings import models
+
+if typing.TYPE_CHECKING:
+    # Settings bring in the reader of YAML, which not every program needs.
+    from kumquatport.process.settings import models
 
 
 def setup(log: models.LogSettings) -> None:
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -207,13 +207,16 @@
     def _tell(self) -> None:
         now = clock.now()
         heard = messages.encode(self._heartbeat(wants_answer=False))
-        unheard = messages.encode(self._heartbeat(wants_answer=True))
+        unheard = b''
         for record in self._others():
             peer = self._peers.get(record.instance)
-            is_heard = (
-                peer is not None and now - peer.heard_at < const.SUSPECT_S
+            if peer is not None and now - peer.heard_at < const.SUSPECT_S:
+                self.send(heard, record.address)
+                continue
+            unheard = unheard or messages.encode(
+                self._heartbeat(wants_answer=True)
             )
-            self.send(heard if is_heard else unheard, record.address)
+            self.send(unheard, record.address)
 
     def _others(self) -> abc.Iterator[members.InstanceRecord]:
         """Yield the instances that this one exchanges heartbeats with."""
@@ -270,7 +273,8 @@
         peer.load = message.load
         peer.placed = 0
         peer.has_watch = message.beliefs.has_watch
-        self.registry.merge(record)
+        if record != self.registry.get(record.instance):
+            self.registry.merge(record)
         self._note_heard(peer, record)
         if self._beliefs.take(message.beliefs, record.instance):
             self._fetch_from(record)
--- a/tests/unit/process/program/test_program.py
+++ b/tests/unit/process/program/test_program.py
@@ -15,7 +15,8 @@
 _PROGRAM = """
 import asyncio, sys, mode
 from kumquatport import exceptions
-from kumquatport.process import program, settings
+from kumquatport.process import settings
+from kumquatport.process.program import entry
 
 HOW = sys.argv.pop(1)
 
@@ -44,7 +45,7 @@
         await asyncio.sleep(60 if HOW == 'slow' else 0.05)
         print('drained', flush=True)
 
-sys.exit(program.run('kumquatport-x', settings.load_balancer, lambda _: Service()))
+sys.exit(entry.run('kumquatport-x', settings.load_balancer, lambda _: Service()))
 """
 
 
