SIGHUP and a changed settings file are read again while running

Change: ignored from the first moment of a process, then reloads; the file's time of change is looked at too.

--- a/kumquatport/connection/packets/cold.py
+++ b/kumquatport/connection/packets/cold.py
@@ -27,8 +27,8 @@
             factor: Times the rate that the backend server bears.
             slack: Flows a second on top of that.
         """
-        self._factor = factor
-        self._slack = slack
+        self.factor = factor
+        self.slack = slack
         self._taken: collections.deque[float] = collections.deque()
 
     def take(self, per_s: float, now: float) -> bool:
@@ -43,7 +43,7 @@
         """
         while self._taken and self._taken[0] <= now - WINDOW_S - WINDOW_SLACK_S:
             self._taken.popleft()
-        limit = int(per_s * self._factor + self._slack) - MARGIN
+        limit = int(per_s * self.factor + self.slack) - MARGIN
         if len(self._taken) >= limit:
             return False
         self._taken.append(now)
--- a/kumquatport/platform/__main__.py
+++ b/kumquatport/platform/__main__.py
@@ -1,7 +1,11 @@
 """Programs that run on the users' platform."""
 
+# Before all others, which take their time.
+from kumquatport.process.program import hangup  # noqa: F401, I001 - it acts when imported
+
 import argparse
 import asyncio
+import pathlib
 import sys
 import typing
 
@@ -18,7 +22,7 @@
     settings,
 )
 from kumquatport.process import logs
-from kumquatport.process.packets import models, watch
+from kumquatport.process.packets import models, reload, watch
 from kumquatport.process.program import const, runner
 
 _LOGGER = structlog.get_logger(__name__)
@@ -36,7 +40,8 @@
     options = _parser().parse_args(argv)
     logs.setup_output('info')
     try:
-        own = settings.load(options.settings or settings.path())
+        source = pathlib.Path(options.settings or settings.path())
+        own = settings.load(source)
     except exceptions.KumquatportError as error:
         _LOGGER.error('settings refused', error=error, role=options.role)
         return const.EXIT_USAGE
@@ -44,7 +49,9 @@
         _LOGGER.info('settings accepted', role=options.role)
         return const.EXIT_GRACEFUL
     logs.bind(own.instance, own.failure_domain)
-    return asyncio.run(runner.async_run(lambda: _service(options.role, own)))
+    return asyncio.run(
+        runner.async_run(lambda: _service(options.role, own, source))
+    )
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -68,25 +75,37 @@
     return parser
 
 
-def _service(role: str, own: models.Settings) -> mode.Service:
+def _service(
+    role: str, own: models.Settings, source: pathlib.Path
+) -> mode.Service:
     # Imported here, so that a role loads what it uses and nothing else.
     store = client.PlatformClient(own.store.url, STORE_TIMEOUT_S)
     if role == ROLE_AGENT:
         from kumquatport.process.packets import agent
 
-        return agent.Agent(own, packet.CODEC, store, heartbeat.decode)
+        service: typing.Any = agent.Agent(
+            own, packet.CODEC, store, heartbeat.decode
+        )
+        return _reloaded(service, own, source)
     from kumquatport.process.packets import balancer
 
-    return balancer.Balancer(
-        own,
-        packet.CODEC,
-        store,
-        watch.Operators(
-            configuration.KEY_CONFIGURATION,
-            configuration.KIND_EVACUATIONS,
-            configuration.decode,
-        ),
+    operators = watch.Operators(
+        configuration.KEY_CONFIGURATION,
+        configuration.KIND_EVACUATIONS,
+        configuration.decode,
+    )
+    service = balancer.Balancer(own, packet.CODEC, store, operators)
+    return _reloaded(service, own, source)
+
+
+def _reloaded(
+    service: typing.Any, own: models.Settings, source: pathlib.Path
+) -> mode.Service:
+    """Return a service that follows its settings file."""
+    service.add_dependency(
+        reload.Reloader(source, own, settings.load, service.apply_settings)
     )
+    return typing.cast(mode.Service, service)
 
 
 if __name__ == '__main__':
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -148,6 +148,14 @@
             self._mesh.own.update(members_const.STATE_GONE, None)
             await self._discovery.async_remove()
 
+    def apply_settings(self, settings: models.Settings) -> None:
+        """Take over settings that changed while running."""
+        self._settings = settings
+        self._mesh.apply_settings(settings)
+        self._backend_server.heartbeat_s = settings.heartbeat_s
+        self._cold.factor = settings.bounds.cold_factor
+        self._cold.slack = settings.bounds.cold_slack
+
     def _application(self) -> web.Application:
         app = web.Application()
         app.router.add_put('/instances/{identifier}', self._async_heartbeat)
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -52,7 +52,7 @@
         """
         self.report: models.BackendServerReport | None = None
         self.is_gone = False
-        self._heartbeat_s = heartbeat_s
+        self.heartbeat_s = heartbeat_s
         self._heard_at = clock.now()
         self._cold_until = -math.inf
         self._former: collections.deque[str] = collections.deque(
@@ -140,7 +140,7 @@
             self._pending.pop(flow)
             self._unanswered += delivered_at > self._heard_at
         silent_s = now - self._heard_at
-        is_silent = silent_s > MISSED_HEARTBEATS * self._heartbeat_s
+        is_silent = silent_s > MISSED_HEARTBEATS * self.heartbeat_s
         is_answering = not is_silent and self._unanswered < UNANSWERED_LIMIT
         if is_answering != self._was_answering:
             self._was_answering = is_answering
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -121,6 +121,11 @@
         self._mesh.own.update(members_const.STATE_LEAVING, None)
         await asyncio.sleep(const.BALANCER_LEAVE_S)
 
+    def apply_settings(self, settings: models.Settings) -> None:
+        """Take over settings that changed while running."""
+        self._settings = settings
+        self._mesh.apply_settings(settings)
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -137,6 +137,11 @@
         while self._undo:
             self._undo.pop()()
 
+    def apply_settings(self, settings: models.Settings) -> None:
+        """Take over settings that changed while running."""
+        self._settings = settings
+        self.hello(settings.seeds)
+
     def send(self, datagram: bytes, address: str) -> bool:
         """Send a frame to the instance at an address."""
         return datagrams.send(
