The platform stand-in speaks the published store protocol

Cause: the stand-in and the client spoke a protocol of our own; one client is to serve the old programs and the new. Change: revisions, pages, watches by kind, 409 and 410; the client counts the project's own writes of an object in the object, since the store's revision counts all changes and acceptance reckons with the next version of one.

--- a/kumquatport/objects.py
+++ b/kumquatport/objects.py
@@ -8,16 +8,19 @@
 
     Attributes:
         key: Kind and name, joined by a slash.
-        version: Revision of the store at which the object last changed.
-        value: What it holds: the bytes that this project wrote, or the JSON
-            text of an object that the platform's operators wrote.
+        version: Counts this project's writes of the object from 1; for an
+            object that others write, the revision.
+        value: The bytes that this project wrote, or the JSON text of an
+            object that others wrote.
         deleted: Whether this version is a delete (watches only).
+        revision: Revision of the store at which the object last changed.
     """
 
     key: str
     version: int
     value: bytes
     deleted: bool = False
+    revision: int = 0
 
     @property
     def name(self) -> str:
--- a/kumquatport/platform/answers.py
+++ b/kumquatport/platform/answers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from kumquatport import exceptions, objects
-from kumquatport.platform import const
+from kumquatport.platform import calls, const
 
 
 class Answer(typing.NamedTuple):
@@ -159,14 +159,12 @@
 
 
 def _object(key: str, row: _Object) -> objects.StoredObject:
-    return objects.StoredObject(key, row.meta.revision, _value(bytes(row.spec)))
-
-
-def _value(spec: bytes) -> bytes:
-    """Return the bytes of a value that was sent as text, else the JSON."""
-    if not spec.startswith(b'"'):
-        return spec
+    """Read an object; one that this project did not write stays as it is."""
+    spec = bytes(row.spec)
+    revision = row.meta.revision
     try:
-        return base64.b64decode(msgspec.json.decode(spec, type=str))
-    except (msgspec.MsgspecError, binascii.Error, ValueError):
-        return spec
+        own = msgspec.json.decode(spec, type=calls.Own)
+        value = base64.b64decode(own.data, validate=True)
+    except (msgspec.MsgspecError, binascii.Error):
+        return objects.StoredObject(key, revision, spec, revision=revision)
+    return objects.StoredObject(key, own.count, value, revision=revision)
--- a/kumquatport/platform/calls.py
+++ b/kumquatport/platform/calls.py
@@ -10,6 +10,17 @@
 from kumquatport.platform import const
 
 
+class Own(msgspec.Struct, forbid_unknown_fields=True):
+    """What an object of this project's own kinds holds.
+
+    The platform counts changes of the whole store; conditions of this project
+    are on the changes of one object.
+    """
+
+    count: int
+    data: str
+
+
 class Call(typing.NamedTuple):
     """One write.
 
@@ -40,37 +51,46 @@
     return kind_url(root, kind) / name.replace('/', const.NAME_SEPARATOR)
 
 
-def put(root: str, key: str, value: bytes, expected: int | None) -> Call:
-    """Return the call that writes one object.
+def put(
+    root: str, key: str, value: bytes, version: int, revision: int | None
+) -> Call:
+    """Return the call that replaces one object.
 
     Args:
         root: Root of the platform.
         key: Kind and name.
         value: Bytes to hold.
-        expected: Version that must be in place; 0 for an object that must
-            not exist; None writes unconditionally.
+        version: Version that they get.
+        revision: Revision at which the object must have changed last; None
+            for any.
     """
     url = object_url(root, key)
     meta: dict[str, typing.Any] = {const.ATTR_NAME: url.name}
-    kind = const.CALL_PUT
-    if expected == 0:
-        kind = const.CALL_POST
-        url = url.parent
-    elif expected is not None:
-        meta[const.ATTR_REVISION] = expected
-    text = base64.b64encode(value).decode('ascii')
-    body = msgspec.json.encode({const.ATTR_META: meta, const.ATTR_SPEC: text})
-    return Call(kind, key, url, body)
-
-
-def delete(root: str, key: str, expected: int | None) -> Call:
+    if revision is not None:
+        meta[const.ATTR_REVISION] = revision
+    return Call(const.CALL_PUT, key, url, _body(meta, value, version))
+
+
+def post(root: str, key: str, value: bytes) -> Call:
+    """Return the call that creates one object, with version 1."""
+    url = object_url(root, key)
+    meta = {const.ATTR_NAME: url.name}
+    return Call(const.CALL_POST, key, url.parent, _body(meta, value, 1))
+
+
+def delete(root: str, key: str, revision: int | None) -> Call:
     """Return the call that deletes one object."""
     url = object_url(root, key)
-    if expected is not None:
-        url = url.with_query({const.ATTR_REVISION: str(expected)})
+    if revision is not None:
+        url = url.with_query({const.ATTR_REVISION: str(revision)})
     return Call(const.CALL_DELETE, key, url, None)
 
 
+def _body(meta: dict[str, typing.Any], value: bytes, version: int) -> bytes:
+    own = Own(version, base64.b64encode(value).decode('ascii'))
+    return msgspec.json.encode({const.ATTR_META: meta, const.ATTR_SPEC: own})
+
+
 def sent_once() -> aiohttp.ClientMiddlewareType:
     """Build a middleware that lets one request out and no second one."""
     sent: list[aiohttp.ClientRequest] = []
--- a/kumquatport/platform/client.py
+++ b/kumquatport/platform/client.py
@@ -16,6 +16,11 @@
 _LOGGER = structlog.get_logger(__name__)
 
 MS_PER_S: typing.Final = 1000
+
+# Objects whose revision is remembered; others are read before a conditional
+# write.
+MAX_SEEN: typing.Final = 1024
+
 _JSON: typing.Final = {'Content-Type': 'application/json'}
 
 
@@ -47,6 +52,7 @@
         self._reads: aiohttp.ClientSession | None = None
         self._writes: aiohttp.ClientSession | None = None
         self._unavailable = False
+        self._seen: dict[str, objects.StoredObject] = {}
 
     async def on_start(self) -> None:
         """Open the connection pools when the service starts."""
@@ -84,7 +90,7 @@
         answer = await self._async_read(
             const.CALL_GET, calls.object_url(self._url, key)
         )
-        return answers.stored(answer.body, key)
+        return self._note_seen(answers.stored(answer.body, key))
 
     async def async_put(
         self, key: str, value: bytes, expected: int | None
@@ -112,18 +118,14 @@
             raise exceptions.PlatformRefusedError(
                 f'{key}: {len(value)} bytes exceed {const.MAX_VALUE_BYTES}'
             )
-        call = calls.put(self._url, key, value, expected)
-        answer = await self._async_send(call)
-        if answer.status == const.STATUS_MISSING and expected is None:
-            call = calls.put(self._url, key, value, 0)
-            answer = await self._async_send(call)
-        answers.check_write(answer, key, deleting=False)
-        try:
-            return answers.stored(answer.body, key).version
-        except exceptions.PlatformUnavailableError as error:
-            raise exceptions.OutcomeUnknownError(
-                f'{key}: answer has no version'
-            ) from error
+        if expected == 0:
+            return await self._async_write(calls.post(self._url, key, value))
+        if expected is None:
+            return await self._async_overwrite(key, value)
+        seen = await self._async_seen(key, expected)
+        return await self._async_write(
+            calls.put(self._url, key, value, expected + 1, seen.revision)
+        )
 
     async def async_delete(self, key: str, expected: int | None) -> None:
         """Delete one object.
@@ -134,9 +136,13 @@
             OutcomeUnknownError: Sent, but the answer was lost.
             PlatformUnavailableError: Not sent, nothing changed.
         """
-        call = calls.delete(self._url, key, expected)
+        revision = None
+        if expected is not None:
+            revision = (await self._async_seen(key, expected)).revision
+        call = calls.delete(self._url, key, revision)
         answer = await self._async_send(call)
         answers.check_write(answer, key, deleting=True)
+        self._seen.pop(key, None)
 
     async def async_list(self, prefix: str) -> objects.Listing:
         """Read all objects of a kind whose keys start with the prefix.
@@ -174,7 +180,7 @@
         answer = await self._async_read(
             const.CALL_LIST, calls.kind_url(self._url, kind, query)
         )
-        return answers.page(answer.body, kind)
+        return self._noted(answers.page(answer.body, kind))
 
     async def async_watch(
         self, prefix: str, since: int, timeout: float
@@ -203,7 +209,7 @@
             calls.kind_url(self._url, kind, query),
             timeout,
         )
-        listing = answers.events(answer.body, kind)
+        listing = self._noted(answers.events(answer.body, kind))
         return listing._replace(objects=_starting(listing.objects, start))
 
     async def _async_read(
@@ -254,6 +260,65 @@
         self._note_available()
         return answer
 
+    async def _async_write(self, call: calls.Call) -> int:
+        """Send a write that carries a value; return the new version."""
+        answer = await self._async_send(call)
+        answers.check_write(answer, call.key, deleting=False)
+        try:
+            stored = answers.stored(answer.body, call.key)
+        except exceptions.PlatformUnavailableError as error:
+            raise exceptions.OutcomeUnknownError(
+                f'{call.key}: answer has no version'
+            ) from error
+        return self._note_seen(stored).version
+
+    async def _async_overwrite(self, key: str, value: bytes) -> int:
+        """Write an object whatever it holds, or create it."""
+        seen = self._seen.get(key)
+        if seen is None:
+            try:
+                return await self._async_write(
+                    calls.post(self._url, key, value)
+                )
+            except exceptions.VersionConflictError:
+                seen = await self.async_get(key)
+        return await self._async_write(
+            calls.put(self._url, key, value, seen.version + 1, None)
+        )
+
+    async def _async_seen(
+        self, key: str, expected: int
+    ) -> objects.StoredObject:
+        """Return the object at a version, to learn its revision.
+
+        Raises:
+            VersionConflictError: Another version is in place.
+        """
+        seen = self._seen.get(key)
+        if seen is not None and seen.version == expected:
+            return seen
+        try:
+            seen = await self.async_get(key)
+        except exceptions.ObjectMissingError as error:
+            raise exceptions.VersionConflictError(key) from error
+        if seen.version != expected:
+            raise exceptions.VersionConflictError(key)
+        return seen
+
+    def _noted(self, listing: objects.Listing) -> objects.Listing:
+        for stored in listing.objects:
+            self._note_seen(stored)
+        return listing
+
+    def _note_seen(self, stored: objects.StoredObject) -> objects.StoredObject:
+        """Remember the revision of an object, not its value."""
+        self._seen.pop(stored.key, None)
+        if len(self._seen) >= MAX_SEEN:
+            self._seen.pop(next(iter(self._seen)))
+        if not stored.deleted:
+            self._seen[stored.key] = stored._replace(value=b'')
+        return stored
+
     def _note_unavailable(self, kind: str, error: BaseException) -> None:
         """Log an outage once."""
         if self._unavailable:
--- a/tests/consoles.py
+++ b/tests/consoles.py
@@ -11,7 +11,7 @@
 
 import argon2
 
-from tests import network, processes
+from tests import network, processes, stored
 from tests.builders import documents, settings
 
 READY_TIMEOUT_S = 20.0
@@ -120,19 +120,12 @@
 
     def put(self, value: bytes) -> int:
         """Put a document in force, past all checks."""
-        request = urllib.request.Request(
-            f'{self.platform_url}/v1/objects/{KEY}', value, method='PUT'
-        )
-        with urllib.request.urlopen(request, timeout=5.0) as answer:
-            return int(answer.headers['X-Object-Version'])
+        return stored.put(self.platform_url, KEY, value)
 
     def in_force(self) -> tuple[int, bytes]:
         """Return version and bytes of what is in force."""
-        url = f'{self.platform_url}/v1/objects/{KEY}'
         try:
-            with urllib.request.urlopen(url, timeout=5.0) as answer:
-                version = int(answer.headers['X-Object-Version'])
-                return version, answer.read()
+            return stored.get(self.platform_url, KEY)
         except urllib.error.HTTPError:
             return 0, b''
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -7,10 +7,9 @@
 import sys
 import tempfile
 import typing
-import urllib.request
 from collections import abc
 
-from tests import layout, network, processes
+from tests import layout, network, processes, stored
 from tests.builders import documents, plans, settings
 
 READY_TIMEOUT_S = 30.0
@@ -119,13 +118,9 @@
 
     def put_document(self, document: documents.Entry) -> int:
         """Put a document into the platform; return its version."""
-        request = urllib.request.Request(
-            f'{self.platform_url}/v1/objects/{KEY_DOCUMENT}',
-            documents.encode(document),
-            method='PUT',
+        return stored.put(
+            self.platform_url, KEY_DOCUMENT, documents.encode(document)
         )
-        with urllib.request.urlopen(request, timeout=5.0) as answer:
-            return int(answer.headers['X-Object-Version'])
 
     def set_fabric(self, balancers: abc.Iterable[str]) -> None:
         """Have the fabric use these balancers, by name, from now on."""
--- a/tests/features/steps/lease.py
+++ b/tests/features/steps/lease.py
@@ -2,12 +2,11 @@
 
 import json
 import time
-import urllib.request
 
 import behave
 from behave import runner
 
-from tests import deployment
+from tests import deployment, stored
 from tests.builders import plans
 
 KEY_LEASE = 'leases/members-accra'
@@ -17,10 +16,8 @@
 
 
 def _read(context: runner.Context, key: str) -> tuple[int, dict]:
-    url = f'{context.deployment.platform_url}/v1/objects/{key}'
-    with urllib.request.urlopen(url, timeout=5) as answer:
-        version = int(answer.headers['X-Object-Version'])
-        return version, json.load(answer)
+    version, value = stored.get(context.deployment.platform_url, key)
+    return version, json.loads(value)
 
 
 def _holder(context: runner.Context) -> str:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,10 +1,10 @@
-"""Stand-in of the platform's object API: versions, conditions, watches."""
+"""Stand-in of the platform's store: revisions, conditions, pages, watches."""
 
 import argparse
 import asyncio
-import base64
 import collections
 import contextlib
+import json
 import time
 import typing
 from collections import abc
@@ -14,57 +14,117 @@
 from tests.standins import runner
 
 MAX_VALUE_BYTES = 1 << 20
-HEADER_VERSION = 'X-Object-Version'
+PAGE = 500
+HISTORY_S = 20.0
 MODES = ('up', 'down', 'slow')
 
 
 class Entry(typing.NamedTuple):
     """One object, or what is left of it after a delete."""
 
-    key: str
-    version: int
+    kind: str
+    name: str
+    created: int
     revision: int
-    value: bytes
+    spec: typing.Any
+    status: typing.Any
     deleted: bool
+    at: float
+
+    def shown(self) -> dict:
+        """Return the object as answers show it."""
+        return {
+            'meta': {
+                'Name': self.name,
+                'Revision': self.revision,
+                'Created': self.created,
+                'Finalizers': [],
+                'Deleting': False,
+            },
+            'spec': self.spec,
+            'status': self.status,
+        }
 
 
 class Store:
-    """Objects with versions; the revision counts all writes."""
+    """Objects by kind and name; the revision counts all changes."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, Entry] = {}
-        self.revision = 0
+        self.entries: dict[tuple[str, str], Entry] = {}
+        self.revision = 1
+        self.forgotten = 0
         self.changed = asyncio.Event()
 
-    def live(self, key: str) -> Entry | None:
-        entry = self.entries.get(key)
+    def live(self, kind: str, name: str) -> Entry | None:
+        entry = self.entries.get((kind, name))
         return None if entry is None or entry.deleted else entry
 
-    def write(self, key: str, value: bytes, *, deleted: bool = False) -> Entry:
-        """Store a value, or a delete, under the next version."""
-        before = self.entries.get(key)
+    def write(
+        self,
+        kind: str,
+        name: str,
+        spec: typing.Any,
+        *,
+        status: typing.Any = None,
+        deleted: bool = False,
+    ) -> Entry:
+        """Store a value, or a delete; one that changes nothing is none."""
+        before = self.live(kind, name)
+        if (
+            before
+            and not deleted
+            and (before.spec, before.status)
+            == (
+                spec,
+                status,
+            )
+        ):
+            return before
         self.revision += 1
         entry = Entry(
-            key,
-            1 if before is None else before.version + 1,
+            kind,
+            name,
+            before.created if before else self.revision,
             self.revision,
-            value,
+            spec,
+            status,
             deleted,
+            time.monotonic(),
         )
-        self.entries[key] = entry
+        self.entries[kind, name] = entry
         self.changed.set()
         self.changed = asyncio.Event()
         return entry
 
-    def since(self, prefix: str, revision: int) -> list[Entry]:
+    def since(self, kind: str, revision: int) -> list[Entry]:
         """List what changed after a revision, deletes among it."""
         found = [
             entry
             for entry in self.entries.values()
-            if entry.revision > revision and entry.key.startswith(prefix)
+            if entry.revision > revision and entry.kind == kind
         ]
         return sorted(found, key=lambda entry: entry.revision)
 
+    def page(self, kind: str, after: str) -> tuple[list[Entry], bool]:
+        """Return some objects by name, and whether there are more."""
+        found = sorted(
+            (
+                entry
+                for entry in self.entries.values()
+                if entry.kind == kind
+                and not entry.deleted
+                and entry.name > after
+            ),
+            key=lambda entry: entry.name,
+        )
+        return found[:PAGE], len(found) > PAGE
+
+    def forget(self) -> None:
+        """Drop the history: watches from before now are refused."""
+        self.forgotten = self.revision
+        self.changed.set()
+        self.changed = asyncio.Event()
+
 
 class Platform:
     """The object API with faults that tests switch on and off."""
@@ -81,14 +141,16 @@
     def application(self) -> web.Application:
         app = web.Application(
             middlewares=[self._middleware()],
-            client_max_size=2 * MAX_VALUE_BYTES,
+            client_max_size=4 * MAX_VALUE_BYTES,
         )
         runner.add_control(app, self.control, self.report)
-        app.router.add_get('/v1/objects', self._async_list)
-        app.router.add_get('/v1/watch', self._async_watch)
-        app.router.add_get('/v1/objects/{key:.+}', self._async_get)
-        app.router.add_put('/v1/objects/{key:.+}', self._async_put)
-        app.router.add_delete('/v1/objects/{key:.+}', self._async_delete)
+        one = '/objects/{kind}/{name}'
+        app.router.add_get('/objects/{kind}', self._async_list)
+        app.router.add_post('/objects/{kind}', self._async_post)
+        app.router.add_get(one, self._async_get)
+        app.router.add_put(one, self._async_put)
+        app.router.add_put(f'{one}/status', self._async_put_status)
+        app.router.add_delete(one, self._async_delete)
         return app
 
     def control(self, order: dict) -> None:
@@ -99,6 +161,8 @@
         self.mode = mode
         self.delay_s = float(order.get('delay_s', self.delay_s))
         self.lose_answers = int(order.get('lose_answers', self.lose_answers))
+        if order.get('forget'):
+            self.store.forget()
         if order.get('reset_counts'):
             self.counts.clear()
             self._started = time.monotonic()
@@ -142,69 +206,116 @@
 
     async def _async_get(self, request: web.Request) -> web.Response:
         self.counts['get'] += 1
-        entry = self.store.live(request.match_info['key'])
+        entry = self.store.live(*_ids(request))
         if entry is None:
             return web.Response(status=404)
-        return web.Response(
-            body=entry.value, headers={HEADER_VERSION: str(entry.version)}
-        )
+        return web.json_response(entry.shown())
+
+    async def _async_post(self, request: web.Request) -> web.Response:
+        self.counts['put'] += 1
+        sent = json.loads(await request.read())
+        kind, name = request.match_info['kind'], sent['meta']['Name']
+        held = self.store.live(kind, name)
+        if held is not None:
+            return self._conflict(held)
+        entry = self.store.write(kind, name, sent.get('spec'))
+        return self._answer_write(request, entry)
 
     async def _async_put(self, request: web.Request) -> web.Response:
         self.counts['put'] += 1
-        value = await request.read()
-        if len(value) > MAX_VALUE_BYTES:
+        body = await request.read()
+        if len(body) > 2 * MAX_VALUE_BYTES:
             return web.Response(status=413)
-        if self._conflicts(request):
-            self.counts['conflict'] += 1
-            return web.Response(status=412)
-        entry = self.store.write(request.match_info['key'], value)
+        sent = json.loads(body)
+        held = self.store.live(*_ids(request))
+        if held is None:
+            return web.Response(status=404)
+        if self._conflicts(request, sent, held):
+            return self._conflict(held)
+        entry = self.store.write(
+            held.kind, held.name, sent.get('spec'), status=held.status
+        )
+        return self._answer_write(request, entry)
+
+    async def _async_put_status(self, request: web.Request) -> web.Response:
+        self.counts['put'] += 1
+        sent = json.loads(await request.read())
+        held = self.store.live(*_ids(request))
+        if held is None:
+            return web.Response(status=404)
+        if self._conflicts(request, sent, held):
+            return self._conflict(held)
+        entry = self.store.write(
+            held.kind, held.name, held.spec, status=sent.get('status')
+        )
         return self._answer_write(request, entry)
 
     async def _async_delete(self, request: web.Request) -> web.Response:
         self.counts['delete'] += 1
-        if self._conflicts(request):
-            self.counts['conflict'] += 1
-            return web.Response(status=412)
-        key = request.match_info['key']
-        if self.store.live(key) is None:
+        held = self.store.live(*_ids(request))
+        if held is None:
             return web.Response(status=404)
-        entry = self.store.write(key, b'', deleted=True)
+        if self._conflicts(request, {}, held):
+            return self._conflict(held)
+        entry = self.store.write(held.kind, held.name, None, deleted=True)
         return self._answer_write(request, entry)
 
     async def _async_list(self, request: web.Request) -> web.Response:
+        if 'Watch' in request.query:
+            return await self._async_watch(request)
         self.counts['list'] += 1
-        prefix = request.query.get('prefix', '')
-        entries = [
-            entry for entry in self.store.since(prefix, 0) if not entry.deleted
-        ]
-        return _listing(self.store.revision, entries)
+        kind = request.match_info['kind']
+        entries, more = self.store.page(kind, request.query.get('after', ''))
+        return web.json_response(
+            {
+                'items': [entry.shown() for entry in entries],
+                'HasMore': more,
+                'StoreRevision': self.store.revision,
+            }
+        )
 
     async def _async_watch(self, request: web.Request) -> web.Response:
         self.counts['watch'] += 1
-        prefix = request.query.get('prefix', '')
-        since = int(request.query.get('since', 0))
-        timeout = float(request.query.get('timeout', 30.0))
+        kind = request.match_info['kind']
+        since = int(request.query['Watch'])
+        timeout = int(request.query.get('WaitMs', 30000)) / 1000
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout):
-                while not self.store.since(prefix, since):
+                while since >= self.store.forgotten and not self.store.since(
+                    kind, since
+                ):
                     await self.store.changed.wait()
-        return _listing(self.store.revision, self.store.since(prefix, since))
+        if since < self.store.forgotten:
+            self.counts['gone'] += 1
+            return web.Response(status=410)
+        changed = [
+            {'Object': entry.shown(), 'Deleted': entry.deleted}
+            for entry in self.store.since(kind, since)
+        ]
+        return web.json_response(
+            {'events': changed, 'StoreRevision': self.store.revision}
+        )
 
-    def _conflicts(self, request: web.Request) -> bool:
-        entry = self.store.live(request.match_info['key'])
-        if request.headers.get('If-None-Match') == '*':
-            return entry is not None
-        expected = request.headers.get('If-Match')
-        if expected is None:
-            return False
-        return entry is None or str(entry.version) != expected.strip('"')
+    def _conflicts(self, request: web.Request, sent: dict, held: Entry) -> bool:
+        expected = request.query.get(
+            'Revision', sent.get('meta', {}).get('Revision')
+        )
+        return expected is not None and int(expected) != held.revision
+
+    def _conflict(self, held: Entry) -> web.Response:
+        self.counts['conflict'] += 1
+        return web.json_response(held.shown(), status=409)
 
     def _answer_write(self, request: web.Request, entry: Entry) -> web.Response:
         if self.lose_answers > 0:
             self.lose_answers -= 1
             self.counts['lost_answer'] += 1
             return _drop(request)
-        return web.Response(headers={HEADER_VERSION: str(entry.version)})
+        return web.json_response(entry.shown())
+
+
+def _ids(request: web.Request) -> tuple[str, str]:
+    return request.match_info['kind'], request.match_info['name']
 
 
 def _drop(request: web.Request) -> web.Response:
@@ -213,19 +324,6 @@
     return web.Response(status=503)
 
 
-def _listing(revision: int, entries: list[Entry]) -> web.Response:
-    found = [
-        {
-            'key': entry.key,
-            'version': entry.version,
-            'value': base64.b64encode(entry.value).decode(),
-            'deleted': entry.deleted,
-        }
-        for entry in entries
-    ]
-    return web.json_response({'revision': revision, 'objects': found})
-
-
 def main() -> None:
     """Run the stand-in from the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/standins/update_relay.py
+++ b/tests/standins/update_relay.py
@@ -1,6 +1,7 @@
 """Relay between a process and the platform that spoils updates of one key."""
 
 import asyncio
+import base64
 import json
 import typing
 from collections import abc
@@ -8,10 +9,11 @@
 import aiohttp
 from aiohttp import web
 
-KEY = 'config/document'
+PATHS = {
+    'PUT': '/objects/config/document',
+    'POST': '/objects/config',
+}
 LATE_S = 0.3
-PASSED_HEADERS = ('If-Match', 'If-None-Match')
-HEADER_VERSION = 'X-Object-Version'
 
 Hook = abc.Callable[[], abc.Awaitable[object]]
 
@@ -77,10 +79,10 @@
         if self._silent:
             return _break(request)
         body = await request.read()
-        if request.method == 'PUT' and request.path.endswith(KEY):
+        if _is_update(request, body):
             return await self._async_spoil(request, body)
-        status, headers, answer = await self._async_send(request, body)
-        return web.Response(status=status, headers=headers, body=answer)
+        status, answer = await self._async_send(request, body)
+        return web.Response(status=status, body=answer)
 
     async def _async_spoil(
         self, request: web.Request, body: bytes
@@ -93,51 +95,49 @@
             self._late.add(task)
         if plan.before is not None:
             await plan.before()
-        status, headers = 0, {}
+        status, answer = 0, b''
         for _ in range(plan.forwards):
-            status, headers, _body = await self._async_send(request, body)
+            status, answer = await self._async_send(request, body)
             self.updates.append(Update(_identifier(body), status))
         if plan.after is not None:
             await plan.after()
         self._silent = plan.silent
         if not plan.answers:
             return _break(request)
-        return web.Response(status=status, headers=headers)
+        return web.Response(status=status, body=answer)
 
     async def _async_update(
         self, request: web.Request, body: bytes, delay_s: float
     ) -> Update:
         await asyncio.sleep(delay_s)
-        status, _headers, _body = await self._async_send(request, body)
+        status, _answer = await self._async_send(request, body)
         update = Update(_identifier(body), status)
         self.updates.append(update)
         return update
 
     async def _async_send(
         self, request: web.Request, body: bytes
-    ) -> tuple[int, dict[str, str], bytes]:
-        headers = {
-            name: request.headers[name]
-            for name in PASSED_HEADERS
-            if name in request.headers
-        }
+    ) -> tuple[int, bytes]:
         async with (
             aiohttp.ClientSession() as session,
             session.request(
-                request.method,
-                f'{self._url}{request.path_qs}',
-                headers=headers,
-                data=body,
+                request.method, f'{self._url}{request.path_qs}', data=body
             ) as response,
         ):
             answer = await response.read()
-        version = response.headers.get(HEADER_VERSION)
-        named = {} if version is None else {HEADER_VERSION: version}
-        return response.status, named, answer
+        return response.status, answer
+
+
+def _is_update(request: web.Request, body: bytes) -> bool:
+    """Tell whether a call writes the document, and no audit entry."""
+    if request.path != PATHS.get(request.method):
+        return False
+    return json.loads(body)['meta']['Name'] == 'document'
 
 
 def _identifier(body: bytes) -> str:
-    return json.loads(body)['identifier']
+    data = base64.b64decode(json.loads(body)['spec']['data'])
+    return json.loads(data)['identifier']
 
 
 def _break(request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/stored.py
@@ -0,0 +1,33 @@
+"""Objects of the platform stand-in, read and written past the programs."""
+
+import urllib.error
+import urllib.request
+
+from kumquatport.platform import answers, calls
+
+TIMEOUT_S = 5.0
+
+
+def get(root: str, key: str) -> tuple[int, bytes]:
+    """Return version and value of an object; raise OSError without one."""
+    url = str(calls.object_url(root, key))
+    with urllib.request.urlopen(url, timeout=TIMEOUT_S) as answer:
+        stored = answers.stored(answer.read(), key)
+    return stored.version, stored.value
+
+
+def put(root: str, key: str, value: bytes) -> int:
+    """Write an object whatever it holds; return its new version."""
+    try:
+        version, _ = get(root, key)
+    except urllib.error.HTTPError:
+        return _send(calls.post(root, key, value))
+    return _send(calls.put(root, key, value, version + 1, None))
+
+
+def _send(call: calls.Call) -> int:
+    request = urllib.request.Request(
+        str(call.url), call.body, method=call.kind.upper()
+    )
+    with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
+        return answers.stored(answer.read(), call.key).version
--- a/tests/unit/process/platform/test_client.py
+++ b/tests/unit/platform/test_client.py
@@ -26,16 +26,17 @@
         self.addAsyncCleanup(self.client.async_stop)
 
     async def test_update(self):
-        version = await self.client.async_put('a', b'0', 0)
+        version = await self.client.async_put('a/b', b'0', 0)
         self.platform.control({'lose_answers': 1})
         with self.assertRaises(exceptions.OutcomeUnknownError):
-            await self.client.async_put('a', b'1', version)
+            await self.client.async_put('a/b', b'1', version)
         self.assertEqual(self.platform.counts['put'], 2)
-        self.assertEqual(self.platform.store.live('a').value, b'1')
+        stored = await self.client.async_get('a/b')
+        self.assertEqual((stored.version, stored.value), (2, b'1'))
 
     async def test_delete(self):
-        await self.client.async_put('a', b'0', 0)
+        await self.client.async_put('a/b', b'0', 0)
         self.platform.control({'lose_answers': 1})
         with self.assertRaises(exceptions.OutcomeUnknownError):
-            await self.client.async_delete('a', 1)
+            await self.client.async_delete('a/b', 1)
         self.assertEqual(self.platform.counts['delete'], 1)
--- a/tests/unit/test_standins.py
+++ b/tests/unit/test_standins.py
@@ -39,58 +39,89 @@
         self.platform = platform.Platform()
         await self.async_serve(self.platform.application())
 
-    async def put(self, value, **headers):
-        fields = {key.replace('_', '-'): val for key, val in headers.items()}
-        async with self.client.put(
-            '/v1/objects/a/b', data=value, headers=fields
+    async def send(self, method, path, spec=None, revision=None):
+        meta = {'Name': 'b'}
+        if revision is not None:
+            meta['Revision'] = revision
+        async with self.client.request(
+            method, path, json={'meta': meta, 'spec': spec}
         ) as answer:
-            return answer.status, answer.headers.get('X-Object-Version')
-
-    async def test_versions_and_conditions(self):
-        self.assertEqual(await self.put(b'1', If_None_Match='*'), (200, '1'))
-        self.assertEqual((await self.put(b'2', If_None_Match='*'))[0], 412)
-        self.assertEqual(await self.put(b'2', If_Match='1'), (200, '2'))
-        self.assertEqual((await self.put(b'3', If_Match='1'))[0], 412)
-        async with self.client.delete('/v1/objects/a/b') as answer:
+            if answer.content_type != 'application/json':
+                return answer.status, None
+            shown = await answer.json()
+            return answer.status, shown['meta']['Revision']
+
+    async def test_revisions_and_conditions(self):
+        self.assertEqual(await self.send('POST', '/objects/a', 1), (200, 2))
+        self.assertEqual(await self.send('POST', '/objects/a', 2), (409, 2))
+        one = '/objects/a/b'
+        self.assertEqual(await self.send('PUT', one, 2, 2), (200, 3))
+        self.assertEqual(await self.send('PUT', one, 3, 2), (409, 3))
+        self.assertEqual(await self.send('PUT', one, 2, 3), (200, 3))
+        async with self.client.delete(f'{one}?Revision=2') as answer:
+            self.assertEqual(answer.status, 409)
+        async with self.client.delete(f'{one}?Revision=3') as answer:
             self.assertEqual(answer.status, 200)
-        async with self.client.get('/v1/objects/a/b') as answer:
+        async with self.client.get(one) as answer:
             self.assertEqual(answer.status, 404)
-        self.assertEqual(await self.put(b'4', If_None_Match='*'), (200, '4'))
-        self.assertEqual((await self.put(b'x' * ((1 << 20) + 1)))[0], 413)
+        self.assertEqual((await self.send('PUT', one, 4))[0], 404)
+        self.assertEqual((await self.send('POST', '/objects/a', 4))[0], 200)
+        long = 'x' * (2 * platform.MAX_VALUE_BYTES + 1)
+        self.assertEqual((await self.send('PUT', one, long))[0], 413)
 
     async def test_watch_waits_for_the_next_write(self):
-        watch = asyncio.create_task(self.watch(since=0, timeout=5))
+        watch = asyncio.create_task(self.watch(1, 5000))
         await asyncio.sleep(0.05)
-        await self.put(b'new')
-        listing = await watch
-        self.assertEqual(listing['revision'], 1)
-        self.assertEqual(listing['objects'][0]['value'], 'bmV3')
-        empty = await self.watch(since=1, timeout=0.05)
-        self.assertEqual(empty, {'revision': 1, 'objects': []})
+        await self.send('POST', '/objects/a', 'new')
+        status, listing = await watch
+        self.assertEqual(status, 200)
+        self.assertEqual(listing['StoreRevision'], 2)
+        self.assertEqual(listing['events'][0]['Object']['spec'], 'new')
+        empty = await self.watch(2, 50)
+        self.assertEqual(empty, (200, {'StoreRevision': 2, 'events': []}))
         self.assertEqual(self.platform.counts['watch'], 2)
 
-    async def watch(self, **query):
-        params = {'prefix': 'a/', **query}
-        async with self.client.get('/v1/watch', params=params) as answer:
-            return await answer.json()
+    async def test_forgotten_history_is_said(self):
+        await self.send('POST', '/objects/a', 1)
+        self.platform.control({'forget': True})
+        self.assertEqual((await self.watch(1, 50))[0], 410)
+
+    async def test_pages_go_on_after_a_name(self):
+        for number in range(platform.PAGE + 2):
+            self.platform.store.write('a', f'{number:04}', number)
+        async with self.client.get('/objects/a') as answer:
+            first = await answer.json()
+        self.assertTrue(first['HasMore'])
+        last = first['items'][-1]['meta']['Name']
+        async with self.client.get(f'/objects/a?after={last}') as answer:
+            second = await answer.json()
+        self.assertEqual(len(second['items']), 2)
+        self.assertFalse(second['HasMore'])
+
+    async def watch(self, since, wait_ms):
+        params = {'Watch': since, 'WaitMs': wait_ms}
+        async with self.client.get('/objects/a', params=params) as answer:
+            if answer.status != 200:
+                return answer.status, None
+            return answer.status, await answer.json()
 
     async def test_lost_answer_has_taken_effect(self):
         self.platform.control({'lose_answers': 1})
         with self.assertRaises(aiohttp.ClientError):
-            await self.put(b'1')
-        self.assertEqual(self.platform.store.live('a/b').value, b'1')
-        self.assertEqual(await self.put(b'2'), (200, '2'))
+            await self.send('POST', '/objects/a', 1)
+        self.assertEqual(self.platform.store.live('a', 'b').spec, 1)
+        self.assertEqual(await self.send('PUT', '/objects/a/b', 2), (200, 3))
 
     async def test_down_drops_waiting_watches(self):
-        watch = asyncio.create_task(self.watch(since=0, timeout=5))
+        watch = asyncio.create_task(self.watch(1, 5000))
         await asyncio.sleep(0.05)
         self.platform.control({'mode': 'down'})
         with self.assertRaises(aiohttp.ClientError):
             await watch
         with self.assertRaises(aiohttp.ClientError):
-            await self.put(b'1')
+            await self.send('POST', '/objects/a', 1)
         self.platform.control({'mode': 'up'})
-        self.assertEqual(await self.put(b'1'), (200, '1'))
+        self.assertEqual(await self.send('POST', '/objects/a', 1), (200, 2))
 
 
 class BackendServerTest(StandInTest):
