--- a/kumquatport/platform/__main__.py
+++ b/kumquatport/platform/__main__.py
@@ -14,15 +14,9 @@
 
 import kumquatport
 from kumquatport import exceptions
-from kumquatport.platform import (
-    client,
-    configuration,
-    inbound,
-    packet,
-    settings,
-)
+from kumquatport.platform import configuration, packet, settings
 from kumquatport.process import logs
-from kumquatport.process.packets import models, reload, watch
+from kumquatport.process.packets import models, outside, reload, watch
 from kumquatport.process.program import const, runner
 
 _LOGGER = structlog.get_logger(__name__)
@@ -78,14 +72,14 @@
 def _service(
     role: str, own: models.Settings, source: pathlib.Path
 ) -> mode.Service:
+    def load() -> outside.Outside:
+        return _outside(own.store.url)
+
     # Imported here, so that a role loads what it uses and nothing else.
-    store = client.PlatformClient(own.store.url, STORE_TIMEOUT_S)
     if role == ROLE_AGENT:
         from kumquatport.process.packets import agent
 
-        service: typing.Any = agent.Agent(
-            own, packet.CODEC, store, inbound.CALLS
-        )
+        service: typing.Any = agent.Agent(own, packet.CODEC, load)
         return _reloaded(service, own, source)
     from kumquatport.process.packets import balancer
 
@@ -94,12 +88,23 @@
         configuration.KIND_EVACUATIONS,
         configuration.decode,
     )
-    service = balancer.Balancer(
-        own, packet.CODEC, store, operators, inbound.CALLS
-    )
+    service = balancer.Balancer(own, packet.CODEC, operators, load)
     return _reloaded(service, own, source)
 
 
+def _outside(url: str) -> outside.Outside:
+    """Load what needs the HTTP library."""
+    from kumquatport.platform import client, inbound
+    from kumquatport.process.packets import http
+
+    return outside.Outside(
+        client.PlatformClient(url, STORE_TIMEOUT_S),
+        inbound.ready,
+        inbound.heartbeats,
+        http.async_serve,
+    )
+
+
 def _reloaded(
     service: typing.Any, own: models.Settings, source: pathlib.Path
 ) -> mode.Service:
--- a/kumquatport/platform/inbound.py
+++ b/kumquatport/platform/inbound.py
@@ -7,7 +7,7 @@
 
 from kumquatport import exceptions
 from kumquatport.platform import heartbeat
-from kumquatport.process.packets import http, models
+from kumquatport.process.packets import models
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -57,6 +57,3 @@
     app.router.add_put(one, beat)
     app.router.add_delete(one, gone)
     return app
-
-
-CALLS = http.Calls(ready, heartbeats)
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -5,9 +5,8 @@
 from collections import abc
 
 import mode
-from aiohttp import web
 
-from kumquatport import exceptions, objects
+from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
@@ -16,9 +15,9 @@
     const,
     datagrams,
     discovery,
-    http,
     mesh,
     models,
+    outside,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -31,16 +30,14 @@
         self,
         settings: models.Settings,
         codec: packets.Codec,
-        store: objects.ObjectApi,
-        calls: http.Calls,
+        load: outside.Load,
     ) -> None:
         """Build the parts; nothing runs yet.
 
         Args:
             settings: Of this process.
             codec: Format of the packets.
-            store: The platform's store.
-            calls: Of the platform and the backend server.
+            load: Loads what needs HTTP; called in a thread.
 
         Raises:
             StartError: The settings are not those of an agent.
@@ -53,7 +50,7 @@
         self._outbound = settings.outbound
         self._heartbeats = settings.heartbeats
         self._target = target
-        self._calls = calls
+        self._load = load
         self._beliefs = beliefs.Beliefs()
         self._mesh = mesh.Mesh(settings, members.KIND_AGENT, self._beliefs)
         self._carrier = carrier.Carrier(
@@ -62,16 +59,14 @@
         self._mesh.on_frame = self._carrier.on_frame
         self._mesh.load = self._carrier.load
         self._mesh.on_told_draining = self._carrier.backend_server.told_draining
-        self._store = store
-        self._discovery = discovery.Discovery(
-            store, self._mesh, is_first=settings.is_first_start
-        )
+        self._outside: outside.Outside | None = None
+        self._discovery: discovery.Discovery | None = None
         self._undo: list[abc.Callable[[], None]] = []
-        self._runners: list[web.AppRunner] = []
+        self._servers: list[outside.Server] = []
 
     def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
         """Return the services that run as long as this one."""
-        return (self._store, self._mesh, self._discovery)
+        return (self._mesh,)
 
     async def on_start(self) -> None:
         """Bind the sockets and take heartbeats.
@@ -83,24 +78,39 @@
             self._outbound, self._carrier.on_outbound
         )
         self._undo.append(close)
-        ready = self._calls.ready(lambda: not self._carrier.is_leaving)
-        heartbeats = self._calls.heartbeats(self._take_report, self._take_exit)
-        self._runners = [
-            await http.async_serve(ready, self._settings.ready),
-            await http.async_serve(heartbeats, self._heartbeats),
-        ]
         self.add_future(self._async_sweep())
 
     async def on_started(self) -> None:
-        """Tell the others that this agent takes flows."""
+        """Tell the others that this agent takes flows, then take heartbeats.
+
+        Raises:
+            StartError: An address or port cannot be had.
+        """
         self._mesh.own.update(members_const.STATE_READY, None)
+        loaded = await asyncio.to_thread(self._load)
+        self._outside = loaded
+        await loaded.store.async_setup()
+        heartbeats = loaded.heartbeats(self._take_report, self._take_exit)
+        self._servers.append(
+            await loaded.async_serve(heartbeats, self._heartbeats)
+        )
+        ready = loaded.ready(lambda: not self._carrier.is_leaving)
+        self._servers.append(
+            await loaded.async_serve(ready, self._settings.ready)
+        )
+        self._discovery = discovery.Discovery(
+            loaded.store, self._mesh, is_first=self._settings.is_first_start
+        )
+        await self.add_runtime_dependency(self._discovery)
 
     async def on_stop(self) -> None:
         """Close the sockets."""
         while self._undo:
             self._undo.pop()()
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._servers:
+            await server.cleanup()
+        if self._outside is not None:
+            await self._outside.store.async_stop()
 
     async def async_drain(self) -> None:
         """Leave at a moment without requests in progress, soon.
@@ -119,7 +129,8 @@
         self._carrier.tell_flows()
         if is_gone:
             self._mesh.own.update(members_const.STATE_GONE, None)
-            await self._discovery.async_remove()
+            if self._discovery is not None:
+                await self._discovery.async_remove()
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -6,9 +6,8 @@
 from collections import abc
 
 import mode
-from aiohttp import web
 
-from kumquatport import exceptions, objects
+from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
     beliefs,
@@ -16,9 +15,9 @@
     datagrams,
     discovery,
     forwarder,
-    http,
     mesh,
     models,
+    outside,
     watch,
 )
 from kumquatport.version import members
@@ -32,18 +31,16 @@
         self,
         settings: models.Settings,
         codec: packets.Codec,
-        store: objects.ObjectApi,
         operators: watch.Operators,
-        calls: http.Calls,
+        load: outside.Load,
     ) -> None:
         """Build the parts; nothing runs yet.
 
         Args:
             settings: Of this process.
             codec: Format of the packets.
-            store: The platform's store.
             operators: How operators write to the store.
-            calls: Of the platform.
+            load: Loads what needs HTTP; called in a thread.
 
         Raises:
             StartError: The settings are not those of a balancer.
@@ -53,8 +50,8 @@
             raise exceptions.StartError('settings are not those of a balancer')
         self._settings = settings
         self._entry = settings.entry
-        self._calls = calls
-        self._store = store
+        self._operators = operators
+        self._load = load
         self._beliefs = beliefs.Beliefs()
         self._mesh = mesh.Mesh(settings, members.KIND_BALANCER, self._beliefs)
         self._forwarder = forwarder.Forwarder(
@@ -62,19 +59,14 @@
         )
         self._mesh.on_frame = self._forwarder.on_frame
         self._mesh.on_return = self._forwarder.on_return
-        self._watch = watch.StoreWatch(
-            operators, store, self._beliefs, self._mesh
-        )
-        self._discovery = discovery.Discovery(
-            store, self._mesh, is_first=settings.is_first_start
-        )
+        self._outside: outside.Outside | None = None
         self._is_leaving = False
         self._undo: list[abc.Callable[[], None]] = []
-        self._runners: list[web.AppRunner] = []
+        self._servers: list[outside.Server] = []
 
     def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
         """Return the services that run as long as this one."""
-        return (self._store, self._mesh, self._discovery, self._watch)
+        return (self._mesh,)
 
     async def on_start(self) -> None:
         """Bind the sockets.
@@ -84,23 +76,41 @@
         """
         _, close = datagrams.listen(self._entry, self._forwarder.on_client)
         self._undo.append(close)
-        self._runners.append(
-            await http.async_serve(
-                self._calls.ready(self._is_ready), self._settings.ready
-            )
-        )
         self.add_future(self._async_sweep())
 
     async def on_started(self) -> None:
-        """Tell the others that this balancer takes packets."""
+        """Tell the others that this balancer takes packets; ask the store.
+
+        Raises:
+            StartError: An address or port cannot be had.
+        """
         self._mesh.own.update(members_const.STATE_READY, None)
+        loaded = await asyncio.to_thread(self._load)
+        self._outside = loaded
+        store = loaded.store
+        await store.async_setup()
+        await self.add_runtime_dependency(
+            watch.StoreWatch(self._operators, store, self._beliefs, self._mesh)
+        )
+        await self.add_runtime_dependency(
+            discovery.Discovery(
+                store, self._mesh, is_first=self._settings.is_first_start
+            )
+        )
+        self._servers.append(
+            await loaded.async_serve(
+                loaded.ready(self._is_ready), self._settings.ready
+            )
+        )
 
     async def on_stop(self) -> None:
         """Close the sockets."""
         while self._undo:
             self._undo.pop()()
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._servers:
+            await server.cleanup()
+        if self._outside is not None:
+            await self._outside.store.async_stop()
 
     async def async_drain(self) -> None:
         """Refuse to be ready, and forward until the platform has seen it."""
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -201,14 +201,14 @@
         if reason:
             return reason
         now = clock.now()
-        if not self.backend_server.is_cold:
+        per_s = self._cold_per_s()
+        if not self.backend_server.is_cold or per_s <= 0:
             self._cold.note(now)
             return 0
-        if self._cold.take(self._cold_per_s(), now):
-            return 0
-        return frame.REASON_COLD
+        return 0 if self._cold.take(per_s, now) else frame.REASON_COLD
 
     def _cold_per_s(self) -> float:
+        """Return the new flows a second borne while cold; 0 for no limit."""
         routes = self._beliefs.routes
         rule = routes and routes.services.get(self._settings.service)
         return rule.cold_per_s if rule else 0
--- a/kumquatport/process/packets/http.py
+++ b/kumquatport/process/packets/http.py
@@ -1,7 +1,6 @@
 """HTTP towards the platform and backend servers."""
 
 import typing
-from collections import abc
 
 from aiohttp import web
 
@@ -12,24 +11,6 @@
 STOP_S: typing.Final = 0.1
 
 
-class Calls(typing.NamedTuple):
-    """Builders of the applications, given by the adapter to the platform.
-
-    Attributes:
-        ready: Answers whether this process takes packets.
-        heartbeats: Takes heartbeats and the word that a backend server exits.
-    """
-
-    ready: abc.Callable[[abc.Callable[[], bool]], web.Application]
-    heartbeats: abc.Callable[
-        [
-            abc.Callable[[models.BackendServerReport], None],
-            abc.Callable[[str], None],
-        ],
-        web.Application,
-    ]
-
-
 async def async_serve(
     app: web.Application, endpoint: models.Endpoint
 ) -> web.AppRunner:
