No reset of an unknown flow before all agents of its service are known

Change: a flow is given up only when the members were read whole, or agree with a peer's, and no agent of the service was new in the last second.

--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -21,6 +21,10 @@
 # Seconds of silence after which a peer is forgotten, if nobody else hears it.
 FORGET_S: typing.Final = 90.0
 
+# Seconds after the last new agent of a service until all are taken to be
+# known: a few rounds of greetings.
+MEMBERS_SETTLED_S: typing.Final = 1.0
+
 # Seconds between two comparisons of the members with one peer.
 COMPARE_S: typing.Final = 1.0
 
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -94,7 +94,9 @@
         """Read some of the members; tell whether this one is among them."""
         page = await self._store.async_page(const.KIND_INSTANCES, '')
         found = list(page.objects)
-        if page.has_more:
+        if not page.has_more:
+            self._mesh.members_read()
+        else:
             # The others are learnt from those of the pages read.
             page = await self._store.async_page(
                 const.KIND_INSTANCES, own.instance[:-1]
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -237,7 +237,7 @@
             record for record in holders if record.instance not in flow.missing
         ]
         if not asked:
-            self._give_up(packet, flow, bool(holders))
+            self._give_up(packet, route, flow)
             return
         tests = self._tests_left(flow, asked)
         self._log.note(
@@ -274,10 +274,23 @@
         return MAX_TESTS - len(flow.tests)
 
     def _give_up(
-        self, packet: packets.Packet, flow: placed.Placed, had_holders: bool
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        flow: placed.Placed,
     ) -> None:
-        """Reset a flow that no agent holds; silence where none is known."""
-        if not had_holders:
+        """Reset a flow that no agent holds.
+
+        An agent that is not known yet may hold it; the client sends its
+        packet again, and by then more are known.
+        """
+        services = [share.service for share in route.shares]
+        if not all(self._mesh.knows_all(service) for service in services):
+            self._log.note(
+                'flow not found yet', packet.flow, missing=len(flow.missing)
+            )
+            return
+        if not self._holders(route):
             return
         self._flows.drop(packet.flow)
         self._refuse(packet, 'not_held', missing=len(flow.missing))
@@ -354,7 +367,7 @@
         flow.missing.add(instance)
         left = {one.instance for one in self._holders(route)} - flow.missing
         if not left:
-            self._give_up(packet, flow, had_holders=True)
+            self._give_up(packet, route, flow)
         elif was_last:
             flow.is_settled = False
             self._look_up(packet, route, flow)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -56,6 +56,7 @@
         drains: Whether its backend server drained when it last told of it,
             also if its process has started again since.
         has_watch: Whether it asks the store itself.
+        members_digest: Digest of the records that it holds.
         compared_at: Monotonic seconds of the last comparison of members.
         is_suspect: Whether it has been logged as silent.
     """
@@ -68,6 +69,7 @@
         'incarnation',
         'is_suspect',
         'load',
+        'members_digest',
         'placed',
     )
 
@@ -78,6 +80,7 @@
         self.load: messages.Load | None = None
         self.placed = 0
         self.drains = False
+        self.members_digest = 0
         self.has_watch = False
         self.compared_at = -math.inf
         self.is_suspect = True
@@ -139,6 +142,8 @@
         self._outside: Outside | None = None
         self._is_told_soon = False
         self._fetching = False
+        self._are_members_read = False
+        self._grown_at: dict[str, float] = {}
         self.registry.subscribe(self._on_record)
         self.own.changes.subscribe(self.tell_soon)
         held.subscribe(self.tell_soon)
@@ -216,6 +221,23 @@
             names.append(self._settings.instance)
         return sorted(set(names))
 
+    def members_read(self) -> None:
+        """Note that all members that the store knew have been learnt."""
+        self._are_members_read = True
+
+    def knows_all(self, service: str) -> bool:
+        """Tell whether every agent of a service is likely to be known.
+
+        A process that has just started learns them one after the other.
+
+        Args:
+            service: Name of the service.
+        """
+        grown_at = self._grown_at.get(service, -math.inf)
+        if clock.now() - grown_at < const.MEMBERS_SETTLED_S:
+            return False
+        return self._are_members_read or self._agrees_with_peer()
+
     def hello(self, addresses: abc.Iterable[str]) -> None:
         """Tell instances of this one that may not know it."""
         message = messages.encode(self._heartbeat(wants_answer=True))
@@ -422,6 +444,7 @@
     ) -> None:
         """Ask for the records that differ, now and then."""
         now = clock.now()
+        peer.members_digest = digest
         if digest == self.registry.total_digest():
             return
         if now - peer.compared_at < const.COMPARE_S:
@@ -464,6 +487,8 @@
             if self._by_address.get(record.address) == record.instance:
                 self._by_address.pop(record.address)
             return
+        if previous is None and record.service:
+            self._grown_at[record.service] = clock.now()
         if previous is None or previous.state != record.state:
             _LOGGER.info(
                 'instance changed',
@@ -474,6 +499,16 @@
             )
         self._take_address(record)
 
+    def _agrees_with_peer(self) -> bool:
+        """Tell whether a balancer that is heard holds the same members."""
+        own = self.registry.total_digest()
+        return any(
+            peer.members_digest == own
+            for record in self.registry.balancers()
+            if (peer := self._peers.get(record.instance)) is not None
+            and not self.is_suspect(record.instance)
+        )
+
     def _take_address(self, record: members.InstanceRecord) -> None:
         """Note who is at an address; an earlier instance there is gone."""
         former = self._by_address.get(record.address, record.instance)
--- /dev/null
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -0,0 +1,243 @@
+"""The balancer's packets, one by one."""
+
+import random
+import unittest
+from unittest import mock
+
+from kumquatport.connection.packets import frame
+from kumquatport.process.packets import (
+    beliefs,
+    const,
+    forwarder,
+    mesh,
+    messages,
+)
+from kumquatport.version import members, routes
+from kumquatport.version.members import const as members_const
+from tests.builders import packets as builders
+
+AGENTS = {'side-1': '10.0.0.11', 'side-2': '10.0.0.12', 'side-3': '10.0.0.13'}
+
+
+class ForwarderTest(unittest.TestCase):
+    """Where packets go, and when a client is told that its flow is lost."""
+
+    def setUp(self):
+        self.now = 1000.0
+        patch = mock.patch('kumquatport.helpers.clock.now', lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.sent = []
+        self.beliefs = beliefs.Beliefs()
+        settings = builders.settings(
+            instance='front-1', address='10.0.0.1', service='', outbound=None
+        )
+        self.mesh = mesh.Mesh(settings, members.KIND_BALANCER, self.beliefs)
+        self.mesh.connect(
+            mesh.Outside(self._send, lambda call: None, lambda *_: None)
+        )
+        self.forwarder = forwarder.Forwarder(
+            settings,
+            builders.CODEC,
+            self.beliefs,
+            self.mesh,
+            random.Random(1),
+        )
+        self.beliefs.offer_routes(routes.encode(builders.table()), 'test')
+        self.flow = builders.flow()
+
+    def _send(self, datagram, endpoint):
+        self.sent.append((datagram, endpoint))
+        return True
+
+    def hear(self, instance, incarnation=1, **load):
+        """Take a heartbeat of an agent."""
+        address = AGENTS[instance]
+        beat = messages.Heartbeat(
+            builders.record(instance, address=address, incarnation=incarnation),
+            builders.load(**load),
+            self.beliefs.told(),
+            self.mesh.registry.total_digest(),
+            wants_answer=False,
+        )
+        self.mesh.on_datagram(messages.encode(beat), (address, 7000))
+
+    def settle(self, *instances):
+        """Know the agents, for long enough to know that there is no other."""
+        for instance in instances or AGENTS:
+            self.hear(instance)
+        self.mesh.members_read()
+        self.now += const.MEMBERS_SETTLED_S + 0.1
+        for instance in instances or AGENTS:
+            self.hear(instance)
+
+    def client(self, datagram):
+        self.sent.clear()
+        self.forwarder.on_client(datagram, (builders.CLIENT, 9000))
+
+    def back(self, instance, datagram, reason=frame.REASON_NOT_HELD):
+        self.sent.clear()
+        message = frame.pack(frame.KIND_RETURN, reason, 1, datagram)
+        self.forwarder.on_frame(message, AGENTS[instance])
+
+    def forwards(self):
+        """Return the agents that were sent a packet, with the detail."""
+        names = {address: name for name, address in AGENTS.items()}
+        return [
+            (names[endpoint[0]], frame.unpack(datagram).detail)
+            for datagram, endpoint in self.sent
+            if datagram[0] == frame.KIND_FORWARD
+        ]
+
+    def resets(self):
+        return [
+            datagram
+            for datagram, endpoint in self.sent
+            if endpoint == (builders.CLIENT, 9000)
+        ]
+
+    def test_packets_follow_the_opening_one(self):
+        self.settle()
+        self.client(builders.datagram(self.flow, builders.SYN))
+        (chosen,) = self.forwards()
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assertEqual(self.forwards(), [chosen])
+
+    def test_a_copy_goes_to_another_agent_and_then_the_holder_settles(self):
+        self.settle()
+        self.client(builders.datagram(self.flow, builders.SYN))
+        ((first, _),) = self.forwards()
+        self.client(builders.datagram(self.flow, builders.SYN, acknowledged=1))
+        ((second, _),) = self.forwards()
+        self.assertNotEqual(first, second)
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assertEqual(
+            self.forwards(), [(first, frame.ASK), (second, frame.ASK)]
+        )
+        held = frame.pack_held([self.flow])
+        self.forwarder.on_frame(held, AGENTS[second])
+        self.client(builders.datagram(self.flow, acknowledged=6))
+        self.assertEqual(self.forwards(), [(second, 0)])
+
+    def test_an_unknown_flow_is_asked_for_everywhere(self):
+        self.settle()
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assertEqual(
+            sorted(self.forwards()),
+            [(name, frame.ASK) for name in sorted(AGENTS)],
+        )
+
+    def test_a_flow_that_nobody_holds_is_reset_at_once(self):
+        self.settle()
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        for instance in ('side-1', 'side-2'):
+            self.back(instance, packet)
+            self.assertEqual(self.resets(), [])
+        self.back('side-3', packet)
+        self.assertEqual(len(self.resets()), 1)
+
+    def test_no_reset_while_one_has_not_answered(self):
+        self.settle()
+        packet = builders.datagram(self.flow, acknowledged=5)
+        for _ in range(3):
+            self.client(packet)
+            self.back('side-1', packet)
+            self.back('side-2', packet)
+        self.assertEqual(self.resets(), [])
+
+    def test_no_reset_before_all_agents_are_known(self):
+        """A balancer that just started knew two of three (grown trouble-1)."""
+        self.settle('side-1', 'side-2')
+        self.mesh = None
+        self.setUp()
+        self.hear('side-1')
+        self.hear('side-2')
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        self.back('side-1', packet)
+        self.back('side-2', packet)
+        self.assertEqual(self.resets(), [])
+        self.hear('side-3')
+        self.client(packet)
+        self.assertEqual(self.forwards(), [('side-3', frame.ASK)])
+
+    def test_tests_are_few_while_the_holder_may_be_out_of_reach(self):
+        self.settle()
+        self.hear('side-1', is_sure=False)
+        self.hear('side-2', is_sure=False)
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.now += 0.5
+        self.hear('side-1', is_sure=False)
+        self.hear('side-2', is_sure=False)
+        self.now += 0.8
+        self.hear('side-1', is_sure=False)
+        self.hear('side-2', is_sure=False)
+        tested = 0
+        for _ in range(4):
+            self.client(packet)
+            tested += sum(
+                bool(detail & frame.TEST) for _, detail in self.forwards()
+            )
+        self.assertLessEqual(tested, forwarder.MAX_TESTS)
+
+    def test_a_returned_opening_packet_tries_the_others(self):
+        self.settle()
+        packet = builders.datagram(self.flow, builders.SYN)
+        self.client(packet)
+        tried = []
+        for _ in range(3):
+            ((instance, _),) = self.forwards()
+            tried.append(instance)
+            self.back(instance, packet, frame.REASON_CLOSED)
+        self.assertEqual(sorted(tried), sorted(AGENTS))
+        self.assertEqual(self.forwards(), [])
+
+    def test_nobody_takes_new_flows(self):
+        """Known to be closed for good: refused at once, as not run."""
+        self.settle()
+        self.now += 5
+        for instance in AGENTS:
+            self.hear(instance, accepts=False)
+        self.client(builders.datagram(self.flow, builders.SYN))
+        self.assertEqual(len(self.resets()), 1)
+
+    def test_no_route(self):
+        self.settle()
+        other = builders.flow(service=('198.18.9.9', 443))
+        self.client(builders.datagram(other, builders.SYN))
+        self.assertEqual(len(self.resets()), 1)
+        self.client(builders.datagram(other, builders.RST))
+        self.assertEqual(self.resets(), [])
+
+    def test_domains_out_are_offered_nothing(self):
+        self.settle()
+        self.beliefs.offer_domains(9, ('a',), 'test')
+        self.client(builders.datagram(self.flow, builders.SYN))
+        self.assertEqual(self.forwards(), [])
+
+    def test_a_departed_agent_is_not_asked(self):
+        self.settle()
+        self.client(builders.datagram(self.flow, builders.SYN))
+        ((chosen, _),) = self.forwards()
+        record = self.mesh.registry.get(chosen)
+        gone = record._replace(
+            state=members_const.STATE_GONE, sequence=record.sequence + 1
+        )
+        self.mesh.registry.merge(gone)
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        asked = {instance for instance, _ in self.forwards()}
+        self.assertEqual(asked, set(AGENTS) - {chosen})
+
+    def test_flows_are_told_to_an_agent_that_starts_again(self):
+        self.settle()
+        self.forwarder.on_frame(frame.pack_held([self.flow]), AGENTS['side-2'])
+        self.mesh.on_return = self.forwarder.on_return
+        self.sent.clear()
+        self.hear('side-2', incarnation=2)
+        told = [
+            frame.unpack_held(datagram)
+            for datagram, _ in self.sent
+            if datagram[0] == frame.KIND_HELD
+        ]
+        self.assertEqual(told, [[self.flow]])
