--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PYTHONPATH := $(CURDIR)
 export VENV PYTHONPATH
 
-.PHONY: help setup run test lint bench report clean
+.PHONY: help setup run test lint bench report soak emulate clean
 
 help:
 	@echo 'make setup   virtual environment from the locked requirements'
@@ -15,12 +15,15 @@
 	@echo 'make lint    format, style and types'
 	@echo 'make bench   measurements, one JSON object a line'
 	@echo 'make report  pages and charts of the measurements in var/report'
+	@echo 'make soak    random faults on real processes; SEEDS=1-50'
+	@echo 'make emulate random faults on a simulated network; SEEDS=1-300'
 	@echo 'make clean   remove what these made'
 
 setup:
 	@script/setup
 
 run: setup
+	@$(VENV)/bin/python -m tests.live.run
 	@$(VENV)/bin/python -m tests.run $(if $(FOREVER),--forever)
 
 test: setup
@@ -35,6 +38,12 @@
 report: setup
 	@$(VENV)/bin/python -m bench.report
 
+soak: setup
+	@$(VENV)/bin/python -m tests.live.soak --seeds $(or $(SEEDS),1-50)
+
+emulate: setup
+	@$(VENV)/bin/python -m tests.emulator --seeds $(or $(SEEDS),1-300)
+
 clean:
 	rm -rf .venv var build *.egg-info .mypy_cache .ruff_cache .hypothesis
 	find . -name __pycache__ -type d -prune -exec rm -rf {} +
--- a/kumquatport/connection/packets/held.py
+++ b/kumquatport/connection/packets/held.py
@@ -9,6 +9,9 @@
 # one end may have in flight, a few times over.
 SAME_FLOW_RANGE: typing.Final = 1 << 17
 
+# Share of a new answer in the moving mean of the service time.
+SERVICE_SHARE: typing.Final = 0.1
+
 # Seconds that an ended flow is remembered for late copies of its packets.
 LINGER_S: typing.Final = 4.0
 
@@ -54,14 +57,25 @@
         return self.client_closed and self.server_closed
 
 
+Observer = abc.Callable[[bytes, float], None]
+
+
 class HeldFlows:
-    """The flows of one backend server."""
+    """The flows of one backend server.
+
+    Attributes:
+        flows: By the name that the client gives them.
+        busy: Requests in progress.
+        service_s: Moving mean of the seconds to the first byte of an answer.
+        observe: Called with a flow and those seconds, for each answer.
+    """
 
     def __init__(self) -> None:
         """Start without flows."""
         self.flows: dict[bytes, Flow] = {}
         self.busy = 0
         self.service_s = 0.0
+        self.observe: Observer = _ignore
 
     def __len__(self) -> int:
         """Return how many flows are known, half-open and ended ones too."""
@@ -123,7 +137,7 @@
             held.server_sequence = packet.sequence
             return held
         if packet.length:
-            self._answered(held, now)
+            self._answered(packet.flow, held, now)
         if packet.flags & (packets.FLAG_FIN | packets.FLAG_RST):
             held.server_closed = True
             self._idle(held)
@@ -162,11 +176,12 @@
         """Return how many flows are open or opening."""
         return sum(not held.is_ended for held in self.flows.values())
 
-    def _answered(self, held: Flow, now: float) -> None:
+    def _answered(self, flow: bytes, held: Flow, now: float) -> None:
         if not held.waiting_since:
             return
         took_s = now - held.waiting_since
-        self.service_s += (took_s - self.service_s) * 0.1
+        self.service_s += (took_s - self.service_s) * SERVICE_SHARE
+        self.observe(flow, took_s)
         self._idle(held)
 
     def _idle(self, held: Flow) -> None:
@@ -181,3 +196,7 @@
     if not held.is_open:
         return HALF_OPEN_S
     return idle_s
+
+
+def _ignore(_flow: bytes, _seconds: float) -> None:
+    """Take a service time that nobody measures."""
--- a/kumquatport/platform/__main__.py
+++ b/kumquatport/platform/__main__.py
@@ -8,6 +8,7 @@
 import pathlib
 import sys
 import typing
+from collections import abc
 
 import mode
 import structlog
@@ -35,7 +36,7 @@
     logs.setup_output('info')
     try:
         source = pathlib.Path(options.settings or settings.path())
-        own = settings.load(source)
+        own = _load(source, options.metrics)
     except exceptions.KumquatportError as error:
         _LOGGER.error('settings refused', error=error, role=options.role)
         return const.EXIT_USAGE
@@ -48,6 +49,17 @@
     )
 
 
+def _load(source: pathlib.Path, metrics_port: int) -> models.Settings:
+    return settings.load(source)._replace(metrics_port=metrics_port)
+
+
+def _keeping(
+    own: models.Settings,
+) -> abc.Callable[[pathlib.Path], models.Settings]:
+    """Return a reader of settings that keeps what the command line said."""
+    return lambda source: _load(source, own.metrics_port)
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='python3 -m kumquatport.platform', description=__doc__
@@ -58,6 +70,13 @@
         metavar='FILE',
         help=f'settings; else the file named by {settings.ENVIRONMENT_VARIABLE}',
     )
+    parser.add_argument(
+        '--metrics',
+        metavar='PORT',
+        type=int,
+        default=0,
+        help='TCP port of the metrics, at /metrics; none without it',
+    )
     parser.add_argument(
         '--check', action='store_true', help='check the settings and exit'
     )
@@ -95,12 +114,13 @@
 def _outside(url: str) -> outside.Outside:
     """Load what needs the HTTP library."""
     from kumquatport.platform import client, inbound
-    from kumquatport.process.packets import http
+    from kumquatport.process.packets import figures, http
 
     return outside.Outside(
         client.PlatformClient(url, STORE_TIMEOUT_S),
         inbound.ready,
         inbound.heartbeats,
+        figures.Figures(),
         http.async_serve,
     )
 
@@ -110,7 +130,7 @@
 ) -> mode.Service:
     """Return a service that follows its settings file."""
     service.add_dependency(
-        reload.Reloader(source, own, settings.load, service.apply_settings)
+        reload.Reloader(source, own, _keeping(own), service.apply_settings)
     )
     return typing.cast(mode.Service, service)
 
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -98,6 +98,18 @@
         self._servers.append(
             await loaded.async_serve(ready, self._settings.ready)
         )
+        figures = loaded.figures
+        figures.count('decisions', lambda: self._carrier.counts)
+        figures.count('state', self._carrier.gauges)
+        figures.count('store_calls', lambda: loaded.store.calls)
+        self._carrier.measure(figures.observer('service_time'))
+        if self._settings.metrics_port:
+            where = models.Endpoint(
+                self._settings.address, self._settings.metrics_port
+            )
+            self._servers.append(
+                await loaded.async_serve(figures.application(), where)
+            )
         self._discovery = discovery.Discovery(
             loaded.store, self._mesh, is_first=self._settings.is_first_start
         )
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -102,6 +102,17 @@
                 loaded.ready(self._is_ready), self._settings.ready
             )
         )
+        figures = loaded.figures
+        figures.count('decisions', lambda: self._forwarder.counts)
+        figures.count('state', self._forwarder.gauges)
+        figures.count('store_calls', lambda: loaded.store.calls)
+        if self._settings.metrics_port:
+            where = models.Endpoint(
+                self._settings.address, self._settings.metrics_port
+            )
+            self._servers.append(
+                await loaded.async_serve(figures.application(), where)
+            )
 
     async def on_stop(self) -> None:
         """Close the sockets."""
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -79,6 +79,34 @@
         """Return how many requests are in progress."""
         return self._flows.busy
 
+    @property
+    def counts(self) -> abc.Mapping[str, float]:
+        """Return how often each decision was taken."""
+        return self._log.counts
+
+    def gauges(self) -> abc.Mapping[str, float]:
+        """Return the present state in numbers."""
+        load = self.load()
+        return {
+            'busy': load.busy,
+            'flows': load.flows,
+            'slots': load.slots,
+            'accepts': load.accepts,
+            'cold': load.is_cold,
+            'beliefs_age_s': min(self._beliefs.age_s, beliefs.NEVER_S),
+            'routes_version': self._beliefs.routes_version,
+            'members': len(self._mesh.registry),
+        }
+
+    def measure(self, observe: abc.Callable[[str, float], None]) -> None:
+        """Have service times recorded, by the address that clients call."""
+
+        def record(flow: bytes, seconds: float) -> None:
+            route = self._codec.describe(flow).partition('>')[2]
+            observe(route, seconds)
+
+        self._flows.observe = record
+
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
         self._settings = settings
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -58,6 +58,21 @@
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._started_at = clock.now()
 
+    @property
+    def counts(self) -> abc.Mapping[str, float]:
+        """Return how often each decision was taken."""
+        return self._log.counts
+
+    def gauges(self) -> abc.Mapping[str, float]:
+        """Return the present state in numbers."""
+        return {
+            'flows': len(self._flows),
+            'members': len(self._mesh.registry),
+            'routes_version': self._beliefs.routes_version,
+            'domains_out': len(self._beliefs.domains_out),
+            'beliefs_age_s': min(self._beliefs.age_s, beliefs.NEVER_S),
+        }
+
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
         self._settings = settings
--- a/kumquatport/process/packets/models.py
+++ b/kumquatport/process/packets/models.py
@@ -67,6 +67,7 @@
         is_first_start: Whether the whole deployment starts for the first time.
         store: The platform's store.
         bounds: Limits promised to the users.
+        metrics_port: TCP port of its metrics; 0 for none.
     """
 
     instance: str
@@ -86,6 +87,7 @@
     is_first_start: bool
     store: StoreSettings
     bounds: Bounds
+    metrics_port: int = 0
 
 
 class BackendServerReport(typing.NamedTuple):
--- a/kumquatport/process/packets/outside.py
+++ b/kumquatport/process/packets/outside.py
@@ -15,10 +15,16 @@
 if typing.TYPE_CHECKING:
     from aiohttp import web
 
+    from kumquatport.process.packets import figures
+
 
 class Store(objects.ObjectApi, typing.Protocol):
     """Access to the store, with connections to open and close."""
 
+    @property
+    def calls(self) -> abc.Mapping[str, int]:
+        """Return how many calls of each kind were made."""
+
     async def async_setup(self) -> None:
         """Open the connection pools."""
 
@@ -42,6 +48,7 @@
             packets.
         heartbeats: Builds the application that takes heartbeats, and the word
             that a backend server exits.
+        figures: What the metrics show.
         async_serve: Serves an application; raises ``StartError``.
     """
 
@@ -54,6 +61,7 @@
         ],
         web.Application,
     ]
+    figures: figures.Figures
     async_serve: abc.Callable[
         [web.Application, models.Endpoint], abc.Awaitable[Server]
     ]
--- /dev/null
+++ b/tests/emulator/__main__.py
@@ -0,0 +1,173 @@
+"""Play histories and experiments on the emulator.
+
+A day is YAML with ``seconds``, ``faults``, ``orders`` (names to draw from) and
+``plan`` (sizes, as ``deployment.Plan``). Variants replace constants of the
+decisions, for example ``placement.SAMPLE=2``; each is played with the same
+seeds, and all are shown side by side, as text, JSON or a plot.
+"""
+
+import argparse
+import contextlib
+import importlib
+import json
+import logging
+import pathlib
+import statistics
+import sys
+import typing
+from collections import abc
+from unittest import mock
+
+import structlog
+import yaml
+
+from tests.emulator import checks, deployment, history
+
+PACKAGES = ('kumquatport.connection.packets', 'kumquatport.process.packets')
+AIM_S = 0.3
+
+
+def main() -> None:
+    """Run from the command line."""
+    options = _parse()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    first, _, last = options.seeds.partition('-')
+    seeds = range(int(first), int(last or first) + 1)
+    day = yaml.safe_load(options.day.read_text()) if options.day else {}
+    rows = []
+    for variant in options.variant or ['']:
+        with _changed(variant):
+            rows.append(_play(variant or 'as is', seeds, day))
+    if options.json:
+        print(json.dumps(rows, indent=1))
+    else:
+        _print(rows)
+    if options.plot:
+        _plot(rows, options.plot)
+    sys.exit(1 if any(row['broken'] for row in rows) else 0)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog='python -m tests.emulator', description=__doc__
+    )
+    parser.add_argument('--seeds', default='1-20', help='FIRST-LAST')
+    parser.add_argument('--day', type=pathlib.Path, help='YAML of a day')
+    parser.add_argument(
+        '--variant',
+        action='append',
+        help='MODULE.CONSTANT=NUMBER, several by comma; may be repeated',
+    )
+    parser.add_argument('--json', action='store_true')
+    parser.add_argument('--plot', type=pathlib.Path, help='PNG to write')
+    return parser.parse_args()
+
+
+def _play(
+    name: str, seeds: abc.Iterable[int], day: dict[str, typing.Any]
+) -> dict[str, typing.Any]:
+    plan = deployment.Plan(**day.get('plan', {}))
+    results = [
+        history.run(
+            seed,
+            seconds=day.get('seconds', 12.0),
+            faults=day.get('faults', 4),
+            names=day.get('orders', ()),
+            plan=plan,
+        )
+        for seed in seeds
+    ]
+    outcomes = [one for result in results for one in result.outcomes]
+    took = sorted(one.took_s for one in outcomes if one.served)
+    return {
+        'variant': name,
+        'histories': len(results),
+        'broken': [
+            f'seed {result.seed}: {line}'
+            for result in results
+            for line in checks.promises(result.violations)
+        ],
+        'served': sum(one.served for one in outcomes) / len(outcomes),
+        'in_aim': sum(one.served and one.took_s <= AIM_S for one in outcomes)
+        / len(outcomes),
+        'p50_ms': statistics.median(took) * 1000,
+        'p99_ms': took[int(len(took) * 0.99)] * 1000,
+        'busiest': statistics.mean(_busiest(result) for result in results),
+        'by_second': _by_second(results),
+    }
+
+
+def _busiest(result: history.Result) -> float:
+    """Return the busiest backend server's requests over the mean."""
+    stores = list(result.served.values())[: deployment.Plan().store_agents]
+    return max(stores) / (statistics.mean(stores) or 1)
+
+
+def _by_second(results: abc.Sequence[history.Result]) -> list[float]:
+    """Return the share in aim of the requests asked in each second."""
+    asked: dict[int, list[bool]] = {}
+    for result in results:
+        for one in result.outcomes:
+            second = int(one.asked_at - 1002)
+            asked.setdefault(second, []).append(
+                one.served and one.took_s <= AIM_S
+            )
+    return [sum(row) / len(row) for _, row in sorted(asked.items())]
+
+
+@contextlib.contextmanager
+def _changed(variant: str) -> abc.Iterator[None]:
+    """Replace the constants that a variant names."""
+    with contextlib.ExitStack() as stack:
+        for part in filter(None, variant.split(',')):
+            target, _, number = part.partition('=')
+            module, _, constant = target.rpartition('.')
+            found = _module(module)
+            stack.enter_context(
+                mock.patch.object(found, constant, float(number))
+                if '.' in number
+                else mock.patch.object(found, constant, int(number))
+            )
+        yield
+
+
+def _module(name: str) -> typing.Any:
+    for package in PACKAGES:
+        with contextlib.suppress(ModuleNotFoundError):
+            return importlib.import_module(f'{package}.{name}')
+    raise SystemExit(f'no module of decisions is named {name}')
+
+
+def _print(rows: abc.Iterable[dict[str, typing.Any]]) -> None:
+    for row in rows:
+        print(
+            f'{row["variant"]}: {row["histories"]} histories, '
+            f'{len(row["broken"])} promises broken, '
+            f'served {row["served"]:.4f}, in aim {row["in_aim"]:.4f}, '
+            f'p50 {row["p50_ms"]:.0f} ms, p99 {row["p99_ms"]:.0f} ms, '
+            f'busiest/mean {row["busiest"]:.2f}'
+        )
+        for line in row['broken'][:20]:
+            print(f'  {line}')
+
+
+def _plot(
+    rows: abc.Iterable[dict[str, typing.Any]], path: pathlib.Path
+) -> None:
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    for row in rows:
+        pyplot.plot(row['by_second'], label=row['variant'])
+    pyplot.xlabel('second')
+    pyplot.ylabel('share in aim')
+    pyplot.legend()
+    pyplot.savefig(path)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/emulator/backend.py
+++ b/tests/emulator/backend.py
@@ -47,7 +47,7 @@
         self.ends: dict[bytes, End] = {}
         self.openings: list[Opening] = []
         self.arrivals: collections.Counter[str] = collections.Counter()
-        self.foreign: list[tuple[float, bytes]] = []
+        self.foreign: list[tuple[float, bytes, bool]] = []
         self.busy = 0
         self.served = 0
         self.beats = 0
@@ -135,3 +135,17 @@
                 self._work(*self._waiting.popleft(), answer)
 
         self.sim.after(work_s, done)
+
+
+def note_arrival(
+    backends: typing.Iterable[Backend], taker: Backend, datagram: bytes
+) -> None:
+    """Note a packet for whose flow it is, also where another one takes it."""
+    packet = wire.read(datagram)
+    if packet.is_syn:
+        return
+    for server in backends:
+        end = server.ends.get(packet.flow)
+        if end is not None and end.is_open:
+            is_own = server is taker
+            server.foreign.append((server.sim.time, packet.flow, is_own))
--- a/tests/emulator/checks.py
+++ b/tests/emulator/checks.py
@@ -3,9 +3,10 @@
 import collections
 import ipaddress
 import struct
+import typing
 from collections import abc
 
-from tests.emulator import backend, deployment, world
+from tests.emulator import backend, client, deployment, world
 
 TOUCH_S = 4.0
 EVACUATION_S = 5.0
@@ -14,10 +15,20 @@
 MAX_ASTRAY = 3
 
 
+class System(typing.Protocol):
+    """What is watched: a deployment, simulated or of real processes."""
+
+    sim: typing.Any
+    clients: list[client.Client]
+    backends: dict[str, backend.Backend]
+    disturbed: dict[str, float]
+    drained: dict[str, float]
+
+
 class Watcher:
     """Follows a deployment and collects what was broken."""
 
-    def __init__(self, system: deployment.Deployment) -> None:
+    def __init__(self, system: System) -> None:
         self.found: list[world.Violation] = []
         self.outs: dict[str, tuple[float, float]] = {}
         self.dropped: dict[tuple[str, int], float] = {}
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -344,22 +344,13 @@
     def _deliver(self, address: str, datagram: bytes) -> None:
         """Take a packet from an agent to the backend server beside it."""
         server = self.backends[address]
-        packet = wire.read(datagram)
-        if not packet.is_syn:
-            self._note_arrival(server, packet)
+        backend.note_arrival(self.backends.values(), server, datagram)
 
         def answer(sent: bytes) -> None:
             self.sim.after(0.0001, lambda: self._outbound(address, sent))
 
         self.sim.after(0.0001, lambda: server.take(datagram, answer))
 
-    def _note_arrival(self, server: backend.Backend, packet: wire.Read) -> None:
-        for other in self.backends.values():
-            end = other.ends.get(packet.flow)
-            if end is not None and end.is_open:
-                is_own = other is server
-                other.foreign.append((self.sim.time, packet.flow, is_own))
-
     def _outbound(self, address: str, datagram: bytes) -> None:
         process = self.processes.get(address)
         if process is None or process.carrier is None:
--- /dev/null
+++ b/tests/features/steps/packets.py
@@ -0,0 +1,63 @@
+"""Steps of the programs that carry packets."""
+
+import asyncio
+
+import behave
+from behave import runner
+
+from tests.live import deployment, soak
+
+
+@behave.given('balancers, agents and the store as processes')
+def step_sizes(context: runner.Context) -> None:
+    context.sizes = {'balancers': 2, 'stores': 3, 'manuals': 2}
+
+
+@behave.when('clients ask for {seconds:d} seconds')
+def step_ask(context: runner.Context, seconds: int) -> None:
+    asyncio.run(_async_ask(context, seconds))
+
+
+async def _async_ask(context: runner.Context, seconds: int) -> None:
+    live = deployment.Live(seed=1, **context.sizes)
+    try:
+        await live.async_start()
+        live.add_clients(long=8, short=4)
+        await asyncio.sleep(seconds)
+        context.outcomes = [
+            one for user in live.clients for one in user.outcomes
+        ]
+        context.metrics = live.metrics('side-0')
+    finally:
+        context.codes = await live.async_stop()
+
+
+@behave.then('all requests are served')
+def step_served(context: runner.Context) -> None:
+    assert context.outcomes
+    lost = [one for one in context.outcomes if not one.served]
+    assert not lost, lost
+
+
+@behave.then('the metrics of an agent show its flows')
+def step_metrics(context: runner.Context) -> None:
+    assert 'kumquatport_decisions{of="flow offered"}' in context.metrics
+    assert 'kumquatport_service_time_count' in context.metrics
+    assert 'kumquatport_state{of="flows"}' in context.metrics
+
+
+@behave.then('every process ends with code 0')
+def step_codes(context: runner.Context) -> None:
+    unclean = {name: code for name, code in context.codes.items() if code}
+    assert not unclean, unclean
+
+
+@behave.when('seed {seed:d} of the soak is played for {seconds:d} seconds')
+def step_play(context: runner.Context, seed: int, seconds: int) -> None:
+    context.result = asyncio.run(soak.async_play(seed, seconds, 6))
+
+
+@behave.then('no promise is broken')
+def step_kept(context: runner.Context) -> None:
+    result = context.result
+    assert not result.violations, (result.violations, result.faults)
--- /dev/null
+++ b/tests/live/__init__.py
@@ -0,0 +1,1 @@
+"""The programs that carry packets, as processes on the loopback."""
--- /dev/null
+++ b/tests/live/real.py
@@ -0,0 +1,60 @@
+"""The emulator's clients and backend servers on real time and sockets."""
+
+import asyncio
+import random
+import socket
+import typing
+from collections import abc
+
+Handler = abc.Callable[[bytes, tuple[str, int]], None]
+
+
+class RealWorld:
+    """What clients and backend servers need of a world, on an event loop."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        self._sockets: list[socket.socket] = []
+
+    @property
+    def time(self) -> float:
+        return self._loop.time()
+
+    def after(self, delay_s: float, call: abc.Callable[[], None]) -> None:
+        self._loop.call_later(delay_s, call)
+
+    def listen(self, address: str, port: int, handler: Handler) -> typing.Any:
+        """Bind a socket; return a function that sends from it."""
+        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        bound.setblocking(False)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        bound.bind((address, port))
+        self._sockets.append(bound)
+
+        def read() -> None:
+            while True:
+                try:
+                    datagram, source = bound.recvfrom(4096)
+                except BlockingIOError:
+                    return
+                except OSError:
+                    # An agent that is down refuses what was sent to it.
+                    continue
+                handler(datagram, source)
+
+        def send(datagram: bytes, target: tuple[str, int]) -> None:
+            try:
+                bound.sendto(datagram, target)
+            except OSError:
+                # Lost, as on any network.
+                return
+
+        self._loop.add_reader(bound, read)
+        return send
+
+    def close(self) -> None:
+        for bound in self._sockets:
+            self._loop.remove_reader(bound)
+            bound.close()
+        self._sockets.clear()
