Opening packets wait only for a copy that comes; lint

Cause: an opening packet that every agent had turned away was offered to none again, and its last copy was dropped in silence until the client gave up.

--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -1,6 +1,7 @@
 """Frames between instances that carry packets and name flows."""
 
 import struct
+import types
 import typing
 
 KIND_FORWARD: typing.Final = 1
@@ -21,13 +22,15 @@
 REASON_COLD: typing.Final = 4
 REASON_ROUTE: typing.Final = 5
 
-REASON_NAMES: typing.Final = {
-    REASON_NOT_HELD: 'not_held',
-    REASON_REJECTED: 'backend_server_rejected',
-    REASON_CLOSED: 'not_accepting',
-    REASON_COLD: 'cold',
-    REASON_ROUTE: 'route_unknown',
-}
+REASON_NAMES: typing.Final = types.MappingProxyType(
+    {
+        REASON_NOT_HELD: 'not_held',
+        REASON_REJECTED: 'backend_server_rejected',
+        REASON_CLOSED: 'not_accepting',
+        REASON_COLD: 'cold',
+        REASON_ROUTE: 'route_unknown',
+    }
+)
 
 FLOW_BYTES: typing.Final = 12
 MAX_FLOWS: typing.Final = 100
--- a/kumquatport/connection/packets/held.py
+++ b/kumquatport/connection/packets/held.py
@@ -49,7 +49,7 @@
         self.acknowledged = 0
         self.client_closed = False
         self.server_closed = False
-        self.waiting_since = 0.0
+        self.waiting_since: float = 0
 
     @property
     def is_ended(self) -> bool:
@@ -74,7 +74,7 @@
         """Start without flows."""
         self.flows: dict[bytes, Flow] = {}
         self.busy = 0
-        self.service_s = 0.0
+        self.service_s: float = 0
         self.observe: Observer = _ignore
 
     def __len__(self) -> int:
@@ -186,7 +186,7 @@
 
     def _idle(self, held: Flow) -> None:
         if held.waiting_since:
-            held.waiting_since = 0.0
+            held.waiting_since = 0
             self.busy -= 1
 
 
--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -46,7 +46,7 @@
     placed: int
     crosses: bool
     is_suspect: bool
-    penalty: float = 0.0
+    penalty: float = 0
 
 
 def busy_per_flow(candidates: abc.Sequence[Candidate]) -> float:
--- a/kumquatport/platform/client.py
+++ b/kumquatport/platform/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import types
 import typing
 from collections import abc
 
@@ -21,7 +22,9 @@
 # write.
 MAX_SEEN: typing.Final = 1024
 
-_JSON: typing.Final = {'Content-Type': 'application/json'}
+_JSON: typing.Final = types.MappingProxyType(
+    {'Content-Type': 'application/json'}
+)
 
 
 class PlatformClient(mode.Service):
--- a/kumquatport/platform/configuration.py
+++ b/kumquatport/platform/configuration.py
@@ -37,7 +37,7 @@
     name: str
     health_path: str = '/'
     # New flows a second that a cold backend server bears.
-    warmup_per_s: float = msgspec.field(name='WarmupPerS', default=0.0)
+    warmup_per_s: float = msgspec.field(name='WarmupPerS', default=0)
 
 
 class _Limits(msgspec.Struct, rename='pascal', frozen=True):
--- a/kumquatport/platform/heartbeat.py
+++ b/kumquatport/platform/heartbeat.py
@@ -19,7 +19,7 @@
     concurrency: int
     sequence: int
     # Seconds of being slow that are left, not since its start.
-    warmup_left_ms: float = msgspec.field(name='WarmupLeftMs', default=0.0)
+    warmup_left_ms: float = msgspec.field(name='WarmupLeftMs', default=0)
     # Unix milliseconds of its start.
     born: int = msgspec.field(name='born', default=0)
 
@@ -48,7 +48,7 @@
         endpoint=endpoint,
         slots=max(beat.concurrency, 1),
         is_draining=beat.state == _DRAINING,
-        cold_left_s=max(beat.warmup_left_ms, 0.0) / _MS_PER_S,
+        cold_left_s=max(beat.warmup_left_ms, 0) / _MS_PER_S,
         sequence=beat.sequence,
         born_ms=beat.born,
     )
--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -126,8 +126,10 @@
 def describe(flow: bytes) -> str:
     """Return both ends of a flow, the client first."""
     _, _, client_port, service_port = _ENDS.unpack(flow)
-    service = socket.inet_ntoa(flow[7:3:-1])
-    return f'{client_of(flow)}:{client_port}>{service}:{service_port}'
+    service_bytes = flow[4:8]
+    service = socket.inet_ntoa(service_bytes[::-1])
+    client = f'{client_of(flow)}:{client_port}'
+    return f'{client}>{service}:{service_port}'
 
 
 def _opposite(flow: bytes) -> bytes:
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -74,9 +74,10 @@
         Raises:
             StartError: An address or port cannot be had.
         """
-        self._socket, close = datagrams.listen(
+        bound, close = datagrams.listen(
             self._outbound, self._carrier.on_outbound
         )
+        self._socket = bound
         self._undo.append(close)
         self.add_future(self._async_sweep())
 
--- a/kumquatport/process/packets/beliefs.py
+++ b/kumquatport/process/packets/beliefs.py
@@ -126,7 +126,7 @@
         self._changes.notify()
         return True
 
-    def confirm(self, age_s: float = 0.0) -> None:
+    def confirm(self, age_s: float = 0) -> None:
         """Note that the store confirmed what is held.
 
         Args:
--- a/kumquatport/process/packets/fetch.py
+++ b/kumquatport/process/packets/fetch.py
@@ -62,7 +62,8 @@
 async def _async_read(endpoint: tuple[str, int]) -> bytes:
     reader, writer = await asyncio.open_connection(*endpoint)
     try:
-        (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+        head = await reader.readexactly(_LENGTH.size)
+        size = int.from_bytes(head)
         if size > const.MAX_TABLE_BYTES:
             raise exceptions.PeerUnavailableError(f'{endpoint[0]}: {size} B')
         return await reader.readexactly(size)
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -1,5 +1,6 @@
 """Where a balancer sends each packet of a client."""
 
+import math
 import random
 import typing
 import zlib
@@ -7,7 +8,12 @@
 
 import structlog
 
-from kumquatport.connection.packets import frame, placed, placement
+from kumquatport.connection.packets import (
+    frame,
+    placed,
+    placement,
+    waiting,
+)
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
 from kumquatport.process.packets import beliefs, decisions, mesh, models
@@ -23,11 +29,6 @@
 # that may hold it cannot be asked.
 MAX_TESTS: typing.Final = 2
 
-# Seconds after its start, or after an agent fell silent, within which a
-# balancer without a candidate expects one to appear; clients send their
-# opening packets again after 0.2 and 0.6 s.
-EXPECT_S: typing.Final = 2.0
-
 
 class Forwarder:
     """Sends each packet to the agent that holds or should open its flow."""
@@ -116,6 +117,8 @@
         if flow.agents and not packet.acknowledged:
             self._forward(packet, flow.agents[-1], 0)
             return
+        # Who turned an earlier copy away may take this one.
+        flow.refused.clear()
         self._offer(packet, route, flow)
 
     def _offer(
@@ -146,7 +149,7 @@
             self._forward(packet, chosen.instance, 0)
         elif flow.agents:
             self._forward(packet, flow.agents[-1], 0)
-        elif self._expects_agents(route):
+        elif self._waits(packet, route):
             self._log.note(
                 'flow waits for an agent',
                 packet.flow,
@@ -189,25 +192,29 @@
             placed=peer.placed,
             crosses=record.failure_domain != self._settings.failure_domain,
             is_suspect=self._mesh.is_suspect(record.instance),
-            penalty=placement.COLD_COST if peer.load.is_cold else 0.0,
+            penalty=placement.COLD_COST if peer.load.is_cold else 0,
         )
 
-    def _expects_agents(self, route: routes.Route) -> bool:
-        """Tell whether an agent may soon take new flows of a route."""
+    def _waits(self, packet: packets.Packet, route: routes.Route) -> bool:
+        """Tell whether an opening packet waits for its next copy."""
         now = clock.now()
-        if now - self._started_at < EXPECT_S:
-            return True
-        for record in self._holders(route):
-            peer = self._mesh.peer(record.instance)
-            if peer is not None and now - peer.heard_at < EXPECT_S:
-                if record.state != members_const.STATE_READY:
-                    return True
-                if peer.load is None or not peer.load.accepts:
-                    continue
-                return True
-            elif peer is not None and now - peer.heard_at < 2 * EXPECT_S:
-                return True
-        return False
+        return waiting.waits(
+            packet.acknowledged,
+            now - self._started_at,
+            [self._sight(record, now) for record in self._holders(route)],
+        )
+
+    def _sight(
+        self, record: members.InstanceRecord, now: float
+    ) -> waiting.Sight:
+        peer = self._mesh.peer(record.instance)
+        load = peer.load if peer else None
+        return waiting.Sight(
+            silent_s=now - peer.heard_at if peer else math.inf,
+            is_suspect=self._mesh.is_suspect(record.instance),
+            is_ready=record.state == members_const.STATE_READY,
+            accepts=load is not None and load.accepts,
+        )
 
     def _holders(self, route: routes.Route) -> list[members.InstanceRecord]:
         """Return the agents that may hold flows of a route."""
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -322,8 +322,8 @@
             and record.kind == members.KIND_AGENT
             and record.failure_domain == self._settings.failure_domain
         )
-        ticks = const.SUSPECT_AFTER * (1 if is_near else const.FAR_EVERY)
-        return ticks * self._tick_s()
+        every = 1 if is_near else const.FAR_EVERY
+        return const.SUSPECT_AFTER * every * self._tick_s()
 
     def _short(self) -> messages.Beat:
         own = self.own.present
@@ -375,13 +375,9 @@
         ):
             self.hello((sender,))
             return
-        peer.heard_at = clock.now()
-        peer.load = beat.load
-        if beat.load is not None and beat.load.is_known:
-            peer.drains = beat.load.is_draining
-        peer.placed = 0
         peer.has_watch = beat.has_watch
         self._note_heard(peer, record)
+        self._note_load(peer, beat.load)
         is_newer = self._beliefs.compare(
             beat.routes_version, beat.domains_changed, beat.age_s
         )
@@ -408,9 +404,6 @@
             return
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
-        peer.heard_at = clock.now()
-        peer.load = message.load
-        peer.placed = 0
         peer.has_watch = message.beliefs.has_watch
         if record != self.registry.get(record.instance):
             self.registry.merge(record)
@@ -420,16 +413,26 @@
         if message.receiver_drains:
             self.on_told_draining()
         if message.wants_answer or is_new:
-            answer = self._heartbeat(wants_answer=False)
-            answer = answer._replace(receiver_drains=peer.drains)
-            self.send(messages.encode(answer), record.address)
-        if message.load is not None and message.load.is_known:
-            peer.drains = message.load.is_draining
+            self._answer(peer, record)
+        self._note_load(peer, message.load)
         if is_new:
             self.on_return(record)
         self._compare(peer, record, message.members_digest)
 
+    def _answer(self, peer: Peer, record: members.InstanceRecord) -> None:
+        """Tell a peer all, also what it told before it started again."""
+        answer = self._heartbeat(wants_answer=False)
+        answer = answer._replace(receiver_drains=peer.drains)
+        self.send(messages.encode(answer), record.address)
+
+    def _note_load(self, peer: Peer, load: messages.Load | None) -> None:
+        peer.load = load
+        peer.placed = 0
+        if load is not None and load.is_known:
+            peer.drains = load.is_draining
+
     def _note_heard(self, peer: Peer, record: members.InstanceRecord) -> None:
+        peer.heard_at = clock.now()
         if peer.is_suspect:
             peer.is_suspect = False
             _LOGGER.info(
@@ -612,4 +615,4 @@
 
 
 def _no_load() -> messages.Load | None:
-    return None
+    """Return the load of a process that has none."""
--- a/kumquatport/process/packets/outside.py
+++ b/kumquatport/process/packets/outside.py
@@ -15,7 +15,7 @@
 if typing.TYPE_CHECKING:
     from aiohttp import web
 
-    from kumquatport.process.packets import figures
+    from kumquatport.process.packets import figures as figures_module
 
 
 class Store(objects.ObjectApi, typing.Protocol):
@@ -61,7 +61,7 @@
         ],
         web.Application,
     ]
-    figures: figures.Figures
+    figures: figures_module.Figures
     async_serve: abc.Callable[
         [web.Application, models.Endpoint], abc.Awaitable[Server]
     ]
--- a/kumquatport/process/packets/watch.py
+++ b/kumquatport/process/packets/watch.py
@@ -9,11 +9,15 @@
 
 from kumquatport import exceptions, objects
 from kumquatport.helpers import backoff, clock
+from kumquatport.process.logs import faults
 from kumquatport.process.packets import beliefs, const, mesh
 from kumquatport.version import routes
 
 _LOGGER = structlog.get_logger(__name__)
 
+ROUTES: typing.Final = 'routes'
+DOMAINS: typing.Final = 'domains'
+
 
 class Operators(typing.NamedTuple):
     """How operators write to the store.
@@ -58,13 +62,15 @@
         self._store = store
         self._beliefs = held
         self._mesh = peers
+        self._report = faults.reporter(_LOGGER, 'store lost', 'store regained')
+        self._retries = {ROUTES: _retries(), DOMAINS: _retries()}
         self._confirmed: dict[str, float] = {}
         self._domains: set[str] = set()
 
     async def on_start(self) -> None:
         """Begin to watch when it is this process's turn."""
-        self.add_future(self._async_run('routes', self._async_watch_routes))
-        self.add_future(self._async_run('domains', self._async_watch_domains))
+        self.add_future(self._async_run(ROUTES, self._async_watch_routes))
+        self.add_future(self._async_run(DOMAINS, self._async_watch_domains))
 
     def is_watcher(self) -> bool:
         """Tell whether this process is to ask the store."""
@@ -78,27 +84,25 @@
         part: str,
         watch: abc.Callable[[], abc.Awaitable[None]],
     ) -> None:
-        retries = _retries()
-        reported = False
         while not self.should_stop:
-            if not self.is_watcher():
-                self._beliefs.has_watch = False
+            self._beliefs.has_watch = self.is_watcher()
+            if self._beliefs.has_watch:
+                await self._async_try(part, watch)
+            else:
                 await self.sleep(backoff.jittered(const.WATCH_POLL_S))
-                continue
-            self._beliefs.has_watch = True
-            try:
-                await watch()
-                retries = _retries()
-                if reported:
-                    _LOGGER.info('store regained', part=part)
-                reported = False
-            except exceptions.HistoryGoneError:
-                _LOGGER.info('store forgot its history', part=part)
-            except exceptions.KumquatportError as error:
-                if not reported:
-                    _LOGGER.warning('store lost', part=part, error=error)
-                reported = True
-                await self.sleep(next(retries))
+
+    async def _async_try(
+        self,
+        part: str,
+        watch: abc.Callable[[], abc.Awaitable[None]],
+    ) -> None:
+        try:
+            await watch()
+        except exceptions.HistoryGoneError:
+            _LOGGER.info('store forgot its history', part=part)
+        except exceptions.KumquatportError as error:
+            self._report(error, part)
+            await self.sleep(next(self._retries[part]))
 
     async def _async_watch_routes(self) -> None:
         """Read the routes, then wait for changes until others watch."""
@@ -132,13 +136,13 @@
         is_known = self._beliefs.knows_domains
         if not is_known or self._domains != self._beliefs.domains_out:
             self._beliefs.offer_domains(revision, self._domains, 'store')
-        self._confirm('domains')
+        self._confirm(DOMAINS)
 
     def _take_routes(self, listing: objects.Listing) -> None:
         for stored in listing.objects:
             if stored.key == self._operators.routes_key and not stored.deleted:
                 self._take_table(stored)
-        self._confirm('routes')
+        self._confirm(ROUTES)
 
     def _take_table(self, stored: objects.StoredObject) -> None:
         try:
@@ -152,11 +156,13 @@
 
     def _confirm(self, part: str) -> None:
         """Both parts must be confirmed; the older one counts."""
+        self._report(None, part)
+        self._retries[part] = _retries()
         now = clock.now()
         self._confirmed[part] = now
         oldest = min(
-            self._confirmed.get('routes', -math.inf),
-            self._confirmed.get('domains', -math.inf),
+            self._confirmed.get(ROUTES, -math.inf),
+            self._confirmed.get(DOMAINS, -math.inf),
         )
         self._beliefs.confirm(now - oldest)
 
--- a/tests/emulator/backend.py
+++ b/tests/emulator/backend.py
@@ -86,30 +86,34 @@
         packet = wire.read(datagram)
         end = self.ends.get(packet.flow)
         if packet.is_syn:
-            if end is None:
-                end = End(self.sim.rng.randrange(1, 1 << 32))
-                self.ends[packet.flow] = end
-                self.openings.append(
-                    Opening(self.sim.time, packet.client_at, packet.flow, 'syn')
-                )
-            answer(wire.syn_ack(packet, end.sequence))
-            return
-        if end is None:
+            answer(wire.syn_ack(packet, self._begin(packet, end).sequence))
+        elif end is None:
             answer(wire.bounced(datagram))
-            return
-        if not end.is_open:
-            if packet.acknowledged != (end.sequence + 1) & 0xFFFFFFFF:
-                answer(wire.server_reset(packet))
-                return
-            end.is_open = True
-            end.opened_at = self.sim.time
-        if packet.is_fin:
+        elif not self._opens(packet, end):
+            answer(wire.server_reset(packet))
+        elif packet.is_fin:
             self.ends.pop(packet.flow, None)
             answer(wire.server_fin(packet))
-            return
-        if packet.data is not None:
+        elif packet.data is not None:
             self._queue(packet.flow, packet.data, answer)
 
+    def _begin(self, packet: wire.Read, end: End | None) -> End:
+        if end is None:
+            end = End(self.sim.rng.randrange(1, 1 << 32))
+            self.ends[packet.flow] = end
+            self.openings.append(
+                Opening(self.sim.time, packet.client_at, packet.flow, 'syn')
+            )
+        return end
+
+    def _opens(self, packet: wire.Read, end: End) -> bool:
+        """Tell whether a packet is of the flow that is, or now gets, open."""
+        is_ours = packet.acknowledged == (end.sequence + 1) & 0xFFFFFFFF
+        if not end.is_open and is_ours:
+            end.is_open = True
+            end.opened_at = self.sim.time
+        return end.is_open
+
     def _queue(self, flow: bytes, data: wire.Data, answer: typing.Any) -> None:
         if self.busy >= SLOTS:
             if len(self._waiting) >= QUEUE:
--- a/tests/live/real.py
+++ b/tests/live/real.py
@@ -1,6 +1,7 @@
 """The emulator's clients and backend servers on real time and sockets."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import typing
@@ -32,25 +33,12 @@
         bound.bind((address, port))
         self._sockets.append(bound)
 
-        def read() -> None:
-            while True:
-                try:
-                    datagram, source = bound.recvfrom(4096)
-                except BlockingIOError:
-                    return
-                except OSError:
-                    # An agent that is down refuses what was sent to it.
-                    continue
-                handler(datagram, source)
-
         def send(datagram: bytes, target: tuple[str, int]) -> None:
-            try:
+            # What cannot be sent is lost, as on any network.
+            with contextlib.suppress(OSError):
                 bound.sendto(datagram, target)
-            except OSError:
-                # Lost, as on any network.
-                return
 
-        self._loop.add_reader(bound, read)
+        self._loop.add_reader(bound, _read_all, bound, handler)
         return send
 
     def close(self) -> None:
@@ -58,3 +46,15 @@
             self._loop.remove_reader(bound)
             bound.close()
         self._sockets.clear()
+
+
+def _read_all(bound: socket.socket, handler: Handler) -> None:
+    while True:
+        try:
+            datagram, source = bound.recvfrom(4096)
+        except BlockingIOError:
+            return
+        except OSError:
+            # An agent that is down refuses what was sent to it.
+            continue
+        handler(datagram, source)
