--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -14,6 +14,7 @@
 _FLAGS_OFFSET: typing.Final = 24
 _ECHO_OFFSET: typing.Final = 32
 _FLOW_BYTES: typing.Final = 12
+_ADDRESS_BYTES: typing.Final = 4
 
 _BIT_SYN: typing.Final = 1
 _BIT_ACK: typing.Final = 16
@@ -120,16 +121,18 @@
 
 def client_of(flow: bytes) -> str:
     """Return the address of a flow's client."""
-    return socket.inet_ntoa(flow[3::-1])
+    return _text(_ENDS.unpack_from(flow)[0])
 
 
 def describe(flow: bytes) -> str:
     """Return both ends of a flow, the client first."""
-    _, _, client_port, service_port = _ENDS.unpack(flow)
-    service_bytes = flow[4:8]
-    service = socket.inet_ntoa(service_bytes[::-1])
-    client = f'{client_of(flow)}:{client_port}'
-    return f'{client}>{service}:{service_port}'
+    client, service, client_port, service_port = _ENDS.unpack(flow)
+    ends = (_text(client), client_port, _text(service), service_port)
+    return '{}:{}>{}:{}'.format(*ends)
+
+
+def _text(address: int) -> str:
+    return socket.inet_ntoa(address.to_bytes(_ADDRESS_BYTES))
 
 
 def _opposite(flow: bytes) -> bytes:
