--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -136,7 +136,8 @@
 
 
 def _opposite(flow: bytes) -> bytes:
-    return flow[4:8] + flow[:4] + flow[10:12] + flow[8:10]
+    client, service, client_port, service_port = _ENDS.unpack(flow)
+    return _ENDS.pack(service, client, service_port, client_port)
 
 
 CODEC: typing.Final = packets.Codec(
