Records of dead instances are deleted from the store by the first live balancer

Cause: the record of an instance that died for good stayed, and lookups of lost flows waited for it.

--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -1,6 +1,7 @@
 """The balancer."""
 
 import asyncio
+import functools
 import random
 import typing
 from collections import abc
@@ -92,11 +93,11 @@
         await self.add_runtime_dependency(
             watch.StoreWatch(self._operators, store, self._beliefs, self._mesh)
         )
-        await self.add_runtime_dependency(
-            discovery.Discovery(
-                store, self._mesh, is_first=self._settings.is_first_start
-            )
+        found = discovery.Discovery(
+            store, self._mesh, is_first=self._settings.is_first_start
         )
+        await self.add_runtime_dependency(found)
+        self._mesh.on_forget = functools.partial(self._remove, found)
         self._servers.append(
             await loaded.async_serve(
                 loaded.ready(self._is_ready), self._settings.ready
@@ -135,6 +136,13 @@
         self._mesh.apply_settings(settings)
         self._forwarder.apply_settings(settings)
 
+    def _remove(
+        self, found: discovery.Discovery, record: members.InstanceRecord
+    ) -> None:
+        """Have the first of the live balancers delete a dead record."""
+        if self._mesh.live_balancers()[0] == self._settings.instance:
+            self.add_future(found.async_remove_forgotten(record))
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -21,6 +21,10 @@
 # Seconds of silence after which a peer is forgotten, if nobody else hears it.
 FORGET_S: typing.Final = 90.0
 
+# Seconds for peers that hear a forgotten instance to bring its record back,
+# a few comparisons of members.
+REMOVE_AFTER_S: typing.Final = 5.0
+
 # Seconds after the last new agent of a service until all are taken to be
 # known: a few rounds of greetings.
 MEMBERS_SETTLED_S: typing.Final = 1.0
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -47,8 +47,13 @@
     async def async_remove_forgotten(
         self, record: members.InstanceRecord
     ) -> None:
-        """Delete the record of an instance that nobody hears any more."""
-        await self._async_remove(record)
+        """Delete the record of an instance that nobody hears any more.
+
+        Peers that hear it bring its record back when members are compared.
+        """
+        await self.sleep(const.REMOVE_AFTER_S)
+        if self._mesh.registry.get(record.instance) is None:
+            await self._async_remove(record)
 
     async def _async_run(self) -> None:
         retries = backoff.delays(
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -98,6 +98,7 @@
             first time, or that has started again.
         on_told_draining: Called when a peer knows from an earlier process
             under this name that the backend server drains.
+        on_forget: Called with the record of a peer that was silent for long.
         load: Returns the load that heartbeats tell; None for none.
     """
 
@@ -132,6 +133,7 @@
         self.on_frame: FrameHandler = _ignore_frame
         self.on_return: abc.Callable[[members.InstanceRecord], None] = _ignore
         self.on_told_draining: abc.Callable[[], None] = _ignore_word
+        self.on_forget: abc.Callable[[members.InstanceRecord], None] = _ignore
         self.load: abc.Callable[[], messages.Load | None] = _no_load
         self._settings = settings
         self._beliefs = held
@@ -579,15 +581,21 @@
                     silent_s=round(silent_s, 3),
                 )
             if silent_s > const.FORGET_S:
-                _LOGGER.warning(
-                    'instance forgotten',
-                    peer=instance,
-                    silent_s=round(silent_s, 1),
-                )
-                self._peers.pop(instance)
-                self.registry.forget(instance)
+                self._forget(instance, silent_s)
         self.registry.expire()
 
+    def _forget(self, instance: str, silent_s: float) -> None:
+        _LOGGER.warning(
+            'instance forgotten', peer=instance, silent_s=round(silent_s, 1)
+        )
+        self._peers.pop(instance)
+        record = self.registry.get(instance)
+        self.registry.forget(instance)
+        if record is not None:
+            if self._by_address.get(record.address) == instance:
+                self._by_address.pop(record.address)
+            self.on_forget(record)
+
 
 def tick_s(count: int) -> float:
     """Return the seconds between two rounds of heartbeats.
--- a/tests/unit/process/packets/test_beliefs.py
+++ b/tests/unit/process/packets/test_beliefs.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import hypothesis
 import msgspec
 from hypothesis import strategies
 
 from kumquatport import exceptions, objects
+from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     beliefs,
     const,
@@ -210,7 +212,11 @@
     async def test_only_the_record_of_the_same_place_is_removed(self):
         made, found = await self.find('front-1', '10.0.0.1', is_first=True)
         record = made.own.present
-        await found.async_remove_forgotten(record._replace(address='10.9.9.9'))
+        made.registry.forget('front-1')
+        with mock.patch.object(const, 'REMOVE_AFTER_S', 0):
+            await found.async_remove_forgotten(
+                record._replace(address='10.9.9.9')
+            )
         key = f'{const.KIND_INSTANCES}/front-1'
         self.assertIn(key, self.store.objects)
         held = msgspec.msgpack.decode(
@@ -220,6 +226,32 @@
         await found.async_remove()
         self.assertNotIn(key, self.store.objects)
 
+    async def test_a_dead_instance_is_removed_unless_somebody_hears_it(self):
+        made, found = await self.find('front-1', '10.0.0.1', is_first=True)
+        dead = builders.record('side-9', address='10.0.0.9')
+        key = f'{const.KIND_INSTANCES}/side-9'
+        self.store.objects[key] = objects.StoredObject(
+            key, 1, msgspec.msgpack.encode(dead)
+        )
+        forgotten = []
+        made.on_forget = forgotten.append
+        made.learn(dead)
+        beat = messages.Heartbeat(
+            dead, builders.load(), made._beliefs.told(), 0, wants_answer=False
+        )
+        made.on_datagram(messages.encode(beat), ('10.0.0.9', 7000))
+        later = clock.now() + const.FORGET_S + 1
+        with mock.patch('kumquatport.helpers.clock.now', lambda: later):
+            made.beat(0)
+        self.assertEqual(forgotten, [dead])
+        with mock.patch.object(const, 'REMOVE_AFTER_S', 0):
+            made.registry.merge(dead)
+            await found.async_remove_forgotten(dead)
+            self.assertIn(key, self.store.objects)
+            made.registry.forget('side-9')
+            await found.async_remove_forgotten(dead)
+        self.assertNotIn(key, self.store.objects)
+
     async def test_an_outage_is_waited_out(self):
         made = self.loop.add('front-1', '10.0.0.1', members.KIND_BALANCER)
         found = discovery.Discovery(self.store, made, is_first=True)
