--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -1,29 +1,24 @@
 """The agent beside a backend server."""
 
 import asyncio
-import typing
-from collections import abc
-
-import mode
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
-    beliefs,
     carrier,
     const,
     datagrams,
     discovery,
-    mesh,
     models,
+    node,
     outside,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
 
 
-class Agent(mode.Service):
+class Agent(node.Node):
     """Carries the packets of one backend server."""
 
     def __init__(
@@ -42,31 +37,20 @@
         Raises:
             StartError: The settings are not those of an agent.
         """
-        super().__init__()
         target = settings.backend_server
         if not settings.outbound or not settings.heartbeats or not target:
             raise exceptions.StartError('settings are not those of an agent')
-        self._settings = settings
+        super().__init__(settings, members.KIND_AGENT, load)
         self._outbound = settings.outbound
         self._heartbeats = settings.heartbeats
         self._target = target
-        self._load = load
-        self._beliefs = beliefs.Beliefs()
-        self._mesh = mesh.Mesh(settings, members.KIND_AGENT, self._beliefs)
         self._carrier = carrier.Carrier(
             settings, codec, self._beliefs, self._mesh, self._deliver
         )
         self._mesh.on_frame = self._carrier.on_frame
         self._mesh.load = self._carrier.load
         self._mesh.on_told_draining = self._carrier.backend_server.told_draining
-        self._outside: outside.Outside | None = None
         self._discovery: discovery.Discovery | None = None
-        self._undo: list[abc.Callable[[], None]] = []
-        self._servers: list[outside.Server] = []
-
-    def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
-        """Return the services that run as long as this one."""
-        return (self._mesh,)
 
     async def on_start(self) -> None:
         """Bind the sockets and take heartbeats.
@@ -88,9 +72,7 @@
             StartError: An address or port cannot be had.
         """
         self._mesh.own.update(members_const.STATE_READY, None)
-        loaded = await asyncio.to_thread(self._load)
-        self._outside = loaded
-        await loaded.store.async_setup()
+        loaded = await self._async_load(self._carrier)
         heartbeats = loaded.heartbeats(self._take_report, self._take_exit)
         self._servers.append(
             await loaded.async_serve(heartbeats, self._heartbeats)
@@ -99,31 +81,8 @@
         self._servers.append(
             await loaded.async_serve(ready, self._settings.ready)
         )
-        figures = loaded.figures
-        figures.count('decisions', lambda: self._carrier.counts)
-        figures.count('state', self._carrier.gauges)
-        figures.count('store_calls', lambda: loaded.store.calls)
-        self._carrier.measure(figures.observer('service_time'))
-        if self._settings.metrics_port:
-            where = models.Endpoint(
-                self._settings.address, self._settings.metrics_port
-            )
-            self._servers.append(
-                await loaded.async_serve(figures.application(), where)
-            )
-        self._discovery = discovery.Discovery(
-            loaded.store, self._mesh, is_first=self._settings.is_first_start
-        )
-        await self.add_runtime_dependency(self._discovery)
-
-    async def on_stop(self) -> None:
-        """Close the sockets."""
-        while self._undo:
-            self._undo.pop()()
-        for server in self._servers:
-            await server.cleanup()
-        if self._outside is not None:
-            await self._outside.store.async_stop()
+        self._carrier.measure(loaded.figures.observer('service_time'))
+        self._discovery = await self._async_discover(loaded)
 
     async def async_drain(self) -> None:
         """Leave at a moment without requests in progress, soon.
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -3,21 +3,16 @@
 import asyncio
 import functools
 import random
-import typing
-from collections import abc
-
-import mode
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
-    beliefs,
     const,
     datagrams,
     discovery,
     forwarder,
-    mesh,
     models,
+    node,
     outside,
     watch,
 )
@@ -25,7 +20,7 @@
 from kumquatport.version.members import const as members_const
 
 
-class Balancer(mode.Service):
+class Balancer(node.Node):
     """Takes the packets of clients."""
 
     def __init__(
@@ -46,28 +41,17 @@
         Raises:
             StartError: The settings are not those of a balancer.
         """
-        super().__init__()
         if settings.entry is None or settings.outbound is not None:
             raise exceptions.StartError('settings are not those of a balancer')
-        self._settings = settings
+        super().__init__(settings, members.KIND_BALANCER, load)
         self._entry = settings.entry
         self._operators = operators
-        self._load = load
-        self._beliefs = beliefs.Beliefs()
-        self._mesh = mesh.Mesh(settings, members.KIND_BALANCER, self._beliefs)
         self._forwarder = forwarder.Forwarder(
             settings, codec, self._beliefs, self._mesh, random.Random()
         )
         self._mesh.on_frame = self._forwarder.on_frame
         self._mesh.on_return = self._forwarder.on_return
-        self._outside: outside.Outside | None = None
         self._is_leaving = False
-        self._undo: list[abc.Callable[[], None]] = []
-        self._servers: list[outside.Server] = []
-
-    def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
-        """Return the services that run as long as this one."""
-        return (self._mesh,)
 
     async def on_start(self) -> None:
         """Bind the sockets.
@@ -86,43 +70,19 @@
             StartError: An address or port cannot be had.
         """
         self._mesh.own.update(members_const.STATE_READY, None)
-        loaded = await asyncio.to_thread(self._load)
-        self._outside = loaded
-        store = loaded.store
-        await store.async_setup()
+        loaded = await self._async_load(self._forwarder)
         await self.add_runtime_dependency(
-            watch.StoreWatch(self._operators, store, self._beliefs, self._mesh)
-        )
-        found = discovery.Discovery(
-            store, self._mesh, is_first=self._settings.is_first_start
+            watch.StoreWatch(
+                self._operators, loaded.store, self._beliefs, self._mesh
+            )
         )
-        await self.add_runtime_dependency(found)
+        found = await self._async_discover(loaded)
         self._mesh.on_forget = functools.partial(self._remove, found)
         self._servers.append(
             await loaded.async_serve(
                 loaded.ready(self._is_ready), self._settings.ready
             )
         )
-        figures = loaded.figures
-        figures.count('decisions', lambda: self._forwarder.counts)
-        figures.count('state', self._forwarder.gauges)
-        figures.count('store_calls', lambda: loaded.store.calls)
-        if self._settings.metrics_port:
-            where = models.Endpoint(
-                self._settings.address, self._settings.metrics_port
-            )
-            self._servers.append(
-                await loaded.async_serve(figures.application(), where)
-            )
-
-    async def on_stop(self) -> None:
-        """Close the sockets."""
-        while self._undo:
-            self._undo.pop()()
-        for server in self._servers:
-            await server.cleanup()
-        if self._outside is not None:
-            await self._outside.store.async_stop()
 
     async def async_drain(self) -> None:
         """Refuse to be ready, and forward until the platform has seen it."""
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import math
-import typing
 from collections import abc
 
 import mode
@@ -19,72 +18,13 @@
     fetch,
     messages,
     models,
+    peers,
 )
 from kumquatport.version import members
 from kumquatport.version.spread import own_record
 
 _LOGGER = structlog.get_logger(__name__)
 
-FrameHandler = abc.Callable[[bytes, str], None]
-
-
-class Outside(typing.NamedTuple):
-    """How a mesh reaches the world.
-
-    Attributes:
-        send: Sends a datagram to an endpoint; tells whether it was taken.
-        soon: Calls a function at the end of this turn of the event loop.
-        fetch: Fetches the routes of an instance and passes them, or None if
-            they could not be had, to a function.
-    """
-
-    send: abc.Callable[[bytes, tuple[str, int]], bool]
-    soon: abc.Callable[[abc.Callable[[], None]], object]
-    fetch: abc.Callable[
-        [members.InstanceRecord, abc.Callable[[bytes | None], None]], None
-    ]
-
-
-class Peer:
-    """What this process has heard from another instance.
-
-    Attributes:
-        heard_at: Monotonic seconds of its last heartbeat.
-        incarnation: Of the process that sent it.
-        load: Of an agent.
-        placed: Flows placed on it since that heartbeat.
-        drains: Whether its backend server drained when it last told of it,
-            also if its process has started again since.
-        has_watch: Whether it asks the store itself.
-        members_digest: Digest of the records that it holds.
-        compared_at: Monotonic seconds of the last comparison of members.
-        is_suspect: Whether it has been logged as silent.
-    """
-
-    __slots__ = (
-        'compared_at',
-        'drains',
-        'has_watch',
-        'heard_at',
-        'incarnation',
-        'is_suspect',
-        'load',
-        'members_digest',
-        'placed',
-    )
-
-    def __init__(self) -> None:
-        """Start as never heard."""
-        self.heard_at = -math.inf
-        self.incarnation = 0
-        self.load: messages.Load | None = None
-        self.placed = 0
-        self.drains = False
-        self.members_digest = 0
-        self.has_watch = False
-        self.compared_at = -math.inf
-        self.is_suspect = True
-
 
 class Mesh(mode.Service):
     """This process among the others.
@@ -130,7 +70,7 @@
             ),
             self.registry,
         )
-        self.on_frame: FrameHandler = _ignore_frame
+        self.on_frame: peers.FrameHandler = _ignore_frame
         self.on_return: abc.Callable[[members.InstanceRecord], None] = _ignore
         self.on_told_draining: abc.Callable[[], None] = _ignore_word
         self.on_forget: abc.Callable[[members.InstanceRecord], None] = _ignore
@@ -138,10 +78,10 @@
         self._settings = settings
         self._beliefs = held
         self._is_balancer = kind == members.KIND_BALANCER
-        self._peers: dict[str, Peer] = {}
+        self._peers: dict[str, peers.Peer] = {}
         self._by_address: dict[str, str] = {}
         self._undo: list[abc.Callable[[], None]] = []
-        self._outside: Outside | None = None
+        self._outside: peers.Outside | None = None
         self._is_told_soon = False
         self._fetching = False
         self._are_members_read = False
@@ -161,7 +101,7 @@
         self._undo.append(close)
         loop = asyncio.get_running_loop()
         self.connect(
-            Outside(
+            peers.Outside(
                 functools.partial(datagrams.send, bound),
                 loop.call_soon,
                 self._start_fetch,
@@ -184,7 +124,7 @@
         self._settings = settings
         self.hello(settings.seeds)
 
-    def connect(self, outside: Outside) -> None:
+    def connect(self, outside: peers.Outside) -> None:
         """Begin to speak to others."""
         self._outside = outside
         self.hello(self._settings.seeds)
@@ -201,7 +141,7 @@
         """Return the instance at an address, empty if none is known."""
         return self._by_address.get(address, '')
 
-    def peer(self, instance: str) -> Peer | None:
+    def peer(self, instance: str) -> peers.Peer | None:
         """Return what was heard from an instance."""
         return self._peers.get(instance)
 
@@ -314,7 +254,7 @@
             yield from self.registry.agents(service)
 
     def _tick_s(self) -> float:
-        return tick_s(len(self.registry))
+        return peers.tick_s(len(self.registry))
 
     def _suspect_s(self, instance: str) -> float:
         """Return the silence in seconds after which a peer is suspect."""
@@ -401,7 +341,7 @@
         record = message.record
         if record.instance == self._settings.instance:
             return
-        peer = self._peers.setdefault(record.instance, Peer())
+        peer = self._peers.setdefault(record.instance, peers.Peer())
         if record.incarnation < peer.incarnation:
             return
         is_new = record.incarnation > peer.incarnation
@@ -421,19 +361,21 @@
             self.on_return(record)
         self._compare(peer, record, message.members_digest)
 
-    def _answer(self, peer: Peer, record: members.InstanceRecord) -> None:
+    def _answer(self, peer: peers.Peer, record: members.InstanceRecord) -> None:
         """Tell a peer all, also what it told before it started again."""
         answer = self._heartbeat(wants_answer=False)
         answer = answer._replace(receiver_drains=peer.drains)
         self.send(messages.encode(answer), record.address)
 
-    def _note_load(self, peer: Peer, load: messages.Load | None) -> None:
+    def _note_load(self, peer: peers.Peer, load: messages.Load | None) -> None:
         peer.load = load
         peer.placed = 0
         if load is not None and load.is_known:
             peer.drains = load.is_draining
 
-    def _note_heard(self, peer: Peer, record: members.InstanceRecord) -> None:
+    def _note_heard(
+        self, peer: peers.Peer, record: members.InstanceRecord
+    ) -> None:
         peer.heard_at = clock.now()
         if peer.is_suspect:
             peer.is_suspect = False
@@ -445,7 +387,7 @@
             )
 
     def _compare(
-        self, peer: Peer, record: members.InstanceRecord, digest: int
+        self, peer: peers.Peer, record: members.InstanceRecord, digest: int
     ) -> None:
         """Ask for the records that differ, now and then."""
         now = clock.now()
@@ -597,19 +539,6 @@
             self.on_forget(record)
 
 
-def tick_s(count: int) -> float:
-    """Return the seconds between two rounds of heartbeats.
-
-    Args:
-        count: Instances known.
-    """
-    far = count / const.FAR_EVERY
-    return max(
-        const.HEARTBEAT_S,
-        far * const.HEARTBEAT_BYTES / const.HEARTBEAT_BYTES_PER_S,
-    )
-
-
 def _ignore_frame(_datagram: bytes, _address: str) -> None:
     """Take a frame before anybody wants it."""
 
--- /dev/null
+++ b/kumquatport/process/packets/peers.py
@@ -0,0 +1,81 @@
+"""What a process keeps of each other instance, and how it reaches them."""
+
+import math
+import typing
+from collections import abc
+
+from kumquatport.process.packets import const, messages
+from kumquatport.version import members
+
+FrameHandler = abc.Callable[[bytes, str], None]
+
+
+class Outside(typing.NamedTuple):
+    """How a mesh reaches the world.
+
+    Attributes:
+        send: Sends a datagram to an endpoint; tells whether it was taken.
+        soon: Calls a function at the end of this turn of the event loop.
+        fetch: Fetches the routes of an instance and passes them, or None if
+            they could not be had, to a function.
+    """
+
+    send: abc.Callable[[bytes, tuple[str, int]], bool]
+    soon: abc.Callable[[abc.Callable[[], None]], object]
+    fetch: abc.Callable[
+        [members.InstanceRecord, abc.Callable[[bytes | None], None]], None
+    ]
+
+
+class Peer:
+    """What this process has heard from another instance.
+
+    Attributes:
+        heard_at: Monotonic seconds of its last heartbeat.
+        incarnation: Of the process that sent it.
+        load: Of an agent.
+        placed: Flows placed on it since that heartbeat.
+        drains: Whether its backend server drained when it last told of it,
+            also if its process has started again since.
+        has_watch: Whether it asks the store itself.
+        members_digest: Digest of the records that it holds.
+        compared_at: Monotonic seconds of the last comparison of members.
+        is_suspect: Whether it has been logged as silent.
+    """
+
+    __slots__ = (
+        'compared_at',
+        'drains',
+        'has_watch',
+        'heard_at',
+        'incarnation',
+        'is_suspect',
+        'load',
+        'members_digest',
+        'placed',
+    )
+
+    def __init__(self) -> None:
+        """Start as never heard."""
+        self.heard_at = -math.inf
+        self.incarnation = 0
+        self.load: messages.Load | None = None
+        self.placed = 0
+        self.drains = False
+        self.members_digest = 0
+        self.has_watch = False
+        self.compared_at = -math.inf
+        self.is_suspect = True
+
+
+def tick_s(count: int) -> float:
+    """Return the seconds between two rounds of heartbeats.
+
+    Args:
+        count: Instances known.
+    """
+    far = count / const.FAR_EVERY
+    return max(
+        const.HEARTBEAT_S,
+        far * const.HEARTBEAT_BYTES / const.HEARTBEAT_BYTES_PER_S,
+    )
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -13,6 +13,7 @@
     forwarder,
     mesh,
     models,
+    peers,
     watch,
 )
 from kumquatport.version import members, routes
@@ -361,9 +362,9 @@
             return
         process.carrier.on_outbound(datagram, (address, APP_PORT))
 
-    def _outside(self, address: str) -> mesh.Outside:
+    def _outside(self, address: str) -> peers.Outside:
         node = self.sim.node(address)
-        return mesh.Outside(
+        return peers.Outside(
             send=lambda datagram, target: self.sim.send(
                 datagram, address, target
             ),
--- a/tests/unit/process/packets/test_beliefs.py
+++ b/tests/unit/process/packets/test_beliefs.py
@@ -16,6 +16,7 @@
     discovery,
     mesh,
     messages,
+    peers,
     watch,
 )
 from kumquatport.version import members, routes
@@ -98,9 +99,9 @@
                 continue
 
     def test_heartbeats_become_rarer_with_the_number_of_peers(self):
-        self.assertEqual(mesh.tick_s(10), const.HEARTBEAT_S)
+        self.assertEqual(peers.tick_s(10), const.HEARTBEAT_S)
         for count in (1000, 12000):
-            per_s = count / const.FAR_EVERY / mesh.tick_s(count)
+            per_s = count / const.FAR_EVERY / peers.tick_s(count)
             self.assertLessEqual(per_s * const.HEARTBEAT_BYTES, 25_000)
 
 
@@ -120,7 +121,7 @@
         made = mesh.Mesh(settings, kind, beliefs.Beliefs())
         self.meshes[address] = made
         made.connect(
-            mesh.Outside(
+            peers.Outside(
                 lambda datagram, target: self._send(datagram, address, target),
                 lambda call: self.queue.append(call),
                 lambda *_: None,
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from kumquatport.connection.packets import frame
-from kumquatport.process.packets import beliefs, carrier, mesh
+from kumquatport.process.packets import beliefs, carrier, mesh, peers
 from kumquatport.version import members, routes
 from tests.builders import packets as builders
 
@@ -40,7 +40,7 @@
         settings = builders.settings()
         self.mesh = mesh.Mesh(settings, members.KIND_AGENT, self.beliefs)
         self.mesh.connect(
-            mesh.Outside(self._send, lambda call: None, lambda *_: None)
+            peers.Outside(self._send, lambda call: None, lambda *_: None)
         )
         self.carrier = carrier.Carrier(
             settings,
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -11,6 +11,7 @@
     forwarder,
     mesh,
     messages,
+    peers,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -34,7 +35,7 @@
         )
         self.mesh = mesh.Mesh(settings, members.KIND_BALANCER, self.beliefs)
         self.mesh.connect(
-            mesh.Outside(self._send, lambda call: None, lambda *_: None)
+            peers.Outside(self._send, lambda call: None, lambda *_: None)
         )
         self.forwarder = forwarder.Forwarder(
             settings,
