--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -25,20 +25,30 @@
 # Seconds between the opening packets that test a silent backend server.
 PROBE_S: typing.Final = 0.5
 
+# Sequence of the first heartbeat of an incarnation.
+FIRST_SEQUENCE: typing.Final = 1
+
+# Heartbeats that the known incarnation must miss before one that says that it
+# is older takes its place.
+DOUBT_HEARTBEATS: typing.Final = 1.5
+
 # Incarnations whose late heartbeats are known as such.
 MAX_FORMER: typing.Final = 64
 
-_MS_PER_S: typing.Final = 1000.0
-
 
 class Started(typing.NamedTuple):
     """A new incarnation of the backend server.
 
     Attributes:
-        age_s: Seconds since it started; NaN where that is not known.
+        former_until: Monotonic seconds of the last heartbeat of the one
+            before it; minus infinity if none was heard. Times of day say
+            nothing here: they differ between machines and are set.
+        is_first_heartbeat: Whether it has sent none before, so that it has
+            just started.
     """
 
-    age_s: float
+    former_until: float
+    is_first_heartbeat: bool
 
 
 class BackendServer:
@@ -55,6 +65,8 @@
         self._was_draining = False
         self.heartbeat_s = heartbeat_s
         self._heard_at = clock.now()
+        self._reported_at = -math.inf
+        self._doubted: dict[str, int] = {}
         self._cold_until = -math.inf
         self._former: collections.deque[str] = collections.deque(
             maxlen=MAX_FORMER
@@ -90,14 +102,14 @@
             What is new, if an incarnation is heard for the first time.
         """
         held = self.report
-        if report.identifier in self._former:
-            return None
         is_same = held is not None and _is_same(held, report)
-        if held is not None and not is_same and _is_older(report, held):
+        if not is_same and self._is_late(held, report):
             return None
         if held is not None and is_same and report.sequence < held.sequence:
             return None
         now = clock.now()
+        former_until = self._reported_at
+        self._reported_at = now
         self._heard_at = now
         self._unanswered = 0
         self._cold_until = now + report.cold_left_s
@@ -108,7 +120,7 @@
         self.is_gone = False
         if held is not None and held.identifier != report.identifier:
             self._former.append(held.identifier)
-        return Started(_age_s(report))
+        return Started(former_until, report.sequence <= FIRST_SEQUENCE)
 
     def told_draining(self) -> None:
         """Note that it was draining before this process started.
@@ -174,6 +186,26 @@
         self._probed_at = now
         return True
 
+    def _is_late(
+        self,
+        held: models.BackendServerReport | None,
+        report: models.BackendServerReport,
+    ) -> bool:
+        """Tell whether a heartbeat is of an incarnation that has ended.
+
+        One that says that it is older may be late, or may have started after
+        the time of day was set back: it goes on while the other is silent.
+        """
+        if report.identifier in self._former:
+            return True
+        if held is None or not _is_older(report, held):
+            return False
+        before = self._doubted.get(report.identifier)
+        self._doubted = {report.identifier: report.sequence}
+        silent_s = clock.now() - self._reported_at
+        goes_on = before is not None and report.sequence > before
+        return not goes_on or silent_s < DOUBT_HEARTBEATS * self.heartbeat_s
+
     def _note_changes(
         self,
         held: models.BackendServerReport | None,
@@ -205,15 +237,3 @@
 ) -> bool:
     """Tell whether a heartbeat is of an incarnation before the one held."""
     return bool(report.born_ms) and report.born_ms < held.born_ms
-
-
-def _age_s(report: models.BackendServerReport) -> float:
-    """Return the seconds since an incarnation's start.
-
-    Both clocks are of one machine; an age that cannot be means that the time
-    of day was set in between.
-    """
-    age_s = (clock.unix_ms() - report.born_ms) / _MS_PER_S
-    if not report.born_ms or not 0 <= age_s <= 3600:
-        return math.nan
-    return age_s
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -72,7 +72,6 @@
         )
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._is_sure = False
-        self._started_at = clock.now()
 
     @property
     def busy(self) -> int:
@@ -133,14 +132,19 @@
         self._log.flush()
 
     def _on_started(self, started: backend_server.Started) -> None:
-        """Reset the flows that an earlier incarnation took with it."""
-        now = clock.now()
-        if math.isnan(started.age_s):
+        """Reset the flows that an earlier incarnation took with it.
+
+        What the backend server sent while the earlier one lived was of that
+        one. Later packets may be of either; a bounce will tell.
+        """
+        is_heard_before = math.isfinite(started.former_until)
+        if started.is_first_heartbeat or is_heard_before:
+            # All flows of this incarnation passed through this process.
+            self._is_sure = True
+        if not is_heard_before:
             return
-        born_at = now - started.age_s
-        self._is_sure = self._is_sure or born_at > self._started_at
         for flow, state in tuple(self._flows.flows.items()):
-            if state.server_seen_at < born_at:
+            if state.server_seen_at <= started.former_until:
                 self._lose(flow, state, 'backend_server_restarted')
 
     def reset_if_gone(self) -> None:
