Live harness: a backend server's start is told as one moment

Its log and the harness show why: the harness reckoned the start anew for each heartbeat and rounded it to milliseconds, so it moved by one; the agent rightly took another start under the same identifier for a new incarnation.

--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -82,6 +82,7 @@
         self.disturbed: dict[str, float] = {}
         self.drained: dict[str, float] = {}
         self._misses: dict[str, int] = {}
+        self._born_ms: dict[str, int] = {}
         self._services = ['store'] * stores + ['manuals'] * manuals
         self._balancers = balancers
         self._tasks: list[asyncio.Task] = []
@@ -370,7 +371,11 @@
         if not server.is_up:
             return False
         server.beats += 1
-        age_s = self.sim.time - server.born
+        # Reckoned once: a start does not move.
+        age_ms = int((self.sim.time - server.born) * 1000)
+        born_ms = self._born_ms.setdefault(
+            server.identifier, _unix_ms() - age_ms
+        )
         body = {
             'Service': server.service,
             'Address': f'{server.address}:{APP_PORT}',
@@ -380,7 +385,7 @@
             'State': 'draining' if server.is_draining else 'ready',
             'WarmupLeftMs': int(server.cold_left_s() * 1000),
             'Sequence': server.beats,
-            'born': _unix_ms() - int(age_s * 1000),
+            'born': born_ms,
         }
         return await self._async_call('PUT', self._own_url(server), body)
 
