State and constants that nothing reads are gone

Read through the whole change: a start time of placed flows, whether a peer watches the store, a wait and a path were kept and never used. The wire is as it was. Nothing else decides differently.

--- a/kumquatport/connection/packets/placed.py
+++ b/kumquatport/connection/packets/placed.py
@@ -24,7 +24,6 @@
         seen_at: Monotonic seconds of the last packet.
         tests: Monotonic seconds of deliveries that only tested.
         acknowledged: What the client acknowledged last.
-        started_at: Monotonic seconds of the first packet.
     """
 
     __slots__ = (
@@ -34,7 +33,6 @@
         'missing',
         'refused',
         'seen_at',
-        'started_at',
         'tests',
     )
 
@@ -49,7 +47,6 @@
         self.missing: set[str] = set()
         self.refused: set[str] = set()
         self.seen_at = now
-        self.started_at = now
         self.tests: list[float] = []
         self.acknowledged = 0
 
--- a/kumquatport/platform/const.py
+++ b/kumquatport/platform/const.py
@@ -3,7 +3,6 @@
 import typing
 
 PATH_OBJECTS: typing.Final = 'objects'
-PATH_STATUS: typing.Final = 'status'
 
 # Stands for a slash within the name of one of the project's own objects.
 NAME_SEPARATOR: typing.Final = ':'
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -70,7 +70,3 @@
 
 SWEEP_S: typing.Final = 1.0
 WATCH_POLL_S: typing.Final = 0.2
-
-# Seconds that a process waits for its peers before it asks the store what
-# they would tell it.
-PEERS_FIRST_S: typing.Final = 0.1
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -317,7 +317,6 @@
         ):
             self.hello((sender,))
             return
-        peer.has_watch = beat.has_watch
         self._note_heard(peer, record)
         self._note_load(peer, beat.load)
         is_newer = self._beliefs.compare(
@@ -346,7 +345,6 @@
             return
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
-        peer.has_watch = message.beliefs.has_watch
         if record != self.registry.get(record.instance):
             self.registry.merge(record)
         self._note_heard(peer, record)
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -37,7 +37,6 @@
         placed: Flows placed on it since that heartbeat.
         drains: Whether its backend server drained when it last told of it,
             also if its process has started again since.
-        has_watch: Whether it asks the store itself.
         members_digest: Digest of the records that it holds.
         compared_at: Monotonic seconds of the last comparison of members.
         is_suspect: Whether it has been logged as silent.
@@ -46,7 +45,6 @@
     __slots__ = (
         'compared_at',
         'drains',
-        'has_watch',
         'heard_at',
         'incarnation',
         'is_suspect',
@@ -63,7 +61,6 @@
         self.placed = 0
         self.drains = False
         self.members_digest = 0
-        self.has_watch = False
         self.compared_at = -math.inf
         self.is_suspect = True
 
