Agents keep only balancers; changes are relayed along trees and as differences

Cause: with 25 balancers and 63 agents all instances compared and told all.

An agent deals with no other agent, so it keeps the balancers only, and compares these. A change of beliefs goes from its root along a tree of balancers that share the agents out, as the difference to the table before. Comparisons go to one peer after the other. Records of balancers come first in the store; who hears nobody reads the whole list. Beats tell their period, since an agent counts fewer peers.

--- a/kumquatport/process/packets/beliefs.py
+++ b/kumquatport/process/packets/beliefs.py
@@ -1,9 +1,11 @@
 """What this process believes to be the configuration, and how old that is."""
 
+import collections
 import math
 import typing
 from collections import abc
 
+import msgspec
 import structlog
 
 from kumquatport.helpers import clock, listeners
@@ -14,17 +16,26 @@
 
 _Listener = abc.Callable[[], None]
 
+# Source of what this process has read from the store itself.
+STORE: typing.Final = 'store'
+
+# Changes of the routes that heartbeats carry: a few, for peers that missed the
+# one before. Who missed more fetches the whole.
+MAX_CHANGES_BYTES: typing.Final = 400
+
 
 class Beliefs:
-    """Routes and failure domains taken out; neither ever goes back.
+    """Routes and failure domains taken out; neither ever goes back."""
 
-    Attributes:
-        has_watch: Whether this process asks the store itself.
-    """
+    def __init__(self, own: str) -> None:
+        """Start without any.
 
-    def __init__(self) -> None:
-        """Start without any."""
-        self.has_watch = False
+        Args:
+            own: Name of this instance.
+        """
+        self._own = own
+        self._root = own
+        self._recent: collections.deque[routes.Change] = collections.deque()
         self._current = current.Current(routes.parse)
         self._domains_changed = 0
         self._domains_out: frozenset[str] = frozenset()
@@ -68,24 +79,33 @@
         """Return seconds since the store confirmed them, as far as known."""
         return clock.now() - self._confirmed_at
 
+    @property
+    def root(self) -> str:
+        """Return the instance that had the latest change from the store."""
+        return self._root
+
     def subscribe(self, callback: _Listener) -> abc.Callable[[], None]:
         """Call back after each change."""
         return self._changes.subscribe(callback)
 
-    def offer_routes(self, encoded: bytes, source: str) -> bool:
+    def offer_routes(self, encoded: bytes, source: str, root: str = '') -> bool:
         """Take routes if they are newer than those in force.
 
         Args:
             encoded: As passed between instances.
             source: Who told them, for the log.
+            root: Instance that had them from the store; empty if this one.
 
         Raises:
             DocumentRejectedError: They are newer but malformed.
         """
         age_s = self.age_s
         version = routes.parse(encoded).version
+        before = self._current.held
         if not self._current.offer(version, encoded):
             return False
+        self._root = root or self._own
+        self._note_change(before)
         _LOGGER.info(
             'routes changed',
             version=version,
@@ -96,7 +116,11 @@
         return True
 
     def offer_domains(
-        self, revision: int, out: abc.Iterable[str], source: str
+        self,
+        revision: int,
+        out: abc.Iterable[str],
+        source: str,
+        root: str = '',
     ) -> bool:
         """Take the failure domains that are out since a revision.
 
@@ -105,6 +129,7 @@
                 at which it was first read.
             out: Their names.
             source: Who told them, for the log.
+            root: Instance that had them from the store; empty if this one.
 
         Returns:
             Whether the set changed.
@@ -117,6 +142,7 @@
         if is_same:
             return False
         self._domains_out = names
+        self._root = root or self._own
         _LOGGER.info(
             'failure domains out',
             domains=sorted(names),
@@ -135,12 +161,18 @@
         self._confirmed_at = max(self._confirmed_at, clock.now() - age_s)
 
     def take(self, told: messages.Beliefs, source: str) -> bool:
-        """Take what a peer believes, but for its routes.
+        """Take what a peer believes, and its changes of the routes.
 
         Returns:
             Whether the peer has newer routes, which must be fetched.
+
+        Raises:
+            DocumentRejectedError: Its changes are malformed.
         """
-        self.offer_domains(told.domains_changed, told.domains_out, source)
+        self.offer_domains(
+            told.domains_changed, told.domains_out, source, told.root
+        )
+        self._apply(told, source)
         return self.compare(
             told.routes_version, told.domains_changed, told.age_s
         )
@@ -162,20 +194,53 @@
             self.confirm(age_s)
         return False
 
-    def told(self) -> messages.Beliefs:
-        """Return what peers are told."""
+    def told(self, *, with_changes: bool) -> messages.Beliefs:
+        """Return what peers are told.
+
+        Args:
+            with_changes: Whether the latest changes of the routes go along.
+        """
         return messages.Beliefs(
             self.routes_version,
             self._domains_changed,
             tuple(sorted(self._domains_out)),
             min(self.age_s, NEVER_S),
-            self.has_watch,
+            self._root,
+            tuple(self._recent) if with_changes else (),
         )
 
+    def _apply(self, told: messages.Beliefs, source: str) -> None:
+        """Apply the changes that begin at the routes in force."""
+        table = self.routes
+        if table is None or told.routes_version <= table.version:
+            return
+        base = routes.digest(self.encoded_routes)
+        for change in told.changes:
+            if change.base_digest == base:
+                table = routes.apply(table, change)
+                encoded = routes.encode(table)
+                self.offer_routes(encoded, source, told.root)
+                base = routes.digest(encoded)
+
+    def _note_change(self, before: current.Versioned) -> None:
+        """Keep what has changed, to tell it to peers."""
+        after = self.routes
+        if before.document is None or after is None:
+            return
+        base = routes.digest(before.encoded)
+        change = routes.difference(base, before.document, after)
+        self._recent.append(change)
+        while self._recent and _size(self._recent) > MAX_CHANGES_BYTES:
+            self._recent.popleft()
+
 
 # Age in seconds that stands for never; infinity is no number on the wire.
 NEVER_S: typing.Final = 1e6
 
 
+def _size(changes: abc.Iterable[routes.Change]) -> int:
+    return len(msgspec.msgpack.encode(tuple(changes)))
+
+
 def _finite(age_s: float) -> float | None:
     return round(age_s, 3) if math.isfinite(age_s) else None
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -32,6 +32,9 @@
 # Seconds between two comparisons of the members with one peer.
 COMPARE_S: typing.Final = 1.0
 
+# Seconds between two comparisons with any peers: an answer is here by then.
+COMPARE_PAUSE_S: typing.Final = 0.1
+
 # Records in one datagram, so that it stays under 8 KB.
 RECORDS_PER_MESSAGE: typing.Final = 40
 
@@ -58,6 +61,10 @@
 # Kind of the store's objects that hold members.
 KIND_INSTANCES: typing.Final = 'kumquatport-instances'
 
+# Seconds after reading a part of the members until somebody must have told of
+# the rest: two rounds of greetings.
+FIND_ALL_AFTER_S: typing.Final = 2.0
+
 # Seconds that a leaving balancer goes on forwarding: the platform asks twice
 # a second whether it is ready and turns away after two refusals.
 BALANCER_LEAVE_S: typing.Final = 1.7
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -1,10 +1,14 @@
 """Finding the other instances through the store.
 
 Each instance first makes sure that its record is there and then reads the
-others'. Of any two instances at least one so finds the other, and greets it.
-After that instances tell each other who is there.
+others'. Balancers come first in the list: of any two of them at least one so
+finds the other, and each agent finds some. After that instances tell each
+other who is there.
 """
 
+import types
+import typing
+
 import mode
 import msgspec
 import structlog
@@ -16,6 +20,11 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
+# First letters of the keys, so that balancers come first in the list.
+_PREFIXES: typing.Final = types.MappingProxyType(
+    {members.KIND_BALANCER: 'a', members.KIND_AGENT: 'b'}
+)
+
 
 class Discovery(mode.Service):
     """This instance's record in the store, and those of others."""
@@ -35,6 +44,7 @@
         self._store = store
         self._mesh = peers
         self._is_first = is_first
+        self._is_whole = False
 
     async def on_start(self) -> None:
         """Begin to look for others."""
@@ -70,6 +80,29 @@
                 reported = True
             await self.sleep(next(retries))
         _LOGGER.info('members read', known=len(self._mesh.registry))
+        await self.sleep(const.FIND_ALL_AFTER_S)
+        if not self._is_whole and not self._mesh.knows_others():
+            await self._async_read_all()
+
+    async def _async_read_all(self) -> None:
+        """Read all members, since nobody answers who knows the others."""
+        after = ''
+        has_more = True
+        while has_more and not self.should_stop:
+            try:
+                page = await self._store.async_page(const.KIND_INSTANCES, after)
+            except exceptions.KumquatportError as error:
+                _LOGGER.warning('members not read', error=error)
+                await self.sleep(const.STORE_RETRY_MAX_S)
+                continue
+            for stored in page.objects:
+                record = _decoded(stored)
+                if record is not None:
+                    self._mesh.learn(record)
+                after = stored.name
+            has_more = page.has_more and bool(page.objects)
+        self._mesh.members_read()
+        _LOGGER.info('all members read', known=len(self._mesh.registry))
 
     async def async_find(self) -> None:
         """Make sure that this record is there, and read the others.
@@ -89,7 +122,7 @@
     async def _async_register(self, own: members.InstanceRecord) -> None:
         try:
             await self._store.async_put(
-                _key(own.instance), msgspec.msgpack.encode(own), None
+                _key(own), msgspec.msgpack.encode(own), None
             )
         except exceptions.VersionConflictError:
             # Another write of the same record came in between.
@@ -99,12 +132,14 @@
         """Read some of the members; tell whether this one is among them."""
         page = await self._store.async_page(const.KIND_INSTANCES, '')
         found = list(page.objects)
-        if not page.has_more:
+        self._is_whole = not page.has_more
+        if self._is_whole:
             self._mesh.members_read()
         else:
-            # The others are learnt from those of the pages read.
+            # The others are learnt from those of the pages read. The second
+            # one begins before this record: not all greet the same few.
             page = await self._store.async_page(
-                const.KIND_INSTANCES, own.instance[:-1]
+                const.KIND_INSTANCES, _name(own)[:-1]
             )
             found.extend(page.objects)
         is_own_there = False
@@ -119,7 +154,7 @@
         return is_own_there
 
     async def _async_remove(self, record: members.InstanceRecord) -> None:
-        key = _key(record.instance)
+        key = _key(record)
         try:
             stored = await self._store.async_get(key)
             held = _decoded(stored)
@@ -133,8 +168,12 @@
             )
 
 
-def _key(instance: str) -> str:
-    return f'{const.KIND_INSTANCES}/{instance}'
+def _name(record: members.InstanceRecord) -> str:
+    return f'{_PREFIXES[record.kind]}-{record.instance}'
+
+
+def _key(record: members.InstanceRecord) -> str:
+    return f'{const.KIND_INSTANCES}/{_name(record)}'
 
 
 def _decoded(stored: objects.StoredObject) -> members.InstanceRecord | None:
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -16,9 +16,11 @@
     const,
     datagrams,
     fetch,
+    membership,
     messages,
     models,
     peers,
+    relay,
 )
 from kumquatport.version import members
 from kumquatport.version.spread import own_record
@@ -30,7 +32,7 @@
     """This process among the others.
 
     Attributes:
-        registry: Records of all instances known.
+        registry: Records of the instances that this process keeps.
         own: This instance's record.
         on_frame: Called with each frame that carries a packet or names flows,
             and the address of its sender.
@@ -56,7 +58,9 @@
             held: Beliefs of this process.
         """
         super().__init__()
-        self.registry = members.Registry()
+        self._is_balancer = kind == members.KIND_BALANCER
+        self._members = membership.Membership(keeps_agents=self._is_balancer)
+        self.registry = self._members.registry
         self.own = own_record.OwnRecord(
             own_record.first_record(
                 instance=settings.instance,
@@ -77,18 +81,19 @@
         self.load: abc.Callable[[], messages.Load | None] = _no_load
         self._settings = settings
         self._beliefs = held
-        self._is_balancer = kind == members.KIND_BALANCER
         self._peers: dict[str, peers.Peer] = {}
         self._by_address: dict[str, str] = {}
         self._undo: list[abc.Callable[[], None]] = []
         self._outside: peers.Outside | None = None
+        self._compared_at = -math.inf
         self._is_told_soon = False
+        self._is_relayed_soon = False
         self._fetching = False
         self._are_members_read = False
         self._grown_at: dict[str, float] = {}
         self.registry.subscribe(self._on_record)
         self.own.changes.subscribe(self.tell_soon)
-        held.subscribe(self.tell_soon)
+        held.subscribe(self._relay_soon)
 
     async def on_start(self) -> None:
         """Bind the socket and begin to tell others.
@@ -180,6 +185,12 @@
             return False
         return self._are_members_read or self._agrees_with_peer()
 
+    def knows_others(self) -> bool:
+        """Tell whether somebody is heard that this process must work with."""
+        if self._is_balancer:
+            return any(True for _ in self.registry.services())
+        return bool(self.live_balancers())
+
     def hello(self, addresses: abc.Iterable[str]) -> None:
         """Tell instances of this one that may not know it."""
         message = messages.encode(self._heartbeat(wants_answer=True))
@@ -188,8 +199,8 @@
                 self.send(message, address)
 
     def learn(self, record: members.InstanceRecord) -> None:
-        """Take a record from the store and greet its instance."""
-        if self.registry.merge(record) and not members.is_departed(record):
+        """Take a record from the store or a peer and greet its instance."""
+        if self._members.merge(record) and not members.is_departed(record):
             self.hello((record.address,))
 
     def tell_soon(self) -> None:
@@ -198,6 +209,37 @@
             self._is_told_soon = True
             self._outside.soon(self._tell)
 
+    def _relay_soon(self) -> None:
+        """Pass a change on at the end of this turn of the event loop."""
+        if self._outside is not None and not self._is_relayed_soon:
+            self._is_relayed_soon = True
+            self._outside.soon(self._relay)
+
+    def _relay(self) -> None:
+        self._is_relayed_soon = False
+        if not self._is_balancer:
+            return
+        own = self._settings.instance
+        agents = [
+            record.instance
+            for record in self._others()
+            if record.kind == members.KIND_AGENT
+        ]
+        balancers = {one.instance for one in self.registry.balancers()}
+        chosen = relay.receivers(
+            own,
+            self._beliefs.root,
+            sorted(balancers | {own}),
+            sorted(agents),
+        )
+        change = messages.encode(
+            self._heartbeat(wants_answer=False, with_changes=True)
+        )
+        for instance in chosen:
+            record = self.registry.get(instance)
+            if record is not None:
+                self.send(change, record.address)
+
     def _send(self, datagram: bytes, endpoint: tuple[str, int]) -> bool:
         if self._outside is None:
             return False
@@ -224,13 +266,16 @@
             tick: Counts the rounds.
         """
         self._sweep()
-        beat = messages.encode_beat(self._short())
+        beats = {
+            kind: messages.encode_beat(self._short(kind))
+            for kind in (members.KIND_AGENT, members.KIND_BALANCER)
+        }
         greeting = b''
         for place, record in enumerate(self._others()):
             if (tick + place) % self._every(record.failure_domain):
                 continue
             if not self.is_suspect(record.instance):
-                self.send(beat, record.address)
+                self.send(beats[record.kind], record.address)
                 continue
             greeting = greeting or messages.encode(
                 self._heartbeat(wants_answer=True)
@@ -265,27 +310,34 @@
             and record.failure_domain == self._settings.failure_domain
         )
         every = 1 if is_near else const.FAR_EVERY
-        return const.SUSPECT_AFTER * every * self._tick_s()
+        peer = self._peers.get(instance)
+        tick_s = peer.tick_s if peer else const.HEARTBEAT_S
+        return const.SUSPECT_AFTER * every * tick_s
 
-    def _short(self) -> messages.Beat:
+    def _short(self, kind: str) -> messages.Beat:
+        """Return the short heartbeat for peers of a kind."""
         own = self.own.present
         return messages.Beat(
             incarnation=own.incarnation,
             sequence=own.sequence,
-            members_digest=self.registry.total_digest(),
+            members_digest=self._members.shared_with(kind).total_digest(),
             routes_version=self._beliefs.routes_version,
             domains_changed=self._beliefs.domains_changed,
             age_s=min(self._beliefs.age_s, beliefs.NEVER_S),
-            has_watch=self._beliefs.has_watch,
+            tick_s=self._tick_s(),
             load=self.load(),
         )
 
-    def _heartbeat(self, *, wants_answer: bool) -> messages.Heartbeat:
+    def _heartbeat(
+        self,
+        *,
+        wants_answer: bool,
+        with_changes: bool = False,
+    ) -> messages.Heartbeat:
         return messages.Heartbeat(
             self.own.present,
             self.load(),
-            self._beliefs.told(),
-            self.registry.total_digest(),
+            self._beliefs.told(with_changes=with_changes),
             wants_answer,
         )
 
@@ -317,6 +369,7 @@
         ):
             self.hello((sender,))
             return
+        peer.tick_s = beat.tick_s
         self._note_heard(peer, record)
         self._note_load(peer, beat.load)
         is_newer = self._beliefs.compare(
@@ -340,28 +393,57 @@
         record = message.record
         if record.instance == self._settings.instance:
             return
-        peer = self._peers.setdefault(record.instance, peers.Peer())
+        peer = self._peers.get(record.instance) or peers.Peer()
         if record.incarnation < peer.incarnation:
             return
+        if not self._members.keeps(record):
+            return
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
+        self._peers[record.instance] = peer
         if record != self.registry.get(record.instance):
-            self.registry.merge(record)
+            self._members.merge(record)
         self._note_heard(peer, record)
-        if self._beliefs.take(message.beliefs, record.instance):
-            self._fetch_from(record)
+        self._take_beliefs(message.beliefs, record)
         if message.receiver_drains:
             self.on_told_draining()
         if message.wants_answer or is_new:
-            self._answer(peer, record)
+            self._answer(peer, record, message.beliefs.routes_version)
         self._note_load(peer, message.load)
         if is_new:
-            self.on_return(record)
-        self._compare(peer, record, message.members_digest)
+            self._on_new(peer, record)
+
+    def _on_new(self, peer: peers.Peer, record: members.InstanceRecord) -> None:
+        self.on_return(record)
+        if self._is_balancer and record.kind == members.KIND_BALANCER:
+            self._ask_records(peer, record)
 
-    def _answer(self, peer: peers.Peer, record: members.InstanceRecord) -> None:
-        """Tell a peer all, also what it told before it started again."""
-        answer = self._heartbeat(wants_answer=False)
+    def _take_beliefs(
+        self, told: messages.Beliefs, record: members.InstanceRecord
+    ) -> None:
+        try:
+            if self._beliefs.take(told, record.instance):
+                self._fetch_from(record, told.root)
+        except exceptions.DocumentRejectedError as error:
+            _LOGGER.warning('routes refused', peer=record.instance, error=error)
+
+    def _answer(
+        self,
+        peer: peers.Peer,
+        record: members.InstanceRecord,
+        routes_version: int,
+    ) -> None:
+        """Tell a peer all, also what it told before it started again.
+
+        Args:
+            peer: What was heard from it.
+            record: Its record.
+            routes_version: Of the routes that it holds.
+        """
+        answer = self._heartbeat(
+            wants_answer=False,
+            with_changes=routes_version < self._beliefs.routes_version,
+        )
         answer = answer._replace(receiver_drains=peer.drains)
         self.send(messages.encode(answer), record.address)
 
@@ -387,24 +469,42 @@
     def _compare(
         self, peer: peers.Peer, record: members.InstanceRecord, digest: int
     ) -> None:
-        """Ask for the records that differ, now and then."""
-        now = clock.now()
+        """Ask for the records that differ, if any do."""
         peer.members_digest = digest
-        if digest == self.registry.total_digest():
-            return
+        shared = self._members.shared_with(record.kind)
+        if digest != shared.total_digest():
+            self._ask_records(peer, record)
+
+    def _ask_records(
+        self, peer: peers.Peer, record: members.InstanceRecord
+    ) -> None:
+        """Ask for the records that differ, one peer after the other.
+
+        After a start or a loss of power all peers hold what is missing here.
+        """
+        now = clock.now()
         if now - peer.compared_at < const.COMPARE_S:
             return
+        if now - self._compared_at < const.COMPARE_PAUSE_S:
+            return
         peer.compared_at = now
-        message = messages.Digests(self.registry.digests())
+        self._compared_at = now
+        shared = self._members.shared_with(record.kind)
+        message = messages.Digests(shared.digests())
         self.send(messages.encode(message), record.address)
 
     def _on_digests(self, message: messages.Digests, sender: str) -> None:
-        own = self.registry.digests()
+        record = self.registry.get(self.instance_at(sender))
+        if record is None:
+            self.hello((sender,))
+            return
+        shared = self._members.shared_with(record.kind)
+        own = shared.digests()
         differing = [
             record
             for bucket, digest in enumerate(message.digests[: len(own)])
             if digest != own[bucket]
-            for record in self.registry.bucket(bucket)
+            for record in shared.bucket(bucket)
         ]
         self._send_records(differing, (sender,))
 
@@ -462,11 +562,11 @@
             if held.incarnation > record.incarnation:
                 return
             _LOGGER.info('instance replaced', peer=former, by=record.instance)
-            self.registry.forget(former)
+            self._members.forget(former)
             self._peers.pop(former, None)
         self._by_address[record.address] = record.instance
 
-    def _fetch_from(self, record: members.InstanceRecord) -> None:
+    def _fetch_from(self, record: members.InstanceRecord, root: str) -> None:
         """Fetch the routes of a peer that has newer ones."""
         if self._fetching or self._outside is None:
             return
@@ -475,13 +575,13 @@
         def take(encoded: bytes | None) -> None:
             self._fetching = False
             if encoded is not None:
-                self._take_routes(encoded, record.instance)
+                self._take_routes(encoded, record.instance, root)
 
         self._outside.fetch(record, take)
 
-    def _take_routes(self, encoded: bytes, source: str) -> None:
+    def _take_routes(self, encoded: bytes, source: str, root: str) -> None:
         try:
-            self._beliefs.offer_routes(encoded, source)
+            self._beliefs.offer_routes(encoded, source, root)
         except exceptions.DocumentRejectedError as error:
             _LOGGER.warning('routes refused', peer=source, error=error)
 
@@ -522,7 +622,7 @@
                 )
             if silent_s > const.FORGET_S:
                 self._forget(instance, silent_s)
-        self.registry.expire()
+        self._members.expire()
 
     def _forget(self, instance: str, silent_s: float) -> None:
         _LOGGER.warning(
@@ -530,7 +630,7 @@
         )
         self._peers.pop(instance)
         record = self.registry.get(instance)
-        self.registry.forget(instance)
+        self._members.forget(instance)
         if record is not None:
             if self._by_address.get(record.address) == instance:
                 self._by_address.pop(record.address)
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -7,7 +7,7 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import frame
-from kumquatport.version import members
+from kumquatport.version import members, routes
 
 
 class Load(typing.NamedTuple):
@@ -45,14 +45,17 @@
             changed last.
         domains_out: Failure domains that get no new flow.
         age_s: Seconds since the store confirmed both.
-        has_watch: Whether this instance asks the store itself.
+        root: Instance that had the latest change from the store.
+        changes: The latest changes of the routes, the newest last; few or
+            none if they are large.
     """
 
     routes_version: int
     domains_changed: int
     domains_out: tuple[str, ...]
     age_s: float
-    has_watch: bool
+    root: str
+    changes: tuple[routes.Change, ...] = ()
 
 
 class Heartbeat(typing.NamedTuple):
@@ -62,7 +65,6 @@
         record: Of the sender.
         load: Of an agent; None from a balancer.
         beliefs: Of the sender.
-        members_digest: Digest of the records that the sender holds.
         wants_answer: Whether the sender has not heard from the receiver.
         receiver_drains: Whether the receiver's backend server was draining
             when the receiver last told of it.
@@ -71,7 +73,6 @@
     record: members.InstanceRecord
     load: Load | None
     beliefs: Beliefs
-    members_digest: int
     wants_answer: bool
     receiver_drains: bool = False
 
@@ -94,12 +95,12 @@
     Attributes:
         incarnation: Of the sender's record.
         sequence: Of the sender's record.
-        members_digest: Digest of the records that the sender holds.
+        members_digest: Digest of the records that sender and receiver keep.
         routes_version: Version of the sender's routes.
         domains_changed: Revision at which the failure domains taken out
             changed last, as far as the sender knows.
         age_s: Seconds since the store confirmed both.
-        has_watch: Whether the sender asks the store itself.
+        tick_s: Seconds between two rounds of the sender's heartbeats.
         load: Of an agent; None from a balancer.
     """
 
@@ -109,12 +110,11 @@
     routes_version: int
     domains_changed: int
     age_s: float
-    has_watch: bool
+    tick_s: float
     load: Load | None
 
 
-_BEAT: typing.Final = struct.Struct('!QIQQQfBHHHf')
-_HAS_WATCH: typing.Final = 1
+_BEAT: typing.Final = struct.Struct('!QIQQQfHBHHHf')
 _IS_AGENT: typing.Final = 2
 _ACCEPTS: typing.Final = 4
 _IS_COLD: typing.Final = 8
@@ -122,6 +122,7 @@
 _IS_DRAINING: typing.Final = 32
 _IS_KNOWN: typing.Final = 64
 _MAX_COUNT: typing.Final = 0xFFFF
+_MS_PER_S: typing.Final = 1000
 
 
 Message = Heartbeat | Records | Digests
@@ -154,8 +155,7 @@
     """Return the datagram of a short heartbeat."""
     load = beat.load or _NO_LOAD
     bits = (
-        beat.has_watch * _HAS_WATCH
-        + (beat.load is not None) * _IS_AGENT
+        (beat.load is not None) * _IS_AGENT
         + load.accepts * _ACCEPTS
         + load.is_cold * _IS_COLD
         + load.is_sure * _IS_SURE
@@ -169,6 +169,7 @@
         beat.routes_version,
         beat.domains_changed,
         beat.age_s,
+        min(round(beat.tick_s * _MS_PER_S), _MAX_COUNT),
         bits,
         min(load.slots, _MAX_COUNT),
         min(load.busy, _MAX_COUNT),
@@ -187,7 +188,7 @@
         row = _BEAT.unpack_from(datagram, 1)
     except struct.error as error:
         raise exceptions.FramePayloadError(str(error)) from error
-    bits, slots, busy, flows, service_ms = row[6:]
+    bits, slots, busy, flows, service_ms = row[7:]
     load = None
     if bits & _IS_AGENT:
         load = Load(
@@ -208,7 +209,7 @@
         routes_version=row[3],
         domains_changed=row[4],
         age_s=row[5],
-        has_watch=bool(bits & _HAS_WATCH),
+        tick_s=row[6] / _MS_PER_S,
         load=load,
     )
 
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -41,7 +41,7 @@
         """
         super().__init__()
         self._settings = settings
-        self._beliefs = beliefs.Beliefs()
+        self._beliefs = beliefs.Beliefs(settings.instance)
         self._mesh = mesh.Mesh(settings, kind, self._beliefs)
         self._load = load
         self._outside: outside.Outside | None = None
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -37,7 +37,8 @@
         placed: Flows placed on it since that heartbeat.
         drains: Whether its backend server drained when it last told of it,
             also if its process has started again since.
-        members_digest: Digest of the records that it holds.
+        members_digest: Digest of the records that both keep.
+        tick_s: Seconds between two rounds of its heartbeats.
         compared_at: Monotonic seconds of the last comparison of members.
         is_suspect: Whether it has been logged as silent.
     """
@@ -51,6 +52,7 @@
         'load',
         'members_digest',
         'placed',
+        'tick_s',
     )
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self.members_digest = 0
         self.compared_at = -math.inf
         self.is_suspect = True
+        self.tick_s = const.HEARTBEAT_S
 
 
 def tick_s(count: int) -> float:
--- /dev/null
+++ b/kumquatport/process/packets/relay.py
@@ -0,0 +1,46 @@
+"""Who passes a change of beliefs on to whom.
+
+Load pattern: bursts of configuration changes in a deployment of many
+instances. If all told all, messages would grow with the square; if one told
+all, its link would be the slowest part.
+"""
+
+import typing
+from collections import abc
+
+# Balancers that each balancer tells. Three hops reach five hundred.
+FAN_OUT: typing.Final = 8
+
+
+def receivers(
+    own: str,
+    root: str,
+    balancers: abc.Sequence[str],
+    agents: abc.Sequence[str],
+) -> list[str]:
+    """Return the instances that a balancer tells of a change.
+
+    The balancers form a tree with the one that has the change from the store
+    as its root; agents are shared out among them. Two balancers watch the
+    store, so that each change has two trees. Whoever is missed, since views
+    differ or a balancer on the way is gone, learns from the heartbeats.
+
+    Another root leaves an agent to another balancer.
+
+    Args:
+        own: The balancer that passes the change on.
+        root: The balancer that has it from the store.
+        balancers: Names of all balancers, sorted.
+        agents: Names of all agents, sorted.
+    """
+    if own not in balancers:
+        return []
+    count = len(balancers)
+    start = balancers.index(root) if root in balancers else 0
+    place = (balancers.index(own) - start) % count
+    first = place * FAN_OUT + 1
+    children = [
+        balancers[(start + child) % count]
+        for child in range(first, min(first + FAN_OUT, count))
+    ]
+    return children + list(agents[place::count])
--- a/kumquatport/process/packets/watch.py
+++ b/kumquatport/process/packets/watch.py
@@ -85,8 +85,7 @@
         watch: abc.Callable[[], abc.Awaitable[None]],
     ) -> None:
         while not self.should_stop:
-            self._beliefs.has_watch = self.is_watcher()
-            if self._beliefs.has_watch:
+            if self.is_watcher():
                 await self._async_try(part, watch)
             else:
                 await self.sleep(backoff.jittered(const.WATCH_POLL_S))
@@ -135,7 +134,7 @@
     def _take_domains(self, revision: int) -> None:
         is_known = self._beliefs.knows_domains
         if not is_known or self._domains != self._beliefs.domains_out:
-            self._beliefs.offer_domains(revision, self._domains, 'store')
+            self._beliefs.offer_domains(revision, self._domains, beliefs.STORE)
         self._confirm(DOMAINS)
 
     def _take_routes(self, listing: objects.Listing) -> None:
@@ -152,7 +151,7 @@
                 'routes refused', error=error, revision=stored.version
             )
             return
-        self._beliefs.offer_routes(routes.encode(table), 'store')
+        self._beliefs.offer_routes(routes.encode(table), beliefs.STORE)
 
     def _confirm(self, part: str) -> None:
         """Both parts must be confirmed; the older one counts."""
--- a/kumquatport/version/routes.py
+++ b/kumquatport/version/routes.py
@@ -4,6 +4,7 @@
 from collections import abc
 
 import msgspec
+import xxhash
 
 from kumquatport import exceptions
 
@@ -70,6 +71,26 @@
         )
 
 
+class Change(typing.NamedTuple):
+    """What leads from one table to a later one.
+
+    Attributes:
+        base_digest: Digest of the encoded table that it applies to.
+        version: Of the later table.
+        changed: Routes that are new or different.
+        removed: Addresses and ports without a route now.
+        services: All services of the later table; None if they are the same.
+        idle_timeout_s: Of the later table.
+    """
+
+    base_digest: int
+    version: int
+    changed: tuple[Route, ...]
+    removed: tuple[tuple[int, int], ...]
+    services: tuple[ServiceRule, ...] | None
+    idle_timeout_s: float
+
+
 class _Encoded(typing.NamedTuple):
     version: int
     routes: tuple[Route, ...]
@@ -78,12 +99,15 @@
 
 
 def encode(table: RouteTable) -> bytes:
-    """Return the form in which instances pass a table on."""
+    """Return the form in which instances pass a table on.
+
+    Equal tables have equal forms.
+    """
     return msgspec.msgpack.encode(
         _Encoded(
             table.version,
-            tuple(table.routes.values()),
-            tuple(table.services.values()),
+            tuple(route for _, route in sorted(table.routes.items())),
+            tuple(rule for _, rule in sorted(table.services.items())),
             table.idle_timeout_s,
         )
     )
@@ -106,3 +130,50 @@
         {service.name: service for service in found.services},
         found.idle_timeout_s,
     )
+
+
+def digest(encoded: bytes) -> int:
+    """Return the digest of an encoded table that changes refer to."""
+    return xxhash.xxh64_intdigest(encoded)
+
+
+def difference(
+    base_digest: int, before: RouteTable, after: RouteTable
+) -> Change:
+    """Return what leads from one table to another.
+
+    Args:
+        base_digest: Digest of the earlier one's encoded form.
+        before: The earlier one.
+        after: The later one.
+    """
+    return Change(
+        base_digest=base_digest,
+        version=after.version,
+        changed=tuple(
+            route
+            for key, route in after.routes.items()
+            if before.routes.get(key) != route
+        ),
+        removed=tuple(key for key in before.routes if key not in after.routes),
+        services=(
+            None
+            if before.services == after.services
+            else tuple(after.services.values())
+        ),
+        idle_timeout_s=after.idle_timeout_s,
+    )
+
+
+def apply(before: RouteTable, change: Change) -> RouteTable:
+    """Return the table that a change of another leads to."""
+    found = dict(before.routes)
+    for key in change.removed:
+        found.pop(key, None)
+    found.update(
+        {(route.address, route.port): route for route in change.changed}
+    )
+    services = before.services
+    if change.services is not None:
+        services = {rule.name: rule for rule in change.services}
+    return RouteTable(change.version, found, services, change.idle_timeout_s)
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -148,7 +148,7 @@
         kind = members.KIND_AGENT
         if settings.entry:
             kind = members.KIND_BALANCER
-        held = beliefs.Beliefs()
+        held = beliefs.Beliefs(settings.instance)
         peers = mesh.Mesh(settings, kind, held)
         process = Process(peers, held, None, None)
         if settings.entry:
--- a/tests/emulator/world.py
+++ b/tests/emulator/world.py
@@ -1,5 +1,6 @@
 """Simulated time, network and faults."""
 
+import collections
 import contextlib
 import heapq
 import itertools
@@ -11,6 +12,8 @@
 LATENCY_S = 0.0007
 JITTER_S = 0.0006
 LOSS = 0.0005
+# Of IP and UDP, in each datagram.
+HEADER_BYTES = 28
 EPOCH_MS = 1_800_000_000_000
 
 Handler = abc.Callable[[bytes, tuple[str, int]], None]
@@ -36,6 +39,7 @@
         self.nodes: dict[str, Node] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.sent = 0
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
         self._events: list[tuple[float, int, abc.Callable[[], None]]] = []
         self._numbers = itertools.count()
 
@@ -96,6 +100,7 @@
     ) -> bool:
         """Send a datagram; it may be lost, late or meet a machine down."""
         self.sent += 1
+        self.sent_bytes[source] += len(datagram) + HEADER_BYTES
         address, port = target
         is_local = source == address
         if (source, address) in self.cuts:
--- a/tests/unit/process/packets/test_beliefs.py
+++ b/tests/unit/process/packets/test_beliefs.py
@@ -28,7 +28,7 @@
     """Routes and failure domains taken out."""
 
     def setUp(self):
-        self.held = beliefs.Beliefs()
+        self.held = beliefs.Beliefs('front-9')
 
     def test_routes_never_go_back(self):
         for version in (3, 7, 5, 7, 1):
@@ -81,7 +81,7 @@
 
     def test_short_heartbeats(self):
         for load in (None, builders.load(busy=70000, is_cold=True)):
-            beat = messages.Beat(1, 2, 3, 4, 5, 0.5, True, load)
+            beat = messages.Beat(1, 2, 3, 4, 5, 0.5, 0.25, load)
             found = messages.decode_beat(messages.encode_beat(beat))
             if load is not None:
                 beat = beat._replace(load=load._replace(busy=0xFFFF))
@@ -118,7 +118,7 @@
             address=address,
             service='store' if kind == members.KIND_AGENT else '',
         )
-        made = mesh.Mesh(settings, kind, beliefs.Beliefs())
+        made = mesh.Mesh(settings, kind, beliefs.Beliefs(name))
         self.meshes[address] = made
         made.connect(
             peers.Outside(
@@ -218,7 +218,7 @@
             await found.async_remove_forgotten(
                 record._replace(address='10.9.9.9')
             )
-        key = f'{const.KIND_INSTANCES}/front-1'
+        key = f'{const.KIND_INSTANCES}/a-front-1'
         self.assertIn(key, self.store.objects)
         held = msgspec.msgpack.decode(
             self.store.objects[key].value, type=members.InstanceRecord
@@ -230,7 +230,7 @@
     async def test_a_dead_instance_is_removed_unless_somebody_hears_it(self):
         made, found = await self.find('front-1', '10.0.0.1', is_first=True)
         dead = builders.record('side-9', address='10.0.0.9')
-        key = f'{const.KIND_INSTANCES}/side-9'
+        key = f'{const.KIND_INSTANCES}/b-side-9'
         self.store.objects[key] = objects.StoredObject(
             key, 1, msgspec.msgpack.encode(dead)
         )
@@ -238,7 +238,10 @@
         made.on_forget = forgotten.append
         made.learn(dead)
         beat = messages.Heartbeat(
-            dead, builders.load(), made._beliefs.told(), 0, wants_answer=False
+            dead,
+            builders.load(),
+            made._beliefs.told(with_changes=False),
+            wants_answer=False,
         )
         made.on_datagram(messages.encode(beat), ('10.0.0.9', 7000))
         later = clock.now() + const.FORGET_S + 1
@@ -262,4 +265,4 @@
         self.store.down = False
         await found.async_find()
         await asyncio.sleep(0)
-        self.assertIn(f'{const.KIND_INSTANCES}/front-1', self.store.objects)
+        self.assertIn(f'{const.KIND_INSTANCES}/a-front-1', self.store.objects)
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -36,7 +36,7 @@
             self.addCleanup(patch.stop)
         self.sent = []
         self.delivered = []
-        self.beliefs = beliefs.Beliefs()
+        self.beliefs = beliefs.Beliefs('side-1')
         settings = builders.settings()
         self.mesh = mesh.Mesh(settings, members.KIND_AGENT, self.beliefs)
         self.mesh.connect(
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -29,7 +29,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.sent = []
-        self.beliefs = beliefs.Beliefs()
+        self.beliefs = beliefs.Beliefs('front-1')
         settings = builders.settings(
             instance='front-1', address='10.0.0.1', service='', outbound=None
         )
@@ -57,8 +57,7 @@
         beat = messages.Heartbeat(
             builders.record(instance, address=address, incarnation=incarnation),
             builders.load(**load),
-            self.beliefs.told(),
-            self.mesh.registry.total_digest(),
+            self.beliefs.told(with_changes=False),
             wants_answer=False,
         )
         self.mesh.on_datagram(messages.encode(beat), (address, 7000))
