Flows are found by their registrars before all agents are asked

Processor time (2 to 6% of a core) was ruled out.

Two balancers, found by rendezvous hashing of the flow, keep which agent holds a flow that is older than half a second. A balancer that meets a flow asks them one after the other, and all agents only if neither knows. A leaving agent tells its registrars and no longer all balancers.

--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -9,6 +9,11 @@
 KIND_HELD: typing.Final = 3
 KIND_CONTROL: typing.Final = 4
 KIND_BEAT: typing.Final = 5
+# To the registrars of flows, and between them and other balancers.
+KIND_REGISTER: typing.Final = 6
+KIND_ENDED: typing.Final = 7
+KIND_WHERE: typing.Final = 8
+KIND_FOUND: typing.Final = 9
 
 # A forward whose sender does not know which agent holds the flow.
 ASK: typing.Final = 1
@@ -37,6 +42,7 @@
 
 _HEAD: typing.Final = struct.Struct('<BBQ')
 HEAD_BYTES: typing.Final = _HEAD.size
+_FOUND: typing.Final = struct.Struct('<BI')
 
 
 class Frame(typing.NamedTuple):
@@ -68,12 +74,60 @@
     return Frame(kind, detail, version, message[HEAD_BYTES:])
 
 
-def pack_held(flows: typing.Sequence[bytes]) -> bytes:
-    """Return the bytes that name flows which an agent holds."""
-    return bytes((KIND_HELD,)) + b''.join(flows)
+class Found(typing.NamedTuple):
+    """A registrar's answer.
+
+    Attributes:
+        address: IPv4 address of the agent as a number, 0 if not known.
+        datagram: The packet that was to be sent there.
+    """
+
+    address: int
+    datagram: bytes
+
+
+def pack_where(datagram: bytes) -> bytes:
+    """Return the bytes that ask a registrar for the agent of a packet."""
+    return bytes((KIND_WHERE,)) + datagram
+
+
+def unpack_where(message: bytes) -> bytes:
+    """Read the packet that a balancer asks about."""
+    return message[1:]
+
+
+def pack_found(address: int, datagram: bytes) -> bytes:
+    """Return the bytes of a registrar's answer."""
+    return _FOUND.pack(KIND_FOUND, address) + datagram
+
+
+def unpack_found(message: bytes) -> Found | None:
+    """Read a registrar's answer; None if it is too short."""
+    if len(message) <= _FOUND.size:
+        return None
+    _, address = _FOUND.unpack_from(message)
+    return Found(address, message[_FOUND.size :])
+
+
+def pack_flows(kind: int, flows: typing.Iterable[bytes]) -> bytes:
+    """Return the bytes that name flows.
+
+    Args:
+        kind: ``KIND_HELD``, ``KIND_REGISTER`` or ``KIND_ENDED``.
+        flows: At most ``MAX_FLOWS``.
+    """
+    return bytes((kind,)) + b''.join(flows)
+
+
+def batches(
+    flows: typing.Sequence[bytes],
+) -> typing.Iterator[typing.Sequence[bytes]]:
+    """Yield parts of a list of flows that fit into one message."""
+    for start in range(0, len(flows), MAX_FLOWS):
+        yield flows[start : start + MAX_FLOWS]
 
 
-def unpack_held(message: bytes) -> list[bytes]:
+def unpack_flows(message: bytes) -> list[bytes]:
     """Read the names of flows; a cut one at the end is left out."""
     body = message[1:]
     whole = len(body) - len(body) % FLOW_BYTES
--- a/kumquatport/connection/packets/placed.py
+++ b/kumquatport/connection/packets/placed.py
@@ -7,6 +7,9 @@
 # packet comes; a balancer that forgot asks the agents again.
 MIN_IDLE_S: typing.Final = 20.0
 
+# Seconds for a registrar's answer: some times the way to another region.
+ANSWER_S: typing.Final = 0.1
+
 # Flows remembered at most; beyond it the oldest are asked for again.
 MAX_FLOWS: typing.Final = 200_000
 
@@ -24,16 +27,22 @@
         seen_at: Monotonic seconds of the last packet.
         tests: Monotonic seconds of deliveries that only tested.
         acknowledged: What the client acknowledged last.
+        unknown_to: Registrars that do not know the flow, or did not answer.
+        asked: The registrar that is being asked, empty for none.
+        asked_at: Monotonic seconds when it was asked first.
     """
 
     __slots__ = (
         'acknowledged',
         'agents',
+        'asked',
+        'asked_at',
         'is_settled',
         'missing',
         'refused',
         'seen_at',
         'tests',
+        'unknown_to',
     )
 
     def __init__(self, now: float) -> None:
@@ -49,12 +58,34 @@
         self.seen_at = now
         self.tests: list[float] = []
         self.acknowledged = 0
+        self.unknown_to: set[str] = set()
+        self.asked = ''
+        self.asked_at: float = 0
+
+    def next_registrar(self, names: abc.Iterable[str], now: float) -> str:
+        """Return the registrar to ask about the flow, empty if none is left.
+
+        Args:
+            names: Registrars that are heard, the first one first.
+            now: Monotonic seconds.
+        """
+        if self.asked and now - self.asked_at > ANSWER_S:
+            self.unknown_to.add(self.asked)
+        for name in names:
+            if name not in self.unknown_to:
+                if name != self.asked:
+                    self.asked = name
+                    self.asked_at = now
+                return name
+        return ''
 
     def settle(self, instance: str) -> None:
         """Note the agent that holds the flow."""
         self.agents = [instance]
         self.is_settled = True
         self.missing.clear()
+        self.unknown_to.clear()
+        self.asked = ''
 
 
 class PlacedFlows:
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -4,7 +4,7 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
-from kumquatport.helpers import clock
+from kumquatport.helpers import backoff, clock
 from kumquatport.process.packets import (
     carrier,
     const,
@@ -48,6 +48,7 @@
             settings, codec, self._beliefs, self._mesh, self._deliver
         )
         self._mesh.on_frame = self._carrier.on_frame
+        self._mesh.on_return = self._carrier.on_return
         self._mesh.load = self._carrier.load
         self._mesh.on_told_draining = self._carrier.backend_server.told_draining
         self._discovery: discovery.Discovery | None = None
@@ -64,6 +65,7 @@
         self._socket = bound
         self._undo.append(close)
         self.add_future(self._async_sweep())
+        self.add_future(self._async_register())
 
     async def on_started(self) -> None:
         """Tell the others that this agent takes flows, then take heartbeats.
@@ -87,18 +89,18 @@
     async def async_drain(self) -> None:
         """Leave at a moment without requests in progress, soon.
 
-        The balancers are told which flows are open here, so that they find
-        them again when this agent is back.
+        The registrars are told which flows are open here, so that they are
+        found again when this agent is back.
         """
         self._carrier.is_leaving = True
         is_gone = self._carrier.backend_server.is_gone
         self._mesh.own.update(members_const.STATE_LEAVING, None)
-        self._carrier.tell_flows()
+        self._carrier.register(is_last=True)
         await asyncio.sleep(const.AGENT_LEAVE_MIN_S)
         limit = clock.now() + const.AGENT_LEAVE_MAX_S
         while self._carrier.busy and clock.now() < limit and not is_gone:
             await asyncio.sleep(const.AGENT_LEAVE_POLL_S)
-        self._carrier.tell_flows()
+        self._carrier.register(is_last=True)
         if is_gone:
             self._mesh.own.update(members_const.STATE_GONE, None)
             if self._discovery is not None:
@@ -123,6 +125,11 @@
             loop = asyncio.get_running_loop()
             loop.call_later(carrier.GONE_RESET_S, self._carrier.reset_if_gone)
 
+    async def _async_register(self) -> None:
+        while not self.should_stop:
+            await self.sleep(backoff.jittered(const.REGISTER_S))
+            self._carrier.register()
+
     async def _async_sweep(self) -> None:
         while not self.should_stop:
             await self.sleep(const.SWEEP_S)
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -11,6 +11,8 @@
     cold,
     frame,
     held,
+    registrars,
+    registration,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -22,6 +24,7 @@
     messages,
     models,
 )
+from kumquatport.version import members
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -67,6 +70,8 @@
         self._deliver_datagram = deliver
         self._flows = held.HeldFlows()
         self._hints: set[bytes] = set()
+        self._registrars = registrars.Registrars()
+        self._registration = registration.Registration()
         self._cold = cold.ColdAllowance(
             settings.bounds.cold_factor, settings.bounds.cold_slack
         )
@@ -169,7 +174,7 @@
         """Take a frame of a balancer, given the balancer's address."""
         if datagram[0] == frame.KIND_HELD:
             if len(self._hints) < MAX_HINTS:
-                self._hints.update(frame.unpack_held(datagram))
+                self._hints.update(frame.unpack_flows(datagram))
             return
         message = frame.unpack(datagram)
         if message is None or message.kind != frame.KIND_FORWARD:
@@ -264,7 +269,8 @@
             return
         self._flows.from_client(state, packet, clock.now())
         if is_asked:
-            self._mesh.send(frame.pack_held((packet.flow,)), sender)
+            answer = frame.pack_flows(frame.KIND_HELD, (packet.flow,))
+            self._mesh.send(answer, sender)
         self._deliver(packet, sender)
 
     def _carry_unknown(
@@ -330,13 +336,38 @@
             self._hints.discard(packet.flow)
             self._return(clean, frame.REASON_NOT_HELD, sender)
 
-    def tell_flows(self) -> None:
-        """Tell the balancers which flows are open here."""
-        flows = [flow for flow, _ in self._flows.open_flows()]
-        for start in range(0, len(flows), frame.MAX_FLOWS):
-            message = frame.pack_held(flows[start : start + frame.MAX_FLOWS])
-            for record in self._mesh.registry.balancers():
-                self._mesh.send(message, record.address)
+    def register(self, *, is_last: bool = False) -> None:
+        """Tell the registrars which flows are open here.
+
+        Args:
+            is_last: Whether this process is about to stop, so that flows
+                that have just opened are told too.
+        """
+        self._registrars.update(
+            record.instance for record in self._mesh.registry.balancers()
+        )
+        now = clock.now()
+        news = self._registration.news(
+            self._flows.open_flows(),
+            self._registrars,
+            now if is_last else now - registration.MIN_AGE_S,
+        )
+        self._tell_flows(frame.KIND_REGISTER, news.held)
+        self._tell_flows(frame.KIND_ENDED, news.ended)
+
+    def on_return(self, record: members.InstanceRecord) -> None:
+        """Tell a balancer that has started what it is a registrar of."""
+        self._registration.forget(record.instance)
+
+    def _tell_flows(
+        self, kind: int, batches: abc.Mapping[str, abc.Sequence[bytes]]
+    ) -> None:
+        for instance, flows in batches.items():
+            record = self._mesh.registry.get(instance)
+            if record is None:
+                continue
+            for part in frame.batches(flows):
+                self._mesh.send(frame.pack_flows(kind, part), record.address)
 
     def load(self) -> messages.Load:
         """Return what heartbeats tell of the backend server."""
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -75,5 +75,9 @@
 AGENT_LEAVE_MIN_S: typing.Final = 0.15
 AGENT_LEAVE_POLL_S: typing.Final = 0.01
 
+# Seconds between two rounds of telling registrars about flows; a flow that
+# moves before it is told costs a message to each agent of its service.
+REGISTER_S: typing.Final = 0.25
+
 SWEEP_S: typing.Final = 1.0
 WATCH_POLL_S: typing.Final = 0.2
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -16,7 +16,13 @@
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
-from kumquatport.process.packets import beliefs, decisions, mesh, models
+from kumquatport.process.packets import (
+    beliefs,
+    decisions,
+    mesh,
+    models,
+    registrar,
+)
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
 
@@ -55,9 +61,18 @@
         self._beliefs = held
         self._mesh = peers
         self._flows = placed.PlacedFlows()
+        self._registrar = registrar.Registrar(settings.instance, codec, peers)
         self._rng = rng
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._started_at = clock.now()
+        self._handlers: abc.Mapping[int, abc.Callable[[bytes, str], None]] = {
+            frame.KIND_HELD: self._on_held,
+            frame.KIND_RETURN: self._on_return,
+            frame.KIND_REGISTER: self._registrar.on_register,
+            frame.KIND_ENDED: self._registrar.on_ended,
+            frame.KIND_WHERE: self._registrar.on_where,
+            frame.KIND_FOUND: self._on_found,
+        }
 
     @property
     def counts(self) -> abc.Mapping[str, float]:
@@ -68,6 +83,7 @@
         """Return the present state in numbers."""
         return {
             'flows': len(self._flows),
+            'registered': len(self._registrar),
             'members': len(self._mesh.registry),
             'routes_version': self._beliefs.routes_version,
             'domains_out': len(self._beliefs.domains_out),
@@ -252,6 +268,53 @@
         packet: packets.Packet,
         route: routes.Route,
         flow: placed.Placed,
+    ) -> None:
+        """Find the agent of a flow, by its registrars or by all agents."""
+        known = self._registrar.find(packet.flow)
+        if known is not None and known.instance not in flow.missing:
+            self._go_to(packet, flow, known.instance)
+            return
+        asked = flow.next_registrar(
+            self._registrar.others(packet.flow), clock.now()
+        )
+        if asked:
+            self._registrar.ask(asked, packet)
+        else:
+            self._ask_agents(packet, route, flow)
+
+    def _go_to(
+        self, packet: packets.Packet, flow: placed.Placed, instance: str
+    ) -> None:
+        """Send a packet to the agent that has registered its flow."""
+        flow.agents = [instance]
+        self._log.note('flow found', packet.flow, agent=instance)
+        # An agent that has started again may not know the flow.
+        self._forward(packet, instance, frame.ASK | frame.TEST)
+
+    def _on_found(self, message: bytes, sender: str) -> None:
+        """Take a registrar's answer."""
+        found = frame.unpack_found(message)
+        packet = self._codec.from_client(found.datagram) if found else None
+        route = self._route(packet) if packet else None
+        if found is None or packet is None or route is None:
+            return
+        flow = self._flows.touch(packet.flow, clock.now())
+        address = packets.marked_address(found.address)
+        instance = self._mesh.instance_at(address)
+        if flow.agents:
+            # An earlier packet of the flow has been answered meanwhile.
+            self._forward(packet, flow.agents[-1], 0)
+        elif instance and instance not in flow.missing:
+            self._go_to(packet, flow, instance)
+        else:
+            flow.unknown_to.add(sender)
+            self._look_up(packet, route, flow)
+
+    def _ask_agents(
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        flow: placed.Placed,
     ) -> None:
         """Ask the agents that may hold a flow by sending them its packet."""
         holders = self._holders(route)
@@ -353,29 +416,30 @@
         self._mesh.send(message, record.address)
 
     def on_frame(self, datagram: bytes, sender: str) -> None:
-        """Take a frame of an agent, given the agent's address."""
+        """Take a frame of another instance, given its address."""
         instance = self._mesh.instance_at(sender)
-        if not instance:
-            return
-        if datagram[0] == frame.KIND_HELD:
-            now = clock.now()
-            for flow in frame.unpack_held(datagram):
-                self._flows.touch(flow, now).settle(instance)
-            return
+        handle = self._handlers.get(datagram[0])
+        if instance and handle is not None:
+            handle(datagram, instance)
+
+    def _on_held(self, message: bytes, instance: str) -> None:
+        """Take the names of flows that an agent holds."""
+        now = clock.now()
+        for flow in frame.unpack_flows(message):
+            self._flows.touch(flow, now).settle(instance)
+
+    def _on_return(self, datagram: bytes, instance: str) -> None:
+        """Take back a packet that an agent did not deliver."""
         message = frame.unpack(datagram)
-        if message is None or message.kind != frame.KIND_RETURN:
-            return
-        packet = self._codec.from_client(message.datagram)
-        if packet is not None:
+        packet = self._codec.from_client(message.datagram) if message else None
+        if message is not None and packet is not None:
             self._on_returned(packet, message.detail, instance)
 
     def _on_returned(
         self, packet: packets.Packet, reason: int, instance: str
     ) -> None:
         """Find another way for a packet that an agent sent back."""
-        table = self._beliefs.routes
-        key = (packet.service_address, packet.service_port)
-        route = table.routes.get(key) if table else None
+        route = self._route(packet)
         if route is None:
             return
         flow = self._flows.touch(packet.flow, clock.now())
@@ -398,11 +462,15 @@
         """Tell an agent that started again which flows it may hold."""
         if record.kind != members.KIND_AGENT:
             return
-        flows = self._flows.of_agent(record.instance)
-        for start in range(0, len(flows), frame.MAX_FLOWS):
-            message = frame.pack_held(flows[start : start + frame.MAX_FLOWS])
+        for part in frame.batches(self._flows.of_agent(record.instance)):
+            message = frame.pack_flows(frame.KIND_HELD, part)
             self._mesh.send(message, record.address)
 
+    def _route(self, packet: packets.Packet) -> routes.Route | None:
+        table = self._beliefs.routes
+        key = (packet.service_address, packet.service_port)
+        return table.routes.get(key) if table else None
+
 
 def service_of(route: routes.Route, flow: bytes) -> str:
     """Return the service that takes a flow, by the weights of its route.
--- /dev/null
+++ b/kumquatport/process/packets/registrar.py
@@ -0,0 +1,77 @@
+"""The part of a balancer that knows where flows of others are."""
+
+from kumquatport.connection.packets import (
+    directory,
+    frame,
+    registrars,
+)
+from kumquatport.connection.packets import packet as packets
+from kumquatport.process.packets import mesh
+from kumquatport.version import members
+
+
+class Registrar:
+    """Keeps what agents register, answers balancers, and asks others."""
+
+    def __init__(
+        self, own: str, codec: packets.Codec, peers: mesh.Mesh
+    ) -> None:
+        """Start without flows.
+
+        Args:
+            own: Name of this instance.
+            codec: Format of the packets.
+            peers: The other instances.
+        """
+        self._own = own
+        self._codec = codec
+        self._mesh = peers
+        self._directory = directory.Directory()
+        self._registrars = registrars.Registrars()
+
+    def __len__(self) -> int:
+        """Return how many flows are registered here."""
+        return len(self._directory)
+
+    def find(self, flow: bytes) -> members.InstanceRecord | None:
+        """Return the agent that registered a flow here, if it is there."""
+        record = self._mesh.registry.get(self._directory.find(flow))
+        if record is None or members.is_departed(record):
+            return None
+        return record
+
+    def others(self, flow: bytes) -> list[str]:
+        """Return the other registrars of a flow that are heard."""
+        names = {one.instance for one in self._mesh.registry.balancers()}
+        self._registrars.update(names | {self._own})
+        return [
+            name
+            for name in self._registrars.of(flow)
+            if name != self._own and not self._mesh.is_suspect(name)
+        ]
+
+    def ask(self, registrar: str, packet: packets.Packet) -> None:
+        """Ask a registrar where a packet is to be sent."""
+        record = self._mesh.registry.get(registrar)
+        if record is not None:
+            message = frame.pack_where(packet.datagram)
+            self._mesh.send(message, record.address)
+
+    def on_register(self, message: bytes, instance: str) -> None:
+        """Take the names of flows that an agent holds."""
+        self._directory.note(frame.unpack_flows(message), instance)
+
+    def on_ended(self, message: bytes, instance: str) -> None:
+        """Take the names of flows that an agent does not hold any more."""
+        self._directory.drop(frame.unpack_flows(message), instance)
+
+    def on_where(self, message: bytes, instance: str) -> None:
+        """Answer a balancer that asks where a packet is to be sent."""
+        packet = self._codec.from_client(frame.unpack_where(message))
+        sender = self._mesh.registry.get(instance)
+        if packet is None or sender is None:
+            return
+        found = self.find(packet.flow)
+        address = packets.mark_of(found.address) if found else 0
+        answer = frame.pack_found(address, packet.datagram)
+        self._mesh.send(answer, sender.address)
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -149,3 +149,8 @@
 
 
 CODEC = codec.CODEC
+
+
+def number(address: str) -> int:
+    """Return an IPv4 address as a number."""
+    return int(ipaddress.IPv4Address(address))
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -183,6 +183,8 @@
         self.sim.every(node, 1.0, lambda: _expire(process))
         if settings.entry:
             self.sim.every(node, 0.2, lambda: self._sync(address))
+        if process.carrier is not None:
+            self.sim.every(node, const.REGISTER_S, process.carrier.register)
 
     def kill(self, address: str) -> None:
         self.disturbed[address] = self.sim.time
@@ -203,7 +205,7 @@
         wait_s = const.BALANCER_LEAVE_S
         if process.carrier is not None:
             process.carrier.is_leaving = True
-            process.carrier.tell_flows()
+            process.carrier.register(is_last=True)
             wait_s = const.AGENT_LEAVE_MIN_S
         self.sim.after(wait_s, lambda: self.kill_for(address, down_s))
 
@@ -339,6 +341,7 @@
         carry = process.carrier
         assert carry is not None
         process.mesh.on_frame = carry.on_frame
+        process.mesh.on_return = carry.on_return
         process.mesh.load = carry.load
         process.mesh.on_told_draining = carry.backend_server.told_draining
 
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -149,7 +149,9 @@
         packet = builders.datagram(self.flow, acknowledged=900)
         self.forward(packet, frame.ASK)
         self.assertEqual((self.delivered, self.sent), ([], []))
-        self.carrier.on_frame(frame.pack_held([self.flow]), BALANCER)
+        self.carrier.on_frame(
+            frame.pack_flows(frame.KIND_HELD, [self.flow]), BALANCER
+        )
         self.forward(packet, frame.ASK)
         self.assertEqual(len(self.delivered), 1)
 
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -114,7 +114,7 @@
         self.assertEqual(
             self.forwards(), [(first, frame.ASK), (second, frame.ASK)]
         )
-        held = frame.pack_held([self.flow])
+        held = frame.pack_flows(frame.KIND_HELD, [self.flow])
         self.forwarder.on_frame(held, AGENTS[second])
         self.client(builders.datagram(self.flow, acknowledged=6))
         self.assertEqual(self.forwards(), [(second, 0)])
@@ -231,12 +231,14 @@
 
     def test_flows_are_told_to_an_agent_that_starts_again(self):
         self.settle()
-        self.forwarder.on_frame(frame.pack_held([self.flow]), AGENTS['side-2'])
+        self.forwarder.on_frame(
+            frame.pack_flows(frame.KIND_HELD, [self.flow]), AGENTS['side-2']
+        )
         self.mesh.on_return = self.forwarder.on_return
         self.sent.clear()
         self.hear('side-2', incarnation=2)
         told = [
-            frame.unpack_held(datagram)
+            frame.unpack_flows(datagram)
             for datagram, _ in self.sent
             if datagram[0] == frame.KIND_HELD
         ]
