--- a/kumquatport/connection/packets/placed.py
+++ b/kumquatport/connection/packets/placed.py
@@ -10,6 +10,9 @@
 # Seconds for a registrar's answer: some times the way to another region.
 ANSWER_S: typing.Final = 0.1
 
+# Sets of names are mostly empty, and share one.
+NOBODY: typing.Final[frozenset[str]] = frozenset()
+
 # Flows remembered at most; beyond it the oldest are asked for again.
 MAX_FLOWS: typing.Final = 200_000
 
@@ -51,14 +54,14 @@
         Args:
             now: Monotonic seconds.
         """
-        self.agents: list[str] = []
+        self.agents: tuple[str, ...] = ()
         self.is_settled = False
-        self.missing: set[str] = set()
-        self.refused: set[str] = set()
+        self.missing = NOBODY
+        self.refused = NOBODY
         self.seen_at = now
-        self.tests: list[float] = []
+        self.tests: tuple[float, ...] = ()
         self.acknowledged = 0
-        self.unknown_to: set[str] = set()
+        self.unknown_to = NOBODY
         self.asked = ''
         self.asked_at: float = 0
 
@@ -70,7 +73,7 @@
             now: Monotonic seconds.
         """
         if self.asked and now - self.asked_at > ANSWER_S:
-            self.unknown_to.add(self.asked)
+            self.unknown_to |= {self.asked}
         for name in names:
             if name not in self.unknown_to:
                 if name != self.asked:
@@ -81,10 +84,10 @@
 
     def settle(self, instance: str) -> None:
         """Note the agent that holds the flow."""
-        self.agents = [instance]
+        self.agents = (instance,)
         self.is_settled = True
-        self.missing.clear()
-        self.unknown_to.clear()
+        self.missing = NOBODY
+        self.unknown_to = NOBODY
         self.asked = ''
 
 
@@ -122,7 +125,7 @@
         return [
             flow
             for flow, placed in self._flows.items()
-            if placed.is_settled and placed.agents == [instance]
+            if placed.is_settled and placed.agents == (instance,)
         ]
 
     def expire(self, now: float, idle_s: float) -> int:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -134,7 +134,7 @@
             self._forward(packet, flow.agents[-1], 0)
             return
         # Who turned an earlier copy away may take this one.
-        flow.refused.clear()
+        flow.refused = placed.NOBODY
         self._offer(packet, route, flow)
 
     def _offer(
@@ -146,7 +146,7 @@
         excluded = flow.refused.union(flow.agents)
         chosen = self._choose(packet, route, excluded)
         if chosen is not None and len(excluded) < MAX_OFFERS:
-            flow.agents.append(chosen.instance)
+            flow.agents += (chosen.instance,)
             self._log.note(
                 'flow placed',
                 packet.flow,
@@ -249,12 +249,12 @@
     ) -> None:
         """Send a packet of an open flow to the agent that holds it."""
         registry = self._mesh.registry
-        flow.agents = [
+        flow.agents = tuple(
             instance
             for instance in flow.agents
             if (record := registry.get(instance)) is not None
             and not members.is_departed(record)
-        ]
+        )
         if len(flow.agents) == 1:
             self._forward(packet, flow.agents[0], 0)
         elif flow.agents:
@@ -286,7 +286,7 @@
         self, packet: packets.Packet, flow: placed.Placed, instance: str
     ) -> None:
         """Send a packet to the agent that has registered its flow."""
-        flow.agents = [instance]
+        flow.agents = (instance,)
         self._log.note('flow found', packet.flow, agent=instance)
         # An agent that has started again may not know the flow.
         self._forward(packet, instance, frame.ASK | frame.TEST)
@@ -307,7 +307,7 @@
         elif instance and instance not in flow.missing:
             self._go_to(packet, flow, instance)
         else:
-            flow.unknown_to.add(sender)
+            flow.unknown_to |= {sender}
             self._look_up(packet, route, flow)
 
     def _ask_agents(
@@ -338,7 +338,7 @@
             is_sure = peer is not None and peer.load and peer.load.is_sure
             if not is_sure and tests > 0:
                 tests -= 1
-                flow.tests.append(clock.now())
+                flow.tests += (clock.now(),)
                 detail |= frame.TEST
             self._forward(packet, record.instance, detail)
 
@@ -355,7 +355,7 @@
         if not any(self._mesh.is_suspect(one.instance) for one in asked):
             return len(asked)
         since = clock.now() - self._settings.bounds.reorder_s
-        flow.tests = [moment for moment in flow.tests if moment > since]
+        flow.tests = tuple(one for one in flow.tests if one > since)
         return MAX_TESTS - len(flow.tests)
 
     def _give_up(
@@ -443,14 +443,14 @@
         if route is None:
             return
         flow = self._flows.touch(packet.flow, clock.now())
-        was_last = flow.agents == [instance]
-        flow.agents = [one for one in flow.agents if one != instance]
+        was_last = flow.agents == (instance,)
+        flow.agents = tuple(one for one in flow.agents if one != instance)
         if packet.is_opening:
-            flow.refused.add(instance)
+            flow.refused |= {instance}
             if not flow.agents:
                 self._offer(packet, route, flow)
             return
-        flow.missing.add(instance)
+        flow.missing |= {instance}
         left = {one.instance for one in self._holders(route)} - flow.missing
         if not left:
             self._give_up(packet, route, flow)
--- /dev/null
+++ b/tests/unit/test_operations_page.py
@@ -0,0 +1,69 @@
+"""The page for operators names what the programs write and count."""
+
+import ast
+import pathlib
+import unittest
+from collections import abc
+
+ROOT = pathlib.Path(__file__).parents[2]
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
+PARTS = ('kumquatport/process/packets', 'kumquatport/platform')
+LEVELS = frozenset(('info', 'warning', 'error', 'note'))
+
+
+def events(tree: ast.AST) -> abc.Iterator[str]:
+    """Yield the events that a module logs."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        function = node.func
+        if not isinstance(function, ast.Attribute):
+            continue
+        if function.attr == 'reporter':
+            yield from _texts(node.args[1:])
+        elif function.attr in LEVELS and _is_logger(function.value):
+            yield from _texts(node.args[:1])
+
+
+def _is_logger(value: ast.expr) -> bool:
+    return ast.unparse(value) in {'_LOGGER', 'self._log', 'self._logger'}
+
+
+def _texts(nodes: abc.Iterable[ast.expr]) -> abc.Iterator[str]:
+    for node in nodes:
+        for part in ast.walk(node):
+            if isinstance(part, ast.Constant) and isinstance(part.value, str):
+                yield part.value
+
+
+class OperationsPageTest(unittest.TestCase):
+    """Each event and each gauge has its line."""
+
+    def setUp(self):
+        self.page = PAGE.read_text()
+        self.trees = [
+            ast.parse(path.read_text())
+            for part in PARTS
+            for path in sorted((ROOT / part).glob('*.py'))
+        ]
+
+    def test_each_event_is_explained(self):
+        found = {event for tree in self.trees for event in events(tree)}
+        self.assertGreater(len(found), 30)
+        missing = [one for one in sorted(found) if f'`{one}`' not in self.page]
+        self.assertEqual(missing, [])
+
+    def test_each_gauge_is_explained(self):
+        names = {
+            key.value
+            for tree in self.trees
+            for node in ast.walk(tree)
+            if isinstance(node, ast.FunctionDef) and node.name == 'gauges'
+            for row in ast.walk(node)
+            if isinstance(row, ast.Dict)
+            for key in row.keys
+            if isinstance(key, ast.Constant)
+        }
+        self.assertIn('flows', names)
+        missing = [one for one in sorted(names) if f'`{one}`' not in self.page]
+        self.assertEqual(missing, [])
