Candidates of a flow follow from its name, and are asked before all agents

Placement takes its few candidates from a ring that the flow's name enters, in place of a random sample, so that these few are asked first (eight; all others when they say no or after 0.1 s). Looking for flows is a module of its own.

--- a/kumquatport/connection/packets/placed.py
+++ b/kumquatport/connection/packets/placed.py
@@ -3,14 +3,13 @@
 import typing
 from collections import abc
 
+from kumquatport.connection.packets import search
+
 # Seconds after which a flow whose end was not seen is forgotten when no
 # packet comes; a balancer that forgot asks the agents again.
 MIN_IDLE_S: typing.Final = 20.0
 
-# Seconds for a registrar's answer: some times the way to another region.
-ANSWER_S: typing.Final = 0.1
-
-# Sets of names are mostly empty, and share one.
+# Most flows are never refused, and share one set.
 NOBODY: typing.Final[frozenset[str]] = frozenset()
 
 # Flows remembered at most; beyond it the oldest are asked for again.
@@ -25,27 +24,18 @@
             the one used. One when it is settled.
         is_settled: Whether an agent has said that it holds the flow, or it
             was the only one offered.
-        missing: Instances that do not hold it.
         refused: Instances that turned its opening packet away.
         seen_at: Monotonic seconds of the last packet.
-        tests: Monotonic seconds of deliveries that only tested.
         acknowledged: What the client acknowledged last.
-        unknown_to: Registrars that do not know the flow, or did not answer.
-        asked: The registrar that is being asked, empty for none.
-        asked_at: Monotonic seconds when it was asked first.
     """
 
     __slots__ = (
+        '_search',
         'acknowledged',
         'agents',
-        'asked',
-        'asked_at',
         'is_settled',
-        'missing',
         'refused',
         'seen_at',
-        'tests',
-        'unknown_to',
     )
 
     def __init__(self, now: float) -> None:
@@ -56,39 +46,23 @@
         """
         self.agents: tuple[str, ...] = ()
         self.is_settled = False
-        self.missing = NOBODY
         self.refused = NOBODY
         self.seen_at = now
-        self.tests: tuple[float, ...] = ()
         self.acknowledged = 0
-        self.unknown_to = NOBODY
-        self.asked = ''
-        self.asked_at: float = 0
-
-    def next_registrar(self, names: abc.Iterable[str], now: float) -> str:
-        """Return the registrar to ask about the flow, empty if none is left.
+        self._search: search.Search | None = None
 
-        Args:
-            names: Registrars that are heard, the first one first.
-            now: Monotonic seconds.
-        """
-        if self.asked and now - self.asked_at > ANSWER_S:
-            self.unknown_to |= {self.asked}
-        for name in names:
-            if name not in self.unknown_to:
-                if name != self.asked:
-                    self.asked = name
-                    self.asked_at = now
-                return name
-        return ''
+    @property
+    def search(self) -> search.Search:
+        """Return the search for its agent, begun if there is none."""
+        if self._search is None:
+            self._search = search.Search()
+        return self._search
 
     def settle(self, instance: str) -> None:
         """Note the agent that holds the flow."""
         self.agents = (instance,)
         self.is_settled = True
-        self.missing = NOBODY
-        self.unknown_to = NOBODY
-        self.asked = ''
+        self._search = None
 
 
 class PlacedFlows:
--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -2,11 +2,10 @@
 
 Load pattern: long flows with pauses mixed with short ones, many balancers that
 decide by reports a few hundred milliseconds old. Each picks the best of a few
-random candidates, so that the emptiest agent is not chosen by all at once, and
-counts what it placed itself since the report.
+candidates that the flow's name decides, so that the emptiest agent is not chosen
+by all at once, and counts what it placed itself since the report.
 """
 
-import random
 import typing
 from collections import abc
 
@@ -49,12 +48,18 @@
     penalty: float = 0
 
 
-def busy_per_flow(candidates: abc.Sequence[Candidate]) -> float:
-    """Return the mean requests in progress of an open flow."""
-    flows = sum(candidate.flows for candidate in candidates)
-    if not flows:
-        return 1.0
-    return sum(candidate.busy for candidate in candidates) / flows
+def busy_per_flow(loads: abc.Iterable[tuple[int, int]]) -> float:
+    """Return the mean requests in progress of an open flow.
+
+    Args:
+        loads: Requests in progress and open flows of each agent.
+    """
+    busy = 0
+    flows = 0
+    for agent_busy, agent_flows in loads:
+        busy += agent_busy
+        flows += agent_flows
+    return busy / flows if flows else 1.0
 
 
 def score(candidate: Candidate, flow_cost: float) -> float:
@@ -75,11 +80,26 @@
 
 
 def choose(
-    candidates: abc.Sequence[Candidate], rng: random.Random
+    candidates: abc.Iterable[Candidate], flow_cost: float
 ) -> Candidate | None:
-    """Pick the agent that is offered a new flow; None if there is none."""
-    if not candidates:
+    """Pick the agent that is offered a new flow; None if there is none.
+
+    Args:
+        candidates: In the order that the flow decides.
+        flow_cost: Mean requests in progress of an open flow.
+    """
+    drawn = _draw(candidates)
+    if not drawn:
         return None
-    flow_cost = busy_per_flow(candidates)
-    drawn = rng.sample(candidates, min(SAMPLE, len(candidates)))
     return min(drawn, key=lambda candidate: score(candidate, flow_cost))
+
+
+def _draw(candidates: abc.Iterable[Candidate]) -> list[Candidate]:
+    """Return the first candidates, silent ones only if there are few."""
+    heard: list[Candidate] = []
+    silent: list[Candidate] = []
+    for candidate in candidates:
+        (silent if candidate.is_suspect else heard).append(candidate)
+        if len(heard) == SAMPLE:
+            break
+    return (heard + silent)[:SAMPLE]
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import random
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
@@ -47,7 +46,7 @@
         self._entry = settings.entry
         self._operators = operators
         self._forwarder = forwarder.Forwarder(
-            settings, codec, self._beliefs, self._mesh, random.Random()
+            settings, codec, self._beliefs, self._mesh
         )
         self._mesh.on_frame = self._forwarder.on_frame
         self._mesh.on_return = self._forwarder.on_return
--- /dev/null
+++ b/kumquatport/process/packets/finder.py
@@ -0,0 +1,244 @@
+"""Finding the agent of a flow that this balancer does not know."""
+
+import typing
+import zlib
+from collections import abc
+
+from kumquatport.connection.packets import (
+    frame,
+    placed,
+    ring,
+)
+from kumquatport.connection.packets import packet as packets
+from kumquatport.connection.packets import search as searches
+from kumquatport.helpers import clock
+from kumquatport.process.packets import (
+    decisions,
+    mesh,
+    models,
+    registrar,
+)
+from kumquatport.version import members, routes
+
+# Deliveries that only test whether a backend server holds a flow, while one
+# that may hold it cannot be asked.
+MAX_TESTS: typing.Final = 2
+
+
+class Outlets(typing.NamedTuple):
+    """What becomes of packets.
+
+    Attributes:
+        forward: Sends a packet to an agent, with the detail of the frame.
+        refuse: Answers a packet with a reset, for a reason.
+        drop: Forgets a flow.
+    """
+
+    forward: abc.Callable[[packets.Packet, str, int], None]
+    refuse: abc.Callable[[packets.Packet, str], None]
+    drop: abc.Callable[[bytes], None]
+
+
+class Sought(typing.NamedTuple):
+    """A packet whose flow's agent this balancer does not know.
+
+    Attributes:
+        packet: The packet.
+        route: Its route.
+        flow: Its flow.
+    """
+
+    packet: packets.Packet
+    route: routes.Route
+    flow: placed.Placed
+
+
+class Finder:
+    """Asks registrars, then likely agents, then all agents.
+
+    Attributes:
+        registrar: What this balancer knows of flows of others.
+    """
+
+    def __init__(
+        self,
+        settings: models.Settings,
+        peers: mesh.Mesh,
+        codec: packets.Codec,
+        log: decisions.Decisions,
+        outlets: Outlets,
+    ) -> None:
+        """Set up.
+
+        Args:
+            settings: Of this process.
+            peers: The other instances.
+            codec: Format of the packets.
+            log: Takes the decisions.
+            outlets: What becomes of packets.
+        """
+        self.registrar = registrar.Registrar(settings.instance, codec, peers)
+        self._settings = settings
+        self._mesh = peers
+        self._log = log
+        self._outlets = outlets
+        self._rings = ring.Rings()
+
+    def apply_settings(self, settings: models.Settings) -> None:
+        """Take over settings that changed while running."""
+        self._settings = settings
+
+    def order(self, service: str, flow: bytes) -> abc.Iterator[str]:
+        """Yield the agents of a service in the order that a flow decides."""
+        registry = self._mesh.registry
+        found = self._rings.of(
+            service,
+            registry.service_digest(service),
+            lambda: (record.instance for record in registry.agents(service)),
+        )
+        return found.walk(flow)
+
+    def holders(self, route: routes.Route) -> list[members.InstanceRecord]:
+        """Return the agents that may hold flows of a route."""
+        registry = self._mesh.registry
+        return [
+            record
+            for share in route.shares
+            for record in registry.agents(share.service)
+        ]
+
+    def look_up(self, sought: Sought) -> None:
+        """Begin or go on to look for the agent of a flow."""
+        search = sought.flow.search
+        known = self.registrar.find(sought.packet.flow)
+        if known is not None and known.instance not in search.missing:
+            self._go_to(sought, known.instance)
+            return
+        others = self.registrar.others(sought.packet.flow)
+        asked = search.next_registrar(others, clock.now())
+        if asked:
+            self.registrar.ask(asked, sought.packet)
+        else:
+            self._ask_agents(sought)
+
+    def on_found(self, sought: Sought, sender: str, instance: str) -> None:
+        """Follow a registrar's answer.
+
+        Args:
+            sought: The packet that came back with it.
+            sender: The registrar.
+            instance: The agent that it names, empty for none.
+        """
+        search = sought.flow.search
+        if instance and instance not in search.missing:
+            self._go_to(sought, instance)
+        else:
+            search.unknown_to.add(sender)
+            self.look_up(sought)
+
+    def on_not_held(
+        self, sought: Sought, instance: str, *, was_last: bool
+    ) -> None:
+        """Go on after an agent has said that it does not hold a flow.
+
+        Args:
+            sought: The packet that came back.
+            instance: The agent.
+            was_last: Whether it was the only agent that the flow was sent to.
+        """
+        flow = sought.flow
+        flow.search.missing.add(instance)
+        if not self._names(sought.route) - flow.search.missing:
+            self._give_up(sought)
+        elif was_last:
+            flow.is_settled = False
+            self.look_up(sought)
+        elif not flow.agents and flow.search.begins_wide(self._order(sought)):
+            self._ask_agents(sought)
+
+    def _go_to(self, sought: Sought, instance: str) -> None:
+        """Send a packet to the agent that has registered its flow."""
+        sought.flow.agents = (instance,)
+        self._log.note('flow found', sought.packet.flow, agent=instance)
+        # An agent that has started again may not know the flow.
+        detail = frame.ASK | frame.TEST
+        self._outlets.forward(sought.packet, instance, detail)
+
+    def _order(self, sought: Sought) -> abc.Iterator[str]:
+        flow = sought.packet.flow
+        return self.order(service_of(sought.route, flow), flow)
+
+    def _names(self, route: routes.Route) -> set[str]:
+        return {record.instance for record in self.holders(route)}
+
+    def _ask_agents(self, sought: Sought) -> None:
+        """Ask the agents that may hold a flow by sending them its packet."""
+        now = clock.now()
+        search = sought.flow.search
+        names = self._names(sought.route)
+        asked = search.agents(names, self._order(sought), now)
+        if not asked:
+            self._give_up(sought)
+            return
+        tests = self._tests_left(search, names)
+        self._log.note(
+            'flow looked up',
+            sought.packet.flow,
+            asked=len(asked),
+            missing=len(search.missing),
+            tests=tests,
+        )
+        for instance in asked:
+            detail = frame.ASK
+            if tests > 0 and not self._is_sure(instance):
+                tests -= 1
+                search.note_test(now)
+                detail |= frame.TEST
+            self._outlets.forward(sought.packet, instance, detail)
+
+    def _is_sure(self, instance: str) -> bool:
+        peer = self._mesh.peer(instance)
+        return bool(peer and peer.load and peer.load.is_sure)
+
+    def _tests_left(self, search: searches.Search, names: set[str]) -> int:
+        """Return how many backend servers may be tested for a flow now.
+
+        While its holder may be one that cannot be reached, packets that only
+        reach others look to the user like a flow gone astray.
+        """
+        left = names - search.missing
+        if not any(self._mesh.is_suspect(instance) for instance in left):
+            return len(names)
+        since = clock.now() - self._settings.bounds.reorder_s
+        return MAX_TESTS - search.tests(since)
+
+    def _give_up(self, sought: Sought) -> None:
+        """Reset a flow that no agent holds.
+
+        An agent that is not known yet may hold it; the client sends its
+        packet again, and by then more are known.
+        """
+        packet, route, flow = sought
+        missing = len(flow.search.missing)
+        services = [share.service for share in route.shares]
+        if not all(self._mesh.knows_all(service) for service in services):
+            self._log.note('flow not found yet', packet.flow, missing=missing)
+            return
+        if not self.holders(route):
+            return
+        self._outlets.drop(packet.flow)
+        self._outlets.refuse(packet, 'not_held')
+
+
+def service_of(route: routes.Route, flow: bytes) -> str:
+    """Return the service that takes a flow, by the weights of its route.
+
+    All balancers choose the same for a flow.
+    """
+    total = sum(share.weight for share in route.shares)
+    point = zlib.crc32(flow) / 2**32 * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -1,9 +1,7 @@
 """Where a balancer sends each packet of a client."""
 
 import math
-import random
 import typing
-import zlib
 from collections import abc
 
 import structlog
@@ -19,9 +17,9 @@
 from kumquatport.process.packets import (
     beliefs,
     decisions,
+    finder,
     mesh,
     models,
-    registrar,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -31,9 +29,8 @@
 # Agents that are offered one opening packet before its client is refused.
 MAX_OFFERS: typing.Final = 6
 
-# Deliveries that only test whether a backend server holds a flow, while one
-# that may hold it cannot be asked.
-MAX_TESTS: typing.Final = 2
+# Seconds for which the mean cost of an open flow is used again.
+FLOW_COST_S: typing.Final = 0.3
 
 
 class Forwarder:
@@ -45,7 +42,6 @@
         codec: packets.Codec,
         held: beliefs.Beliefs,
         peers: mesh.Mesh,
-        rng: random.Random,
     ) -> None:
         """Start without flows.
 
@@ -54,23 +50,28 @@
             codec: Format of the packets.
             held: Beliefs of this process.
             peers: The other instances.
-            rng: Source of randomness for placement.
         """
         self._settings = settings
         self._codec = codec
         self._beliefs = held
         self._mesh = peers
         self._flows = placed.PlacedFlows()
-        self._registrar = registrar.Registrar(settings.instance, codec, peers)
-        self._rng = rng
+        self._flow_costs: dict[str, tuple[float, float]] = {}
         self._log = decisions.Decisions(_LOGGER, codec.describe)
+        self._finder = finder.Finder(
+            settings,
+            peers,
+            codec,
+            self._log,
+            finder.Outlets(self._forward, self._refuse, self._flows.drop),
+        )
         self._started_at = clock.now()
         self._handlers: abc.Mapping[int, abc.Callable[[bytes, str], None]] = {
             frame.KIND_HELD: self._on_held,
             frame.KIND_RETURN: self._on_return,
-            frame.KIND_REGISTER: self._registrar.on_register,
-            frame.KIND_ENDED: self._registrar.on_ended,
-            frame.KIND_WHERE: self._registrar.on_where,
+            frame.KIND_REGISTER: self._finder.registrar.on_register,
+            frame.KIND_ENDED: self._finder.registrar.on_ended,
+            frame.KIND_WHERE: self._finder.registrar.on_where,
             frame.KIND_FOUND: self._on_found,
         }
 
@@ -83,7 +84,7 @@
         """Return the present state in numbers."""
         return {
             'flows': len(self._flows),
-            'registered': len(self._registrar),
+            'registered': len(self._finder.registrar),
             'members': len(self._mesh.registry),
             'routes_version': self._beliefs.routes_version,
             'domains_out': len(self._beliefs.domains_out),
@@ -93,6 +94,7 @@
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
         self._settings = settings
+        self._finder.apply_settings(settings)
 
     def expire(self) -> None:
         """Forget old flows, and say what the log has left out."""
@@ -181,14 +183,30 @@
         route: routes.Route,
         excluded: abc.Set[str],
     ) -> placement.Candidate | None:
-        service = service_of(route, packet.flow)
-        candidates = [
+        service = finder.service_of(route, packet.flow)
+        registry = self._mesh.registry
+        candidates = (
             candidate
-            for record in self._mesh.registry.agents(service)
-            if record.instance not in excluded
+            for instance in self._finder.order(service, packet.flow)
+            if instance not in excluded
+            and (record := registry.get(instance)) is not None
             and (candidate := self._candidate(record)) is not None
-        ]
-        return placement.choose(candidates, self._rng)
+        )
+        return placement.choose(candidates, self._flow_cost(service))
+
+    def _flow_cost(self, service: str) -> float:
+        """Return the mean requests in progress of an open flow."""
+        now = clock.now()
+        until, cost = self._flow_costs.get(service, (-math.inf, 1.0))
+        if now >= until:
+            cost = placement.busy_per_flow(
+                (peer.load.busy, peer.load.flows)
+                for record in self._mesh.registry.agents(service)
+                if (peer := self._mesh.peer(record.instance)) is not None
+                and peer.load is not None
+            )
+            self._flow_costs[service] = (now + FLOW_COST_S, cost)
+        return cost
 
     def _candidate(
         self, record: members.InstanceRecord
@@ -217,7 +235,10 @@
         return waiting.waits(
             packet.acknowledged,
             now - self._started_at,
-            [self._sight(record, now) for record in self._holders(route)],
+            [
+                self._sight(record, now)
+                for record in self._finder.holders(route)
+            ],
         )
 
     def _sight(
@@ -232,15 +253,6 @@
             accepts=load is not None and load.accepts,
         )
 
-    def _holders(self, route: routes.Route) -> list[members.InstanceRecord]:
-        """Return the agents that may hold flows of a route."""
-        registry = self._mesh.registry
-        return [
-            record
-            for share in route.shares
-            for record in registry.agents(share.service)
-        ]
-
     def _carry(
         self,
         packet: packets.Packet,
@@ -261,124 +273,7 @@
             for instance in flow.agents:
                 self._forward(packet, instance, frame.ASK)
         else:
-            self._look_up(packet, route, flow)
-
-    def _look_up(
-        self,
-        packet: packets.Packet,
-        route: routes.Route,
-        flow: placed.Placed,
-    ) -> None:
-        """Find the agent of a flow, by its registrars or by all agents."""
-        known = self._registrar.find(packet.flow)
-        if known is not None and known.instance not in flow.missing:
-            self._go_to(packet, flow, known.instance)
-            return
-        asked = flow.next_registrar(
-            self._registrar.others(packet.flow), clock.now()
-        )
-        if asked:
-            self._registrar.ask(asked, packet)
-        else:
-            self._ask_agents(packet, route, flow)
-
-    def _go_to(
-        self, packet: packets.Packet, flow: placed.Placed, instance: str
-    ) -> None:
-        """Send a packet to the agent that has registered its flow."""
-        flow.agents = (instance,)
-        self._log.note('flow found', packet.flow, agent=instance)
-        # An agent that has started again may not know the flow.
-        self._forward(packet, instance, frame.ASK | frame.TEST)
-
-    def _on_found(self, message: bytes, sender: str) -> None:
-        """Take a registrar's answer."""
-        found = frame.unpack_found(message)
-        packet = self._codec.from_client(found.datagram) if found else None
-        route = self._route(packet) if packet else None
-        if found is None or packet is None or route is None:
-            return
-        flow = self._flows.touch(packet.flow, clock.now())
-        address = packets.marked_address(found.address)
-        instance = self._mesh.instance_at(address)
-        if flow.agents:
-            # An earlier packet of the flow has been answered meanwhile.
-            self._forward(packet, flow.agents[-1], 0)
-        elif instance and instance not in flow.missing:
-            self._go_to(packet, flow, instance)
-        else:
-            flow.unknown_to |= {sender}
-            self._look_up(packet, route, flow)
-
-    def _ask_agents(
-        self,
-        packet: packets.Packet,
-        route: routes.Route,
-        flow: placed.Placed,
-    ) -> None:
-        """Ask the agents that may hold a flow by sending them its packet."""
-        holders = self._holders(route)
-        asked = [
-            record for record in holders if record.instance not in flow.missing
-        ]
-        if not asked:
-            self._give_up(packet, route, flow)
-            return
-        tests = self._tests_left(flow, asked)
-        self._log.note(
-            'flow looked up',
-            packet.flow,
-            asked=len(asked),
-            missing=len(flow.missing),
-            tests=tests,
-        )
-        for record in asked:
-            peer = self._mesh.peer(record.instance)
-            detail = frame.ASK
-            is_sure = peer is not None and peer.load and peer.load.is_sure
-            if not is_sure and tests > 0:
-                tests -= 1
-                flow.tests += (clock.now(),)
-                detail |= frame.TEST
-            self._forward(packet, record.instance, detail)
-
-    def _tests_left(
-        self,
-        flow: placed.Placed,
-        asked: abc.Sequence[members.InstanceRecord],
-    ) -> int:
-        """Return how many backend servers may be tested for a flow now.
-
-        While its holder may be one that cannot be reached, packets that only
-        reach others look to the user like a flow gone astray.
-        """
-        if not any(self._mesh.is_suspect(one.instance) for one in asked):
-            return len(asked)
-        since = clock.now() - self._settings.bounds.reorder_s
-        flow.tests = tuple(one for one in flow.tests if one > since)
-        return MAX_TESTS - len(flow.tests)
-
-    def _give_up(
-        self,
-        packet: packets.Packet,
-        route: routes.Route,
-        flow: placed.Placed,
-    ) -> None:
-        """Reset a flow that no agent holds.
-
-        An agent that is not known yet may hold it; the client sends its
-        packet again, and by then more are known.
-        """
-        services = [share.service for share in route.shares]
-        if not all(self._mesh.knows_all(service) for service in services):
-            self._log.note(
-                'flow not found yet', packet.flow, missing=len(flow.missing)
-            )
-            return
-        if not self._holders(route):
-            return
-        self._flows.drop(packet.flow)
-        self._refuse(packet, 'not_held', missing=len(flow.missing))
+            self._finder.look_up(finder.Sought(packet, route, flow))
 
     def _refuse(
         self, packet: packets.Packet, reason: str, **inputs: typing.Any
@@ -450,13 +345,25 @@
             if not flow.agents:
                 self._offer(packet, route, flow)
             return
-        flow.missing |= {instance}
-        left = {one.instance for one in self._holders(route)} - flow.missing
-        if not left:
-            self._give_up(packet, route, flow)
-        elif was_last:
-            flow.is_settled = False
-            self._look_up(packet, route, flow)
+        sought = finder.Sought(packet, route, flow)
+        self._finder.on_not_held(sought, instance, was_last=was_last)
+
+    def _on_found(self, message: bytes, sender: str) -> None:
+        """Take a registrar's answer."""
+        found = frame.unpack_found(message)
+        packet = self._codec.from_client(found.datagram) if found else None
+        route = self._route(packet) if packet else None
+        if found is None or packet is None or route is None:
+            return
+        flow = self._flows.touch(packet.flow, clock.now())
+        address = packets.marked_address(found.address)
+        instance = self._mesh.instance_at(address)
+        if flow.agents:
+            # An earlier packet of the flow has been answered meanwhile.
+            self._forward(packet, flow.agents[-1], 0)
+        else:
+            sought = finder.Sought(packet, route, flow)
+            self._finder.on_found(sought, sender, instance)
 
     def on_return(self, record: members.InstanceRecord) -> None:
         """Tell an agent that started again which flows it may hold."""
@@ -470,17 +377,3 @@
         table = self._beliefs.routes
         key = (packet.service_address, packet.service_port)
         return table.routes.get(key) if table else None
-
-
-def service_of(route: routes.Route, flow: bytes) -> str:
-    """Return the service that takes a flow, by the weights of its route.
-
-    All balancers choose the same for a flow.
-    """
-    total = sum(share.weight for share in route.shares)
-    point = zlib.crc32(flow) / 2**32 * total
-    for share in route.shares:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return route.shares[-1].service
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -1,7 +1,6 @@
 """Balancers, agents, backend servers and an operator in one world."""
 
 import ipaddress
-import random
 import typing
 import zlib
 from collections import abc
@@ -158,7 +157,6 @@
                     wire.CODEC,
                     held,
                     peers,
-                    random.Random(self.sim.rng.random()),
                 )
             )
             self._listen_balancer(address, process)
--- a/tests/unit/connection/packets/test_decisions.py
+++ b/tests/unit/connection/packets/test_decisions.py
@@ -4,7 +4,13 @@
 import random
 import unittest
 
-from kumquatport.connection.packets import admission, cold, frame, placement
+from kumquatport.connection.packets import (
+    admission,
+    cold,
+    frame,
+    placement,
+    ring,
+)
 
 
 def _candidate(number, **fields):
@@ -20,6 +26,14 @@
     return found._replace(**fields)
 
 
+def _choose(candidates, flow):
+    """Choose among candidates in the order that a flow decides."""
+    by_name = {candidate.instance: candidate for candidate in candidates}
+    order = ring.Ring(by_name).walk(flow)
+    cost = placement.busy_per_flow((one.busy, one.flows) for one in candidates)
+    return placement.choose((by_name[name] for name in order), cost)
+
+
 class PlacementTest(unittest.TestCase):
     """Old reports, many balancers, long flows."""
 
@@ -39,7 +53,7 @@
                     )
                     for number in range(10)
                 ]
-                chosen = placement.choose(candidates, rng)
+                chosen = _choose(candidates, rng.randbytes(12))
                 placed[int(chosen.instance.partition('-')[2])] += 1
             taken.update(placed)
         mean = sum(taken.values()) / 10
@@ -54,7 +68,7 @@
                 _candidate(number, flows=flows[number], busy=flows[number] // 9)
                 for number in range(7)
             ]
-            chosen = placement.choose(candidates, rng)
+            chosen = _choose(candidates, rng.randbytes(12))
             flows[int(chosen.instance.partition('-')[2])] += 1
         self.assertLessEqual(max(flows.values()) / 100, 1.15)
 
@@ -62,17 +76,17 @@
         near = _candidate(1, flows=10, busy=1)
         far = _candidate(2, flows=10, busy=1, crosses=True)
         rng = random.Random(1)
-        self.assertEqual(placement.choose([near, far], rng), near)
+        self.assertEqual(_choose([near, far], rng.randbytes(12)), near)
         crowded = near._replace(busy=5, placed=2)
-        self.assertEqual(placement.choose([crowded, far], rng), far)
+        self.assertEqual(_choose([crowded, far], rng.randbytes(12)), far)
 
     def test_a_silent_agent_is_the_last_choice(self):
         silent = _candidate(1, is_suspect=True)
         full = _candidate(2, busy=30, flows=40, crosses=True)
         rng = random.Random(1)
-        self.assertEqual(placement.choose([silent, full], rng), full)
-        self.assertEqual(placement.choose([silent], rng), silent)
-        self.assertIsNone(placement.choose([], rng))
+        self.assertEqual(_choose([silent, full], rng.randbytes(12)), full)
+        self.assertEqual(_choose([silent], rng.randbytes(12)), silent)
+        self.assertIsNone(_choose([], rng.randbytes(12)))
 
 
 class ColdTest(unittest.TestCase):
--- /dev/null
+++ b/tests/unit/connection/packets/test_search.py
@@ -0,0 +1,83 @@
+"""The order of the search for a flow, and how placement follows it."""
+
+import random
+import unittest
+
+from kumquatport.connection.packets import placement, ring, search
+
+NAMES = [f'side-{number:02}' for number in range(50)]
+
+
+class RingTest(unittest.TestCase):
+    """Each flow has an order of the agents that few changes disturb."""
+
+    def setUp(self):
+        rng = random.Random(3)
+        self.flows = [rng.randbytes(12) for _ in range(2000)]
+
+    def test_each_agent_comes_once(self):
+        for flow in self.flows[:50]:
+            self.assertEqual(sorted(ring.Ring(NAMES).walk(flow)), NAMES)
+
+    def test_no_agents(self):
+        self.assertEqual(list(ring.Ring(()).walk(b'flow')), [])
+
+    def test_the_holder_is_likely_after_a_release(self):
+        """Flows are placed, a third of the agents is replaced, all forget."""
+        before, after = (
+            ring.Ring(NAMES),
+            ring.Ring(
+                [*NAMES[16:], *(f'side-{number}' for number in range(60, 76))]
+            ),
+        )
+        rng = random.Random(4)
+        found = stayed = 0
+        for flow in self.flows:
+            walk = list(before.walk(flow))[: placement.SAMPLE]
+            holder = rng.choice(walk)
+            if holder in NAMES[16:]:
+                stayed += 1
+                found += holder in list(after.walk(flow))[: search.LIKELY]
+        self.assertGreater(found / stayed, 0.95)
+
+    def test_a_ring_is_kept_until_its_agents_change(self):
+        rings = ring.Rings()
+        first = rings.of('store', 1, lambda: NAMES)
+        self.assertIs(rings.of('store', 1, lambda: ()), first)
+        self.assertIsNot(rings.of('store', 2, lambda: ()), first)
+
+
+class SearchTest(unittest.TestCase):
+    """Likely agents are asked first, all others when these say no."""
+
+    def setUp(self):
+        self.search = search.Search()
+        self.holders = set(NAMES)
+
+    def agents(self, now):
+        return self.search.agents(self.holders, iter(NAMES), now)
+
+    def test_likely_ones_first(self):
+        self.assertEqual(self.agents(1.0), NAMES[: search.LIKELY])
+        self.assertFalse(self.search.begins_wide(iter(NAMES)))
+        self.search.missing.update(NAMES[: search.LIKELY])
+        self.assertTrue(self.search.begins_wide(iter(NAMES)))
+        self.assertEqual(self.agents(1.01), NAMES[search.LIKELY :])
+        self.assertFalse(self.search.begins_wide(iter(NAMES)))
+
+    def test_silent_likely_ones_are_waited_for_shortly(self):
+        self.agents(1.0)
+        self.assertEqual(self.agents(1.0 + 2 * search.ANSWER_S), NAMES)
+
+    def test_nobody_left(self):
+        self.search.missing.update(NAMES)
+        self.assertEqual(self.agents(1.0), [])
+
+    def test_registrars_in_turn(self):
+        names = ('front-1', 'front-2')
+        self.assertEqual(self.search.next_registrar(names, 1.0), 'front-1')
+        self.assertEqual(self.search.next_registrar(names, 1.05), 'front-1')
+        later = 1.0 + 2 * search.ANSWER_S
+        self.assertEqual(self.search.next_registrar(names, later), 'front-2')
+        self.search.unknown_to.add('front-2')
+        self.assertEqual(self.search.next_registrar(names, later), '')
--- a/tests/unit/process/packets/test_directory.py
+++ b/tests/unit/process/packets/test_directory.py
@@ -1,7 +1,6 @@
 """Registrars of flows: who they are, what they are told, who asks them."""
 
 import collections
-import random
 import unittest
 from unittest import mock
 
@@ -145,7 +144,7 @@
             peers.Outside(self._send, lambda call: None, lambda *_: None)
         )
         self.forwarder = forwarder.Forwarder(
-            settings, builders.CODEC, held_beliefs, self.mesh, random.Random(1)
+            settings, builders.CODEC, held_beliefs, self.mesh
         )
         held_beliefs.offer_routes(routes.encode(builders.table()), 'test')
         for name, address in {**FRONTS, **SIDES}.items():
@@ -203,7 +202,7 @@
         self.client()
         self.assertEqual(self.kinds(), [forwarded])
 
-    def test_the_second_is_asked_and_then_all_agents(self):
+    def test_the_second_is_asked_and_then_the_agents(self):
         self.client()
         self.answer(self.first, '')
         where = (FRONTS[self.second], frame.KIND_WHERE)
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -1,6 +1,5 @@
 """The balancer's packets, one by one."""
 
-import random
 import unittest
 from unittest import mock
 
@@ -8,6 +7,7 @@
 from kumquatport.process.packets import (
     beliefs,
     const,
+    finder,
     forwarder,
     mesh,
     messages,
@@ -42,7 +42,6 @@
             builders.CODEC,
             self.beliefs,
             self.mesh,
-            random.Random(1),
         )
         self.beliefs.offer_routes(routes.encode(builders.table()), 'test')
         self.flow = builders.flow()
@@ -179,7 +178,7 @@
             tested += sum(
                 bool(detail & frame.TEST) for _, detail in self.forwards()
             )
-        self.assertLessEqual(tested, forwarder.MAX_TESTS)
+        self.assertLessEqual(tested, finder.MAX_TESTS)
 
     def test_a_returned_opening_packet_tries_the_others(self):
         self.settle()
