--- a/kumquatport/process/ctl/__main__.py
+++ b/kumquatport/process/ctl/__main__.py
@@ -13,6 +13,7 @@
 from kumquatport.process.ctl import (
     arguments,
     domain,
+    explain,
     output,
     settings,
     status,
@@ -38,8 +39,13 @@
 
 
 def _run(options: argparse.Namespace, emit: output.Emit) -> int:
-    if options.verb == 'validate':
-        report = verbs.validate(options.file)
+    offline: dict[str, abc.Callable[[], output.Report]] = {
+        'validate': lambda: verbs.validate(options.file),
+        'explain': lambda: explain.explain(options.flow, options.logs),
+    }
+    make = offline.get(options.verb)
+    if make is not None:
+        report = make()
         emit(report)
         return report.exit_code
     loaded = settings.load(
--- a/kumquatport/process/ctl/arguments.py
+++ b/kumquatport/process/ctl/arguments.py
@@ -13,6 +13,7 @@
   kumquatportctl --platform URL show > document.json
   kumquatportctl --platform URL apply document.json
   kumquatportctl --platform URL domain out accra-a
+  kumquatportctl explain '100.64.0.7:40001>198.18.0.1:443' --logs *.log
 
 exit codes:
   0  done
@@ -24,6 +25,10 @@
 """
 
 
+# Verbs that work without the platform.
+_OFFLINE: typing.Final = frozenset(('validate', 'explain'))
+
+
 def parse(argv: abc.Sequence[str] | None) -> argparse.Namespace:
     """Parse a command line; wrong usage exits with code 2.
 
@@ -32,7 +37,7 @@
     """
     parser = _parser()
     options = parser.parse_args(argv)
-    needs_platform = options.verb != 'validate'
+    needs_platform = options.verb not in _OFFLINE
     if needs_platform and not options.settings and not options.platform:
         parser.error('one of --settings and --platform is required')
     return options
@@ -100,6 +105,19 @@
     outcome.add_argument('base', type=int, help='version it was made on')
     status = verbs.add_parser('status', help='what is in force, and where')
     _add_instances(status)
+    explain = verbs.add_parser(
+        'explain', help='put what was logged about one flow in order'
+    )
+    explain.add_argument(
+        'flow', help='as logged, CLIENT:PORT>ADDRESS:PORT, or CLIENT:PORT'
+    )
+    explain.add_argument(
+        '--logs',
+        metavar='FILE',
+        nargs='+',
+        required=True,
+        help='logs of the processes, a JSON object a line',
+    )
 
 
 def _add_domain_verbs(verbs: typing.Any) -> None:
--- /dev/null
+++ b/kumquatport/process/ctl/explain.py
@@ -0,0 +1,220 @@
+"""The verb that puts what all processes logged about one flow in order."""
+
+import bisect
+import collections
+import datetime
+import pathlib
+import typing
+from collections import abc
+
+import msgspec
+
+from kumquatport import exceptions
+from kumquatport.process.ctl import const, output
+
+# Events that change what a process believes; the last of each before a decision
+# tells what it was taken on.
+_BELIEFS: typing.Final = (
+    'routes changed',
+    'failure domains out',
+    'backend server state',
+    'backend server silent',
+    'backend server answers',
+    'backend server gone',
+    'store lost',
+    'store regained',
+    'Started',
+)
+# Events about a peer; they matter if the flow went there.
+_OF_PEERS: typing.Final = frozenset(
+    ('instance silent', 'instance heard', 'instance changed')
+)
+_HIDDEN: typing.Final = frozenset(
+    ('event', 'flow', 'instance', 'failure_domain', 'level', 'timestamp')
+)
+
+
+class LogUnreadableError(exceptions.KumquatportError):
+    """A log file cannot be read."""
+
+    code = 'KQ-6011'
+
+
+class FlowNotLoggedError(exceptions.KumquatportError):
+    """No line of the logs is about the flow."""
+
+    code = 'KQ-6012'
+
+
+class Line(typing.NamedTuple):
+    """One line of a log.
+
+    Attributes:
+        at: Seconds since the epoch, by the clock of its machine.
+        instance: Who wrote it.
+        event: What it says.
+        inputs: Its other fields.
+    """
+
+    at: float
+    instance: str
+    event: str
+    inputs: dict[str, typing.Any]
+
+
+class Belief(typing.NamedTuple):
+    """What a process believed when it decided.
+
+    Attributes:
+        event: The line that told of it.
+        age_s: Seconds from that line to the decision.
+        inputs: What that line said.
+    """
+
+    event: str
+    age_s: float
+    inputs: dict[str, typing.Any]
+
+
+class Step(typing.NamedTuple):
+    """A line about the flow or about an instance that it went to."""
+
+    line: Line
+    beliefs: tuple[Belief, ...]
+
+
+class ExplainAnswer(typing.TypedDict):
+    """The way of a flow, for scripts."""
+
+    flow: str
+    steps: list[Step]
+    unreadable_lines: int
+
+
+def explain(flow: str, files: abc.Sequence[str]) -> output.Report:
+    """Put the lines of all processes about one flow in order.
+
+    Args:
+        flow: Both ends as logged, or the client's alone.
+        files: Logs of the processes, a JSON object a line.
+
+    Raises:
+        LogUnreadableError: A file cannot be read.
+        FlowNotLoggedError: No line is about the flow.
+    """
+    lines: list[Line] = []
+    unreadable = 0
+    for file in files:
+        found, skipped = _read(file)
+        lines.extend(found)
+        unreadable += skipped
+    lines.sort(key=lambda line: line.at)
+    about = [line for line in lines if _is_about(line, flow)]
+    if not about:
+        raise FlowNotLoggedError(f'{flow}: {len(lines)} lines, none about it')
+    steps = _steps(lines, about)
+    answer: ExplainAnswer = {
+        'flow': flow,
+        'steps': steps,
+        'unreadable_lines': unreadable,
+    }
+    texts = [text for step in steps for text in _texts(step, since=about[0].at)]
+    if unreadable:
+        texts.append(f'{unreadable} lines could not be read')
+    return output.Report(const.EXIT_DONE, tuple(texts), answer)
+
+
+def _read(file: str) -> tuple[list[Line], int]:
+    """Read a log; return its lines and how many could not be read."""
+    found = []
+    skipped = 0
+    try:
+        with pathlib.Path(file).open('rb') as stream:
+            for raw in stream:
+                line = _line(raw)
+                if line is not None:
+                    found.append(line)
+                elif raw.strip():
+                    skipped += 1
+    except OSError as error:
+        raise LogUnreadableError(f'{file}: {error.strerror}') from error
+    return found, skipped
+
+
+def _line(raw: bytes) -> Line | None:
+    """Read a line; what a log collector put before the object is left out."""
+    start = max(raw.find(b'{'), 0)
+    try:
+        row = msgspec.json.decode(raw[start:], type=dict[str, typing.Any])
+        stamp = str(row['timestamp'])
+        at = datetime.datetime.fromisoformat(stamp).timestamp()
+    except (msgspec.MsgspecError, LookupError, ValueError):
+        return None
+    inputs = {key: row[key] for key in row if key not in _HIDDEN}
+    flow = row.get('flow')
+    if flow is not None:
+        inputs['flow'] = flow
+    event = str(row.get('event', ''))
+    return Line(at, str(row.get('instance', '')), event, inputs)
+
+
+def _is_about(line: Line, flow: str) -> bool:
+    logged = str(line.inputs.get('flow', ''))
+    return bool(logged) and flow in {logged, logged.partition('>')[0]}
+
+
+def _steps(lines: abc.Sequence[Line], about: abc.Sequence[Line]) -> list[Step]:
+    """Add what was believed, and what became of the instances concerned."""
+    agents = {str(line.inputs.get('agent', '')) for line in about}
+    writers = {line.instance for line in about}
+    first, last = about[0].at, about[-1].at
+    history: dict[tuple[str, str], list[Line]] = collections.defaultdict(list)
+    for line in lines:
+        if line.instance in writers and line.event in _BELIEFS:
+            history[line.instance, line.event].append(line)
+    wanted = set(map(id, about))
+    return [
+        Step(line, _beliefs(line, history) if id(line) in wanted else ())
+        for line in lines
+        if id(line) in wanted
+        or (first <= line.at <= last and _concerns(line, writers, agents))
+    ]
+
+
+def _concerns(line: Line, writers: set[str], agents: set[str]) -> bool:
+    if line.instance not in writers:
+        return False
+    if line.event in _OF_PEERS:
+        return line.inputs.get('peer') in agents
+    return line.event in _BELIEFS
+
+
+def _beliefs(
+    line: Line, history: abc.Mapping[tuple[str, str], abc.Sequence[Line]]
+) -> tuple[Belief, ...]:
+    """Return the last line of each kind that its writer had written."""
+    found = []
+    for event in _BELIEFS:
+        earlier = history.get((line.instance, event), ())
+        place = bisect.bisect(earlier, line.at, key=lambda one: one.at)
+        if place:
+            last = earlier[place - 1]
+            age_s = round(line.at - last.at, 3)
+            found.append(Belief(event, age_s, last.inputs))
+    return tuple(found)
+
+
+def _texts(step: Step, since: float) -> abc.Iterator[str]:
+    line = step.line
+    fields = {key: line.inputs[key] for key in line.inputs if key != 'flow'}
+    at_s = line.at - since
+    yield f'{at_s:+9.3f} s  {line.instance}  {line.event}{_text(fields)}'
+    for belief in step.beliefs:
+        yield (
+            f'{"":13}{belief.event}{_text(belief.inputs)},'
+            f' {belief.age_s:.3f} s before'
+        )
+
+
+def _text(fields: abc.Mapping[str, typing.Any]) -> str:
+    return ''.join(f' {key}={fields[key]}' for key in fields)
--- /dev/null
+++ b/tests/unit/process/ctl/test_explain.py
@@ -0,0 +1,92 @@
+"""One flow's way through the logs of several processes."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from kumquatport.process.ctl import __main__ as ctl
+from kumquatport.process.ctl import explain
+
+FLOW = '100.64.0.7:40001>198.18.0.1:443'
+
+
+def line(second, instance, event, **inputs):
+    """Return a line of a log."""
+    stamp = f'2026-12-04T10:00:{second:06.3f}Z'
+    row = {'event': event, 'instance': instance, 'timestamp': stamp, **inputs}
+    return json.dumps(row)
+
+
+FRONT = (
+    line(1, 'front-1', 'Started'),
+    line(2, 'front-1', 'routes changed', version=3, source='store'),
+    line(5, 'front-1', 'flow placed', flow=FLOW, agent='side-1', copy=0),
+    line(6, 'front-1', 'instance silent', peer='side-1'),
+    line(6.1, 'front-1', 'instance silent', peer='side-2'),
+    line(7, 'front-1', 'flow reset', flow=FLOW, reason='not_held'),
+    line(7.5, 'front-1', 'flow reset', flow='100.64.0.9:1>198.18.0.1:443'),
+)
+SIDE = (
+    '-5.1 side-1 ' + line(3, 'side-1', 'routes changed', version=2),
+    line(5.002, 'side-1', 'flow offered', flow=FLOW, busy=1),
+    'no json',
+    '',
+)
+
+
+class ExplainTest(unittest.TestCase):
+    """Lines in order, beliefs with their age, files that do not fit."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.files = []
+        for name, rows in (('front.log', FRONT), ('side.log', SIDE)):
+            path = pathlib.Path(folder.name) / name
+            path.write_text('\n'.join(rows))
+            self.files.append(str(path))
+
+    def test_the_way_of_a_flow(self):
+        report = explain.explain(FLOW, self.files)
+        steps = report.answer['steps']
+        self.assertEqual(
+            [(step.line.instance, step.line.event) for step in steps],
+            [
+                ('front-1', 'flow placed'),
+                ('side-1', 'flow offered'),
+                ('front-1', 'instance silent'),
+                ('front-1', 'flow reset'),
+            ],
+        )
+        self.assertEqual(report.answer['unreadable_lines'], 1)
+
+    def test_what_was_believed_and_how_old_it_was(self):
+        report = explain.explain(FLOW, self.files)
+        placed, offered, *_ = report.answer['steps']
+        beliefs = {one.event: one for one in placed.beliefs}
+        self.assertEqual(beliefs['routes changed'].inputs['version'], 3)
+        self.assertEqual(beliefs['routes changed'].age_s, 3.0)
+        (belief,) = offered.beliefs
+        self.assertEqual(belief.inputs['version'], 2)
+        text = '\n'.join(report.lines)
+        self.assertIn('+0.002 s  side-1  flow offered busy=1', text)
+        self.assertIn('routes changed version=3 source=store, 3.000 s', text)
+
+    def test_the_client_alone_names_the_flow(self):
+        report = explain.explain(FLOW.partition('>')[0], self.files)
+        self.assertEqual(len(report.answer['steps']), 4)
+
+    def test_from_the_command_line(self):
+        with self.subTest('found'):
+            self.assertEqual(
+                ctl.main(['explain', FLOW, '--logs', *self.files]), 0
+            )
+        with self.subTest('no such flow'):
+            self.assertEqual(
+                ctl.main(['explain', '1.2.3.4:5', '--logs', *self.files]), 2
+            )
+        with self.subTest('no such file'):
+            self.assertEqual(
+                ctl.main(['explain', FLOW, '--logs', '/nowhere.log']), 2
+            )
