--- a/kumquatport/process/packets/finder.py
+++ b/kumquatport/process/packets/finder.py
@@ -30,12 +30,13 @@
 
     Attributes:
         forward: Sends a packet to an agent, with the detail of the frame.
-        refuse: Answers a packet with a reset, for a reason.
+        lose: Answers a packet with a reset since its flow is lost, given how
+            many agents do not hold it.
         drop: Forgets a flow.
     """
 
     forward: abc.Callable[[packets.Packet, str, int], None]
-    refuse: abc.Callable[[packets.Packet, str], None]
+    lose: abc.Callable[[packets.Packet, int], None]
     drop: abc.Callable[[bytes], None]
 
 
@@ -227,7 +228,7 @@
         if not self.holders(route):
             return
         self._outlets.drop(packet.flow)
-        self._outlets.refuse(packet, 'not_held')
+        self._outlets.lose(packet, missing)
 
 
 def service_of(route: routes.Route, flow: bytes) -> str:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -63,7 +63,7 @@
             peers,
             codec,
             self._log,
-            finder.Outlets(self._forward, self._refuse, self._flows.drop),
+            finder.Outlets(self._forward, self._lose, self._flows.drop),
         )
         self._started_at = clock.now()
         self._handlers: abc.Mapping[int, abc.Callable[[bytes, str], None]] = {
@@ -275,6 +275,10 @@
         else:
             self._finder.look_up(finder.Sought(packet, route, flow))
 
+    def _lose(self, packet: packets.Packet, missing: int) -> None:
+        """Answer a packet of a flow that no agent holds."""
+        self._refuse(packet, 'not_held', missing=missing)
+
     def _refuse(
         self, packet: packets.Packet, reason: str, **inputs: typing.Any
     ) -> None:
