--- a/kumquatport/connection/packets/registrars.py
+++ b/kumquatport/connection/packets/registrars.py
@@ -11,6 +11,8 @@
 
 import xxhash
 
+from kumquatport.version.spread import order
+
 # Balancers that know a flow: one may be gone, or just started.
 REGISTRARS: typing.Final = 2
 
@@ -39,17 +41,7 @@
         group = xxhash.xxh64_intdigest(flow) % GROUPS
         chosen = self._chosen.get(group)
         if chosen is None:
-            chosen = _highest(group, self._names)
+            ranked = order.ranked(str(group), self._names)
+            chosen = tuple(ranked[:REGISTRARS])
             self._chosen[group] = chosen
         return chosen
-
-
-def _highest(group: int, names: abc.Iterable[str]) -> tuple[str, ...]:
-    """Return the names that score highest, as in rendezvous hashing."""
-    seed = group.to_bytes(2)
-    ranked = sorted(
-        names,
-        key=lambda name: xxhash.xxh64_intdigest(seed + name.encode()),
-        reverse=True,
-    )
-    return tuple(ranked[:REGISTRARS])
--- a/kumquatport/connection/packets/search.py
+++ b/kumquatport/connection/packets/search.py
@@ -1,5 +1,6 @@
 """How far the search for the agent of one flow has come."""
 
+import itertools
 import typing
 from collections import abc
 
@@ -68,11 +69,7 @@
             now: Monotonic seconds.
         """
         left = holders - self.missing
-        likely = [
-            name
-            for name, _ in zip(order, range(LIKELY), strict=False)
-            if name in left
-        ]
+        likely = [name for name in _likely(order) if name in left]
         if not self._narrow_until:
             self._narrow_until = now + ANSWER_S
         if likely and now < self._narrow_until:
@@ -82,8 +79,7 @@
 
     def begins_wide(self, order: abc.Iterable[str]) -> bool:
         """Tell whether the likely agents have all said no, just now."""
-        likely = {name for name, _ in zip(order, range(LIKELY), strict=False)}
-        return not self.is_wide and not likely - self.missing
+        return not self.is_wide and self.missing.issuperset(_likely(order))
 
     def tests(self, since: float) -> int:
         """Return how many deliveries since a moment only tested."""
@@ -93,3 +89,7 @@
     def note_test(self, now: float) -> None:
         """Note a delivery that only tests."""
         self._tests.append(now)
+
+
+def _likely(order: abc.Iterable[str]) -> abc.Iterator[str]:
+    return itertools.islice(order, LIKELY)
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -106,7 +106,7 @@
         return (
             not self._is_leaving
             and self._beliefs.routes is not None
-            and any(True for _ in self._mesh.registry.services())
+            and bool(self._mesh.registry.services())
         )
 
     async def _async_sweep(self) -> None:
--- a/kumquatport/process/packets/beliefs.py
+++ b/kumquatport/process/packets/beliefs.py
@@ -37,6 +37,7 @@
         self._root = own
         self._recent: collections.deque[routes.Change] = collections.deque()
         self._current = current.Current(routes.parse)
+        self._digest = 0
         self._domains_changed = 0
         self._domains_out: frozenset[str] = frozenset()
         self._confirmed_at = -math.inf
@@ -79,6 +80,11 @@
         """Return seconds since the store confirmed them, as far as known."""
         return clock.now() - self._confirmed_at
 
+    @property
+    def told_age_s(self) -> float:
+        """Return the age as others are told it, ``NEVER_S`` at most."""
+        return min(self.age_s, NEVER_S)
+
     @property
     def root(self) -> str:
         """Return the instance that had the latest change from the store."""
@@ -100,15 +106,16 @@
             DocumentRejectedError: They are newer but malformed.
         """
         age_s = self.age_s
-        version = routes.parse(encoded).version
+        table = routes.parse(encoded)
         before = self._current.held
-        if not self._current.offer(version, encoded):
+        taken = current.Versioned(table.version, encoded, table)
+        if not self._current.take(taken):
             return False
         self._root = root or self._own
         self._note_change(before)
         _LOGGER.info(
             'routes changed',
-            version=version,
+            version=table.version,
             source=source,
             age_s=_finite(age_s),
         )
@@ -204,7 +211,7 @@
             self.routes_version,
             self._domains_changed,
             tuple(sorted(self._domains_out)),
-            min(self.age_s, NEVER_S),
+            self.told_age_s,
             self._root,
             tuple(self._recent) if with_changes else (),
         )
@@ -214,20 +221,18 @@
         table = self.routes
         if table is None or told.routes_version <= table.version:
             return
-        base = routes.digest(self.encoded_routes)
         for change in told.changes:
-            if change.base_digest == base:
+            if change.base_digest == self._digest:
                 table = routes.apply(table, change)
-                encoded = routes.encode(table)
-                self.offer_routes(encoded, source, told.root)
-                base = routes.digest(encoded)
+                self.offer_routes(routes.encode(table), source, told.root)
 
     def _note_change(self, before: current.Versioned) -> None:
         """Keep what has changed, to tell it to peers."""
+        base = self._digest
+        self._digest = routes.digest(self.encoded_routes)
         after = self.routes
         if before.document is None or after is None:
             return
-        base = routes.digest(before.encoded)
         change = routes.difference(base, before.document, after)
         self._recent.append(change)
         while self._recent and _size(self._recent) > MAX_CHANGES_BYTES:
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -97,7 +97,7 @@
             'slots': load.slots,
             'accepts': load.accepts,
             'cold': load.is_cold,
-            'beliefs_age_s': min(self._beliefs.age_s, beliefs.NEVER_S),
+            'beliefs_age_s': self._beliefs.told_age_s,
             'routes_version': self._beliefs.routes_version,
             'members': len(self._mesh.registry),
         }
@@ -364,10 +364,8 @@
     ) -> None:
         for instance, flows in batches.items():
             record = self._mesh.registry.get(instance)
-            if record is None:
-                continue
-            for part in frame.batches(flows):
-                self._mesh.send(frame.pack_flows(kind, part), record.address)
+            if record is not None:
+                self._mesh.send_flows(kind, flows, record.address)
 
     def load(self) -> messages.Load:
         """Return what heartbeats tell of the backend server."""
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -8,6 +8,7 @@
 
 import types
 import typing
+from collections import abc
 
 import mode
 import msgspec
@@ -95,12 +96,10 @@
                 _LOGGER.warning('members not read', error=error)
                 await self.sleep(const.STORE_RETRY_MAX_S)
                 continue
-            for stored in page.objects:
-                record = _decoded(stored)
-                if record is not None:
-                    self._mesh.learn(record)
-                after = stored.name
+            self._learn(page.objects)
             has_more = page.has_more and bool(page.objects)
+            if has_more:
+                after = page.objects[-1].name
         self._mesh.members_read()
         _LOGGER.info('all members read', known=len(self._mesh.registry))
 
@@ -136,12 +135,17 @@
         if self._is_whole:
             self._mesh.members_read()
         else:
-            # The others are learnt from those of the pages read. The second
-            # one begins before this record: not all greet the same few.
+            # A second page, which begins just before this record, spreads
+            # the greetings of many instances over many others.
             page = await self._store.async_page(
                 const.KIND_INSTANCES, _name(own)[:-1]
             )
             found.extend(page.objects)
+        return self._learn(found)
+
+    def _learn(self, found: abc.Iterable[objects.StoredObject]) -> bool:
+        """Take records; tell whether this instance's own is among them."""
+        own = self._mesh.own.present
         is_own_there = False
         for stored in found:
             record = _decoded(stored)
--- a/kumquatport/process/packets/finder.py
+++ b/kumquatport/process/packets/finder.py
@@ -161,7 +161,8 @@
         """Send a packet to the agent that has registered its flow."""
         sought.flow.agents = (instance,)
         self._log.note('flow found', sought.packet.flow, agent=instance)
-        # An agent that has started again may not know the flow.
+        # TEST: an agent that has restarted has lost its flows, and asks its
+        # backend server.
         detail = frame.ASK | frame.TEST
         self._outlets.forward(sought.packet, instance, detail)
 
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -88,7 +88,7 @@
             'members': len(self._mesh.registry),
             'routes_version': self._beliefs.routes_version,
             'domains_out': len(self._beliefs.domains_out),
-            'beliefs_age_s': min(self._beliefs.age_s, beliefs.NEVER_S),
+            'beliefs_age_s': self._beliefs.told_age_s,
         }
 
     def apply_settings(self, settings: models.Settings) -> None:
@@ -106,11 +106,9 @@
     def on_client(self, datagram: bytes, _sender: tuple[str, int]) -> None:
         """Take a packet of a client."""
         packet = self._codec.from_client(datagram)
-        table = self._beliefs.routes
-        if packet is None or table is None:
+        if packet is None or self._beliefs.routes is None:
             return
-        key = (packet.service_address, packet.service_port)
-        route = table.routes.get(key)
+        route = self._route(packet)
         if route is None:
             self._flows.drop(packet.flow)
             self._refuse(packet, 'no_route')
@@ -291,7 +289,7 @@
             reason=reason,
             opening=packet.is_opening,
             routes_version=self._beliefs.routes_version,
-            beliefs_age_s=round(min(self._beliefs.age_s, 1e6), 2),
+            beliefs_age_s=round(self._beliefs.told_age_s, 2),
             **inputs,
         )
         acknowledged = 0 if packet.is_opening else packet.acknowledged
@@ -373,9 +371,8 @@
         """Tell an agent that started again which flows it may hold."""
         if record.kind != members.KIND_AGENT:
             return
-        for part in frame.batches(self._flows.of_agent(record.instance)):
-            message = frame.pack_flows(frame.KIND_HELD, part)
-            self._mesh.send(message, record.address)
+        flows = self._flows.of_agent(record.instance)
+        self._mesh.send_flows(frame.KIND_HELD, flows, record.address)
 
     def _route(self, packet: packets.Packet) -> routes.Route | None:
         table = self._beliefs.routes
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -138,10 +138,28 @@
         """Send a frame to the instance at an address."""
         return self._send(datagram, (address, self._settings.peer_port))
 
+    def send_flows(
+        self, kind: int, flows: abc.Sequence[bytes], address: str
+    ) -> None:
+        """Send the names of flows to the instance at an address.
+
+        Args:
+            kind: Of the frames, as for ``frame.pack_flows``.
+            flows: Their names.
+            address: Of the instance.
+        """
+        for part in frame.batches(flows):
+            self.send(frame.pack_flows(kind, part), address)
+
     def send_to_client(self, datagram: bytes, address: str) -> bool:
         """Send a packet to a client."""
         return self._send(datagram, (address, self._settings.client_port))
 
+    @property
+    def balancers_digest(self) -> int:
+        """Return a digest of the records of all balancers."""
+        return self._members.shared_with(members.KIND_AGENT).total_digest()
+
     def instance_at(self, address: str) -> str:
         """Return the instance at an address, empty if none is known."""
         return self._by_address.get(address, '')
@@ -188,11 +206,11 @@
     def knows_others(self) -> bool:
         """Tell whether somebody is heard that this process must work with."""
         if self._is_balancer:
-            return any(True for _ in self.registry.services())
+            return bool(self.registry.services())
         return bool(self.live_balancers())
 
     def hello(self, addresses: abc.Iterable[str]) -> None:
-        """Tell instances of this one that may not know it."""
+        """Introduce this instance at addresses, and have them answer."""
         message = messages.encode(self._heartbeat(wants_answer=True))
         for address in addresses:
             if address != self._settings.address:
@@ -323,7 +341,7 @@
             members_digest=self._members.shared_with(kind).total_digest(),
             routes_version=self._beliefs.routes_version,
             domains_changed=self._beliefs.domains_changed,
-            age_s=min(self._beliefs.age_s, beliefs.NEVER_S),
+            age_s=self._beliefs.told_age_s,
             tick_s=self._tick_s(),
             load=self.load(),
         )
@@ -494,11 +512,11 @@
         self.send(messages.encode(message), record.address)
 
     def _on_digests(self, message: messages.Digests, sender: str) -> None:
-        record = self.registry.get(self.instance_at(sender))
-        if record is None:
+        asking = self.registry.get(self.instance_at(sender))
+        if asking is None:
             self.hello((sender,))
             return
-        shared = self._members.shared_with(record.kind)
+        shared = self._members.shared_with(asking.kind)
         own = shared.digests()
         differing = [
             record
--- a/kumquatport/process/packets/registrar.py
+++ b/kumquatport/process/packets/registrar.py
@@ -28,6 +28,7 @@
         self._mesh = peers
         self._directory = directory.Directory()
         self._registrars = registrars.Registrars()
+        self._balancers_digest = 0
 
     def __len__(self) -> int:
         """Return how many flows are registered here."""
@@ -42,14 +43,20 @@
 
     def others(self, flow: bytes) -> list[str]:
         """Return the other registrars of a flow that are heard."""
-        names = {one.instance for one in self._mesh.registry.balancers()}
-        self._registrars.update(names | {self._own})
+        self._follow_balancers()
         return [
             name
             for name in self._registrars.of(flow)
             if name != self._own and not self._mesh.is_suspect(name)
         ]
 
+    def _follow_balancers(self) -> None:
+        digest = self._mesh.balancers_digest
+        if digest != self._balancers_digest:
+            self._balancers_digest = digest
+            names = {one.instance for one in self._mesh.registry.balancers()}
+            self._registrars.update(names | {self._own})
+
     def ask(self, registrar: str, packet: packets.Packet) -> None:
         """Ask a registrar where a packet is to be sent."""
         record = self._mesh.registry.get(registrar)
--- a/kumquatport/process/packets/relay.py
+++ b/kumquatport/process/packets/relay.py
@@ -8,6 +8,8 @@
 import typing
 from collections import abc
 
+from kumquatport.version.spread import order
+
 # Balancers that each balancer tells. Three hops reach five hundred.
 FAN_OUT: typing.Final = 8
 
@@ -35,12 +37,8 @@
     """
     if own not in balancers:
         return []
-    count = len(balancers)
     start = balancers.index(root) if root in balancers else 0
-    place = (balancers.index(own) - start) % count
-    first = place * FAN_OUT + 1
-    children = [
-        balancers[(start + child) % count]
-        for child in range(first, min(first + FAN_OUT, count))
-    ]
-    return children + list(agents[place::count])
+    tree = [*balancers[start:], *balancers[:start]]
+    place = tree.index(own)
+    below = order.children(tree, place, FAN_OUT)
+    return below + list(agents[place :: len(tree)])
--- a/kumquatport/version/current.py
+++ b/kumquatport/version/current.py
@@ -75,10 +75,19 @@
         """
         if version <= self._held.version:
             return False
-        document = self._parse(encoded)
-        self._held = Versioned(version, encoded, document)
-        _LOGGER.info('document in force', version=version)
-        self._listeners.notify(self._held)
+        return self.take(Versioned(version, encoded, self._parse(encoded)))
+
+    def take(self, offered: Versioned) -> bool:
+        """Take a document that is parsed, if it is above the one held.
+
+        Returns:
+            Whether it was taken.
+        """
+        if offered.version <= self._held.version:
+            return False
+        self._held = offered
+        _LOGGER.info('document in force', version=offered.version)
+        self._listeners.notify(offered)
         return True
 
     def subscribe(self, callback: Listener) -> abc.Callable[[], None]:
--- /dev/null
+++ b/tests/builders/balancers.py
@@ -0,0 +1,35 @@
+"""A balancer without sockets, which holds the routes of the builders."""
+
+import typing
+from collections import abc
+
+from kumquatport.process.packets import beliefs, forwarder, mesh, peers
+from kumquatport.version import members, routes
+from tests.builders import packets
+
+Send = abc.Callable[[bytes, tuple[str, int]], bool]
+
+
+class Balancer(typing.NamedTuple):
+    """The parts of one balancer."""
+
+    beliefs: beliefs.Beliefs
+    mesh: mesh.Mesh
+    forwarder: forwarder.Forwarder
+
+
+def make(send: Send) -> Balancer:
+    """Build the balancer ``front-1``.
+
+    Args:
+        send: Takes what it sends, with the endpoint.
+    """
+    settings = packets.settings(
+        instance='front-1', address='10.0.0.1', service='', outbound=None
+    )
+    held = beliefs.Beliefs(settings.instance)
+    peer_mesh = mesh.Mesh(settings, members.KIND_BALANCER, held)
+    peer_mesh.connect(peers.Outside(send, lambda call: None, lambda *_: None))
+    made = forwarder.Forwarder(settings, packets.CODEC, held, peer_mesh)
+    held.offer_routes(routes.encode(packets.table()), 'test')
+    return Balancer(held, peer_mesh, made)
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -17,6 +17,7 @@
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
+from tests.builders import packets
 from tests.emulator import backend, client, wire, world
 
 PEER_PORT = 7000
@@ -474,22 +475,15 @@
     name: str, address: str, domain: str, service: str = ''
 ) -> models.Settings:
     is_agent = bool(service)
-    return models.Settings(
+    return packets.settings(
         instance=name,
         failure_domain=domain,
-        region='r',
         address=address,
         peer_port=PEER_PORT,
-        ready=models.Endpoint(address, 1),
         entry=None if is_agent else models.Endpoint(address, ENTRY_PORT),
         client_port=client.CLIENT_PORT,
-        heartbeats=models.Endpoint(address, 2) if is_agent else None,
-        outbound=models.Endpoint(address, 3) if is_agent else None,
-        backend_server=models.Endpoint(address, APP_PORT),
         service=service,
         heartbeat_s=backend.HEARTBEAT_S,
-        seeds=(),
         is_first_start=True,
-        store=models.StoreSettings('http://store', 20.0),
         bounds=BOUNDS,
     )
--- a/tests/unit/process/packets/test_directory.py
+++ b/tests/unit/process/packets/test_directory.py
@@ -12,14 +12,11 @@
     registration,
 )
 from kumquatport.process.packets import (
-    beliefs,
     const,
-    forwarder,
-    mesh,
     messages,
-    peers,
 )
-from kumquatport.version import members, routes
+from kumquatport.version import members
+from tests.builders import balancers
 from tests.builders import packets as builders
 
 FRONTS = {f'front-{number}': f'10.0.0.{number}' for number in range(1, 5)}
@@ -135,18 +132,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.sent = []
-        held_beliefs = beliefs.Beliefs('front-1')
-        settings = builders.settings(
-            instance='front-1', address='10.0.0.1', service='', outbound=None
-        )
-        self.mesh = mesh.Mesh(settings, members.KIND_BALANCER, held_beliefs)
-        self.mesh.connect(
-            peers.Outside(self._send, lambda call: None, lambda *_: None)
-        )
-        self.forwarder = forwarder.Forwarder(
-            settings, builders.CODEC, held_beliefs, self.mesh
-        )
-        held_beliefs.offer_routes(routes.encode(builders.table()), 'test')
+        _, self.mesh, self.forwarder = balancers.make(self._send)
         for name, address in {**FRONTS, **SIDES}.items():
             if name != 'front-1':
                 self.hear(name, address)
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -5,16 +5,12 @@
 
 from kumquatport.connection.packets import frame
 from kumquatport.process.packets import (
-    beliefs,
     const,
     finder,
-    forwarder,
-    mesh,
     messages,
-    peers,
 )
-from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
+from tests.builders import balancers
 from tests.builders import packets as builders
 
 AGENTS = {'side-1': '10.0.0.11', 'side-2': '10.0.0.12', 'side-3': '10.0.0.13'}
@@ -29,21 +25,8 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.sent = []
-        self.beliefs = beliefs.Beliefs('front-1')
-        settings = builders.settings(
-            instance='front-1', address='10.0.0.1', service='', outbound=None
-        )
-        self.mesh = mesh.Mesh(settings, members.KIND_BALANCER, self.beliefs)
-        self.mesh.connect(
-            peers.Outside(self._send, lambda call: None, lambda *_: None)
-        )
-        self.forwarder = forwarder.Forwarder(
-            settings,
-            builders.CODEC,
-            self.beliefs,
-            self.mesh,
-        )
-        self.beliefs.offer_routes(routes.encode(builders.table()), 'test')
+        made = balancers.make(self._send)
+        self.beliefs, self.mesh, self.forwarder = made
         self.flow = builders.flow()
 
     def _send(self, datagram, endpoint):
