Agents look for their backend server's process, and say when none is there

Traced by the lookups of stuck flows: all but one agent had said that they do not hold the flow. That one was on a machine that came back without its backend server and was taken away for good 0.5 s later, or 5 s later without a signal: no heartbeat had come, so it was unsure, and then suspect for the 90 s until it is forgotten.

Ruled out: being sure by sequence and period of the first heartbeat heard (after the start failed heartbeats come 0.1 to 0.4 s apart, sequence 5 and 6 are heard first 0.4 to 1 s after the birth), and by the time of birth (the machine's clock may be set in between).

Change: an agent connects to its backend server's port when it has not reported, is silent, or an opening packet came back, and before it leaves. A refused connection, which only the kernel gives when nobody listens, proves it gone: its flows are reset, the agent is sure from then on, and its record says vacant, which balancers leave out of searches. The store keeps the record as it was written, ready.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -13,6 +13,7 @@
     models,
     node,
     outside,
+    presence,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -83,6 +84,7 @@
         self._servers.append(
             await loaded.async_serve(ready, self._settings.ready)
         )
+        self.add_future(self._async_watch_backend_server())
         self._carrier.measure(loaded.figures.observer('service_time'))
         self._discovery = await self._async_discover(loaded)
 
@@ -93,9 +95,11 @@
         found again when this agent is back.
         """
         self._carrier.is_leaving = True
-        is_gone = self._carrier.backend_server.is_gone
         self._mesh.own.update(members_const.STATE_LEAVING, None)
         self._carrier.register(is_last=True)
+        if not self._carrier.backend_server.is_gone:
+            await self._async_look()
+        is_gone = self._carrier.backend_server.is_gone
         await asyncio.sleep(const.AGENT_LEAVE_MIN_S)
         limit = clock.now() + const.AGENT_LEAVE_MAX_S
         while self._carrier.busy and clock.now() < limit and not is_gone:
@@ -117,13 +121,36 @@
 
     def _take_report(self, report: models.BackendServerReport) -> None:
         if self._carrier.take_report(report):
-            self._mesh.tell_soon()
+            self._note_presence()
 
     def _take_exit(self, identifier: str) -> None:
         if self._carrier.backend_server.leave(identifier):
             self._mesh.tell_soon()
             loop = asyncio.get_running_loop()
-            loop.call_later(carrier.GONE_RESET_S, self._carrier.reset_if_gone)
+            loop.call_later(carrier.GONE_RESET_S, self._on_gone)
+
+    def _on_gone(self) -> None:
+        self._carrier.reset_if_gone()
+        self._note_presence()
+
+    async def _async_watch_backend_server(self) -> None:
+        while not self.should_stop:
+            if self._carrier.backend_server.should_look():
+                await self._async_look()
+            await self.sleep(const.LOOK_POLL_S)
+
+    async def _async_look(self) -> None:
+        """Find out whether the backend server's process is there."""
+        looked_at = clock.now()
+        if not await presence.async_is_absent(self._target):
+            return
+        if self._carrier.found_absent(looked_at):
+            self._note_presence()
+
+    def _note_presence(self) -> None:
+        """Tell the others now, and whether flows may be here at all."""
+        self._mesh.own.update(self._carrier.state, None)
+        self._mesh.tell_soon()
 
     async def _async_register(self) -> None:
         while not self.should_stop:
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -77,6 +77,9 @@
         self._unanswered = 0
         self._probed_at = -math.inf
         self._was_answering = True
+        self._looked_at = -math.inf
+        self._has_bounced = False
+        self._absent_at = math.inf
 
     @property
     def is_draining(self) -> bool:
@@ -116,8 +119,10 @@
         self._note_changes(held, report)
         self.report = report
         if is_same:
+            self._note_alive(now)
             return None
         self.is_gone = False
+        self._absent_at = math.inf
         if held is not None and held.identifier != report.identifier:
             self._former.append(held.identifier)
         return Started(former_until, report.sequence <= FIRST_SEQUENCE)
@@ -145,6 +150,47 @@
         _LOGGER.info('backend server gone', backend_server=identifier)
         return True
 
+    def should_look(self) -> bool:
+        """Tell whether to find out now if its process is there; notes that.
+
+        It may have ended if it has not reported yet, is silent, or packets
+        for it came back. Once in a heartbeat is enough.
+        """
+        now = clock.now()
+        if self.is_gone or now - self._looked_at < self.heartbeat_s:
+            return False
+        is_doubtful = (
+            self.report is None or self._has_bounced or not self.is_answering()
+        )
+        if is_doubtful:
+            self._looked_at = now
+            self._has_bounced = False
+        return is_doubtful
+
+    def found_absent(self, looked_at: float) -> bool:
+        """Note that no process of it ran at a moment.
+
+        Args:
+            looked_at: Monotonic seconds of that moment.
+
+        Returns:
+            Whether it is gone; one that has reported since is not.
+        """
+        if self._reported_at > looked_at:
+            return False
+        self.is_gone = True
+        self._absent_at = clock.now()
+        _LOGGER.info(
+            'backend server absent',
+            backend_server=self.report and self.report.identifier,
+            silent_s=round(self._absent_at - self._heard_at, 3),
+        )
+        return True
+
+    def bounced(self) -> None:
+        """Note that a packet came back that it should have taken."""
+        self._has_bounced = True
+
     def opening(self, flow: bytes) -> None:
         """Note an opening packet that was delivered."""
         self._pending.setdefault(flow, clock.now())
@@ -157,6 +203,8 @@
 
     def is_answering(self) -> bool:
         """Tell whether it has answered of late; count what it did not."""
+        if self.is_gone:
+            return False
         now = clock.now()
         while self._pending:
             flow, delivered_at = next(iter(self._pending.items()))
@@ -181,11 +229,21 @@
     def may_probe(self) -> bool:
         """Tell whether one more opening packet may test it; notes that."""
         now = clock.now()
-        if now - self._probed_at < PROBE_S:
+        if self.is_gone or now - self._probed_at < PROBE_S:
             return False
         self._probed_at = now
         return True
 
+    def _note_alive(self, now: float) -> None:
+        """Take back that it is absent if its heartbeats go on.
+
+        One that was sent before it ended may come late.
+        """
+        if now - self._absent_at > DOUBT_HEARTBEATS * self.heartbeat_s:
+            self.is_gone = False
+            self._absent_at = math.inf
+            _LOGGER.warning('backend server not absent')
+
     def _is_late(
         self,
         held: models.BackendServerReport | None,
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -25,6 +25,7 @@
     models,
 )
 from kumquatport.version import members
+from kumquatport.version.members import const as members_const
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -78,6 +79,15 @@
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._is_sure = False
 
+    @property
+    def state(self) -> str:
+        """Return the state of this instance that others are told."""
+        if self.is_leaving:
+            return members_const.STATE_LEAVING
+        if self.backend_server.is_gone:
+            return members_const.STATE_VACANT
+        return members_const.STATE_READY
+
     @property
     def busy(self) -> int:
         """Return how many requests are in progress."""
@@ -146,18 +156,37 @@
         if started.is_first_heartbeat or is_heard_before:
             # All flows of this incarnation passed through this process.
             self._is_sure = True
-        if not is_heard_before:
-            return
+        if is_heard_before:
+            self._lose_until(started.former_until, 'backend_server_restarted')
+
+    def _lose_until(self, moment: float, reason: str) -> None:
+        """Lose the flows on which nothing came from it after a moment."""
         for flow, state in tuple(self._flows.flows.items()):
-            if state.server_seen_at <= started.former_until:
-                self._lose(flow, state, 'backend_server_restarted')
+            if state.server_seen_at <= moment:
+                self._lose(flow, state, reason)
 
     def reset_if_gone(self) -> None:
         """Reset the flows of a backend server that has exited."""
-        if not self.backend_server.is_gone:
-            return
-        for flow, state in tuple(self._flows.flows.items()):
-            self._lose(flow, state, 'backend_server_gone')
+        if self.backend_server.is_gone:
+            self._lose_until(math.inf, 'backend_server_gone')
+
+    def found_absent(self, looked_at: float) -> bool:
+        """Note that no process of the backend server ran at a moment.
+
+        This process carried packets then, so all flows of a later incarnation
+        pass through it.
+
+        Args:
+            looked_at: Monotonic seconds of that moment.
+
+        Returns:
+            Whether it tells of something that balancers should know now.
+        """
+        self._is_sure = True
+        is_gone = self.backend_server.found_absent(looked_at)
+        if is_gone:
+            self._lose_until(looked_at, 'backend_server_gone')
+        return is_gone
 
     def _lose(self, flow: bytes, state: held.Flow, reason: str) -> None:
         """Tell the client of a flow that its backend server is gone."""
@@ -323,6 +352,8 @@
         clean = packet._replace(datagram=self._codec.marked(packet.datagram, 0))
         sender = packets.marked_address(packet.mark)
         state = self._flows.get(packet.flow)
+        if packet.is_opening or state is not None:
+            self.backend_server.bounced()
         if packet.is_opening:
             self._flows.drop(packet.flow)
             self._log.note(
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -79,5 +79,9 @@
 # moves before it is told costs a message to each agent of its service.
 REGISTER_S: typing.Final = 0.25
 
+# Seconds between two moments at which an agent asks itself whether its
+# backend server may have ended; clients send again after 0.2 s.
+LOOK_POLL_S: typing.Final = 0.1
+
 SWEEP_S: typing.Final = 1.0
 WATCH_POLL_S: typing.Final = 0.2
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -45,6 +45,9 @@
         self._store = store
         self._mesh = peers
         self._is_first = is_first
+        # Written as it is now: an agent may find itself vacant before, and what
+        # others read here must not say so for ever.
+        self._written = peers.own.present
         self._is_whole = False
 
     async def on_start(self) -> None:
@@ -109,7 +112,7 @@
         Raises:
             KumquatportError: The store did not take or answer a call.
         """
-        own = self._mesh.own.present
+        own = self._written
         if self._is_first:
             await self._async_register(own)
             self._is_first = False
--- a/kumquatport/process/packets/finder.py
+++ b/kumquatport/process/packets/finder.py
@@ -19,6 +19,7 @@
     registrar,
 )
 from kumquatport.version import members, routes
+from kumquatport.version.members import const as members_const
 
 # Deliveries that only test whether a backend server holds a flow, while one
 # that may hold it cannot be asked.
@@ -100,12 +101,17 @@
         return found.walk(flow)
 
     def holders(self, route: routes.Route) -> list[members.InstanceRecord]:
-        """Return the agents that may hold flows of a route."""
+        """Return the agents that may hold flows of a route.
+
+        One that is vacant has no backend server beside it. Its record says so,
+        so this spreads like the records, over all balancers.
+        """
         registry = self._mesh.registry
         return [
             record
             for share in route.shares
             for record in registry.agents(share.service)
+            if record.state != members_const.STATE_VACANT
         ]
 
     def look_up(self, sought: Sought) -> None:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -29,6 +29,11 @@
 # Agents that are offered one opening packet before its client is refused.
 MAX_OFFERS: typing.Final = 6
 
+# States of an agent that is not expected to take more flows soon by itself.
+_TAKING_PART: typing.Final = frozenset(
+    (members_const.STATE_READY, members_const.STATE_VACANT)
+)
+
 # Seconds for which the mean cost of an open flow is used again.
 FLOW_COST_S: typing.Final = 0.3
 
@@ -247,7 +252,7 @@
         return waiting.Sight(
             silent_s=now - peer.heard_at if peer else math.inf,
             is_suspect=self._mesh.is_suspect(record.instance),
-            is_ready=record.state == members_const.STATE_READY,
+            is_ready=record.state in _TAKING_PART,
             accepts=load is not None and load.accepts,
         )
 
--- a/kumquatport/version/members/const.py
+++ b/kumquatport/version/members/const.py
@@ -7,6 +7,8 @@
 
 STATE_STARTING: typing.Final = 'starting'
 STATE_READY: typing.Final = 'ready'
+# An agent beside which no backend server runs.
+STATE_VACANT: typing.Final = 'vacant'
 STATE_LEAVING: typing.Final = 'leaving'
 STATE_GONE: typing.Final = 'gone'
 STATE_LAPSED: typing.Final = 'lapsed'
@@ -16,6 +18,7 @@
     (
         STATE_STARTING,
         STATE_READY,
+        STATE_VACANT,
         STATE_LEAVING,
         STATE_GONE,
         STATE_LAPSED,
--- a/tests/emulator/backend.py
+++ b/tests/emulator/backend.py
@@ -2,6 +2,7 @@
 
 import collections
 import typing
+from collections import abc
 
 from tests.emulator import wire, world
 
@@ -52,6 +53,7 @@
         self.served = 0
         self.beats = 0
         self.disturbed_at = -100.0
+        self.on_up: abc.Callable[[bool], None] = _ignore
         self._waiting: collections.deque[tuple[bytes, wire.Data]] = (
             collections.deque()
         )
@@ -67,9 +69,11 @@
         self.number += 1
         self.beats = 0
         self.ends.clear()
+        self.on_up(True)
 
     def crash(self) -> None:
         self.is_up = False
+        self.on_up(False)
         self.disturbed_at = self.sim.time
         self.ends.clear()
         self._waiting.clear()
@@ -141,6 +145,10 @@
         self.sim.after(work_s, done)
 
 
+def _ignore(is_up: bool) -> None:
+    """Tell nobody."""
+
+
 def note_arrival(
     backends: typing.Iterable[Backend], taker: Backend, datagram: bytes
 ) -> None:
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -184,6 +184,10 @@
             self.sim.every(node, 0.2, lambda: self._sync(address))
         if process.carrier is not None:
             self.sim.every(node, const.REGISTER_S, process.carrier.register)
+            carry = process.carrier
+            self.sim.every(
+                node, const.LOOK_POLL_S, lambda: self._look(address, carry)
+            )
 
     def kill(self, address: str) -> None:
         self.disturbed[address] = self.sim.time
@@ -230,7 +234,7 @@
                 if process.carrier.backend_server.leave(server.identifier):
                     process.mesh.tell_soon()
                     self.sim.after(
-                        carrier.GONE_RESET_S, process.carrier.reset_if_gone
+                        carrier.GONE_RESET_S, lambda: self._on_gone(address)
                     )
             self.drained.pop(address, None)
             server.crash()
@@ -267,6 +271,25 @@
         place = zlib.crc32(flow) % len(self.rotation)
         self.sim.send(datagram, source, (self.rotation[place], ENTRY_PORT))
 
+    def _look(self, address: str, carry: carrier.Carrier) -> None:
+        """Have an agent look for its backend server's process, in doubt."""
+        looks = carry.backend_server.should_look()
+        if looks and not self.backends[address].is_up:
+            if carry.found_absent(self.sim.time):
+                self._note_presence(address)
+
+    def _on_gone(self, address: str) -> None:
+        process = self.processes.get(address)
+        if process is not None and process.carrier is not None:
+            process.carrier.reset_if_gone()
+            self._note_presence(address)
+
+    def _note_presence(self, address: str) -> None:
+        process = self.processes.get(address)
+        if process is not None and process.carrier is not None:
+            process.mesh.own.update(process.carrier.state, None)
+            process.mesh.tell_soon()
+
     def _restart(self, address: str) -> None:
         if not self.sim.node(address).is_up:
             self.start_process(address)
@@ -329,7 +352,7 @@
         if server.is_draining:
             self.drained.setdefault(address, self.sim.time)
         if is_news:
-            process.mesh.tell_soon()
+            self._note_presence(address)
 
     def _listen_balancer(self, address: str, process: Process) -> None:
         forward = process.forwarder
--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -304,6 +304,7 @@
     ) -> None:
         domain = DOMAINS[number % len(DOMAINS)]
         server = backend.Backend(self.sim, address, service, domain)
+        server.on_up = self.sim.door(address, APP_PORT)
         server.start()
         server.born -= backend.COLD_S
         self.backends[name] = server
--- a/tests/live/real.py
+++ b/tests/live/real.py
@@ -41,6 +41,28 @@
         self._loop.add_reader(bound, _read_all, bound, handler)
         return send
 
+    def door(self, address: str, port: int) -> abc.Callable[[bool], None]:
+        """Return a function that opens or closes a TCP port.
+
+        Connections are taken and closed; they only show that it is open.
+        """
+        opened: list[socket.socket] = []
+
+        def set_open(is_open: bool) -> None:
+            while opened:
+                closing = opened.pop()
+                self._sockets.remove(closing)
+                self._loop.remove_reader(closing)
+                closing.close()
+            if is_open:
+                bound = socket.create_server((address, port), backlog=128)
+                bound.setblocking(False)
+                opened.append(bound)
+                self._sockets.append(bound)
+                self._loop.add_reader(bound, _take_all, bound)
+
+        return set_open
+
     def close(self) -> None:
         for bound in self._sockets:
             self._loop.remove_reader(bound)
@@ -58,3 +80,10 @@
             # An agent that is down refuses what was sent to it.
             continue
         handler(datagram, source)
+
+
+def _take_all(bound: socket.socket) -> None:
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            taken, _ = bound.accept()
+            taken.close()
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -6,6 +6,7 @@
 from kumquatport.connection.packets import frame
 from kumquatport.process.packets import beliefs, carrier, mesh, peers
 from kumquatport.version import members, routes
+from kumquatport.version.members import const as members_const
 from tests.builders import packets as builders
 
 BALANCER = '10.0.0.1'
@@ -259,6 +260,76 @@
         self.carrier.reset_if_gone()
         self.assertEqual(self.resets(), [builders.CLIENT])
 
+    def look(self):
+        """Find that no process of the backend server is there."""
+        self.sent.clear()
+        return self.carrier.found_absent(self.clock.now)
+
+    def test_an_absent_backend_server_holds_nothing(self):
+        """Its agent left unsure and held up all searches (grown trouble-1)."""
+        packet = builders.datagram(self.flow, acknowledged=900)
+        self.assertTrue(self.carrier.backend_server.should_look())
+        self.assertTrue(self.look())
+        self.forward(packet, frame.ASK | frame.TEST)
+        self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
+        self.assertFalse(self.carrier.load().accepts)
+        self.assertEqual(self.carrier.state, members_const.STATE_VACANT)
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.assertEqual(self.returned(), [(frame.REASON_CLOSED, BALANCER)])
+        # All flows of one that starts now pass through this process.
+        self.clock.now += 1
+        self.carrier.take_report(builders.report(sequence=4))
+        self.assertTrue(self.carrier.load().accepts)
+        self.assertEqual(self.carrier.state, members_const.STATE_READY)
+        self.forward(packet, frame.ASK | frame.TEST)
+        self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
+
+    def test_flows_of_a_backend_server_found_absent_are_reset(self):
+        self.carrier.take_report(builders.report())
+        self.open(40001)
+        self.clock.now += 5
+        looked_at = self.clock.now
+        self.clock.now += 0.01
+        self.open(40002)
+        self.sent.clear()
+        self.assertTrue(self.carrier.found_absent(looked_at))
+        self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertTrue(self.carrier.load().is_draining)
+
+    def test_one_that_reported_since_is_not_absent(self):
+        self.clock.now += 1
+        self.carrier.take_report(builders.report())
+        self.assertFalse(self.carrier.found_absent(self.clock.now - 0.1))
+        self.assertTrue(self.carrier.load().accepts)
+
+    def test_a_late_heartbeat_does_not_revive_an_absent_one(self):
+        server = self.carrier.backend_server
+        self.carrier.take_report(builders.report())
+        self.clock.now += 0.1
+        self.look()
+        self.clock.now += 0.1
+        self.carrier.take_report(builders.report(sequence=2))
+        self.assertTrue(server.is_gone)
+        self.clock.now += 2 * server.heartbeat_s
+        self.carrier.take_report(builders.report(sequence=3))
+        self.assertFalse(server.is_gone)
+
+    def test_it_is_looked_for_in_doubt_and_not_often(self):
+        server = self.carrier.backend_server
+        self.carrier.take_report(builders.report())
+        self.assertFalse(server.should_look())
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.bounce(self.delivered[0])
+        self.assertTrue(server.should_look())
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.bounce(self.delivered[0])
+        self.assertFalse(server.should_look())
+        self.clock.now += server.heartbeat_s
+        self.assertTrue(server.should_look())
+        self.assertFalse(server.should_look())
+        self.clock.now += 3 * server.heartbeat_s
+        self.assertTrue(server.should_look())
+
     def test_a_silent_backend_server_is_offered_little(self):
         self.carrier.take_report(builders.report())
         for port in range(2):
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -33,11 +33,15 @@
         self.sent.append((datagram, endpoint))
         return True
 
-    def hear(self, instance, incarnation=1, **load):
+    def hear(self, instance, incarnation=1, state='ready', **load):
         """Take a heartbeat of an agent."""
         address = AGENTS[instance]
+        sequence = 1 if state == 'ready' else 2
+        record = builders.record(
+            instance, address=address, incarnation=incarnation
+        )
         beat = messages.Heartbeat(
-            builders.record(instance, address=address, incarnation=incarnation),
+            record._replace(state=state, sequence=sequence),
             builders.load(**load),
             self.beliefs.told(with_changes=False),
             wants_answer=False,
@@ -101,6 +105,25 @@
         self.client(builders.datagram(self.flow, acknowledged=6))
         self.assertEqual(self.forwards(), [(second, 0)])
 
+    def test_an_agent_without_a_backend_server_holds_nothing(self):
+        """It came back alone, was taken away, and held up all searches."""
+        self.settle()
+        vacant = members_const.STATE_VACANT
+        self.hear('side-3', state=vacant, accepts=False)
+        self.now += 60
+        self.hear('side-1')
+        self.hear('side-2')
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        self.assertEqual(
+            sorted(self.forwards()),
+            [('side-1', frame.ASK), ('side-2', frame.ASK)],
+        )
+        self.back('side-1', packet)
+        self.assertEqual(self.resets(), [])
+        self.back('side-2', packet)
+        self.assertEqual(len(self.resets()), 1)
+
     def test_an_unknown_flow_is_asked_for_everywhere(self):
         self.settle()
         self.client(builders.datagram(self.flow, acknowledged=5))
