Registrars: one that leaves is asked last

Cause: a balancer that leaves is still heard for 1.7 s but may end before it answers; the client's packet then waits for its next copy, 0.2 s.

Change: of the registrars that are heard, those that are not ready come last.

The new test fails without it.

--- a/kumquatport/process/packets/registrar.py
+++ b/kumquatport/process/packets/registrar.py
@@ -8,6 +8,7 @@
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import mesh
 from kumquatport.version import members
+from kumquatport.version.members import const as members_const
 
 
 class Registrar:
@@ -42,13 +43,21 @@
         return record
 
     def others(self, flow: bytes) -> list[str]:
-        """Return the other registrars of a flow that are heard."""
+        """Return the other registrars of a flow that are heard.
+
+        One that leaves comes last: it may end before it answers.
+        """
         self._follow_balancers()
-        return [
+        heard = [
             name
             for name in self._registrars.of(flow)
             if name != self._own and not self._mesh.is_suspect(name)
         ]
+        return sorted(heard, key=self._is_leaving)
+
+    def _is_leaving(self, registrar: str) -> bool:
+        record = self._mesh.registry.get(registrar)
+        return record is None or record.state != members_const.STATE_READY
 
     def _follow_balancers(self) -> None:
         digest = self._mesh.balancers_digest
--- a/tests/unit/process/packets/test_directory.py
+++ b/tests/unit/process/packets/test_directory.py
@@ -16,6 +16,7 @@
     messages,
 )
 from kumquatport.version import members
+from kumquatport.version.members import const as members_const
 from tests.builders import balancers
 from tests.builders import packets as builders
 
@@ -149,11 +150,11 @@
         self.sent.append((datagram, endpoint[0]))
         return True
 
-    def hear(self, name, address):
+    def hear(self, name, address, **fields):
         kind = members.KIND_BALANCER if name in FRONTS else members.KIND_AGENT
         record = builders.record(name, address=address, kind=kind)
         if name in FRONTS:
-            record = record._replace(service='')
+            record = record._replace(service='', **fields)
         beat = messages.Heartbeat(
             record,
             builders.load() if name in SIDES else None,
@@ -197,6 +198,18 @@
         asked = [(address, frame.KIND_FORWARD) for address in SIDES.values()]
         self.assertEqual(self.kinds(), asked)
 
+    def test_a_registrar_that_leaves_is_asked_last(self):
+        """It ended before it answered (quiet-1 of abra-accra)."""
+        self.hear(
+            self.first,
+            FRONTS[self.first],
+            state=members_const.STATE_LEAVING,
+            sequence=2,
+        )
+        self.client()
+        where = (FRONTS[self.second], frame.KIND_WHERE)
+        self.assertEqual(self.kinds(), [where])
+
     def test_a_silent_registrar_is_passed_over(self):
         self.client()
         self.now += 0.2
