Agents: one that has left stays so; a revived backend server is told of

Cause, found reading the change: a backend server's exit is taken up 0.25 s later, and the agent then tells its state. If it was stopped in between and had told that it is gone for good, its record would have come back as leaving and held up searches for 90 s. And a backend server that drains and turns out not to be absent left the record vacant, so that searches passed it over.

Change: the state is the carrier's alone, gone once it has left; a heartbeat that changes whether the backend server is gone is news.

Both tests fail without it.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -95,7 +95,7 @@
         found again when this agent is back.
         """
         self._carrier.is_leaving = True
-        self._mesh.own.update(members_const.STATE_LEAVING, None)
+        self._note_presence()
         self._carrier.register(is_last=True)
         if not self._carrier.backend_server.is_gone:
             await self._async_look()
@@ -106,7 +106,8 @@
             await asyncio.sleep(const.AGENT_LEAVE_POLL_S)
         self._carrier.register(is_last=True)
         if is_gone:
-            self._mesh.own.update(members_const.STATE_GONE, None)
+            self._carrier.has_left = True
+            self._note_presence()
             if self._discovery is not None:
                 await self._discovery.async_remove()
 
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -42,6 +42,7 @@
 
     Attributes:
         is_leaving: Whether the agent is about to stop.
+        has_left: Whether it has told that it will not come back.
         backend_server: What is known of the backend server.
     """
 
@@ -63,6 +64,7 @@
             deliver: Hands a packet to the backend server.
         """
         self.is_leaving = False
+        self.has_left = False
         self.backend_server = backend_server.BackendServer(settings.heartbeat_s)
         self._settings = settings
         self._codec = codec
@@ -82,6 +84,8 @@
     @property
     def state(self) -> str:
         """Return the state of this instance that others are told."""
+        if self.has_left:
+            return members_const.STATE_GONE
         if self.is_leaving:
             return members_const.STATE_LEAVING
         if self.backend_server.is_gone:
@@ -134,11 +138,12 @@
         Returns:
             Whether it tells of something that balancers should know now.
         """
-        was_draining = self.backend_server.is_draining
-        started = self.backend_server.take(report)
+        server = self.backend_server
+        before = (server.is_draining, server.is_gone)
+        started = server.take(report)
         if started is not None:
             self._on_started(started)
-        is_changed = self.backend_server.is_draining != was_draining
+        is_changed = before != (server.is_draining, server.is_gone)
         return is_changed or started is not None
 
     def expire(self) -> None:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -29,7 +29,7 @@
 # Agents that are offered one opening packet before its client is refused.
 MAX_OFFERS: typing.Final = 6
 
-# States of an agent that is not expected to take more flows soon by itself.
+# States in which an agent that takes no new flows is not about to.
 _TAKING_PART: typing.Final = frozenset(
     (members_const.STATE_READY, members_const.STATE_VACANT)
 )
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -311,8 +311,21 @@
         self.carrier.take_report(builders.report(sequence=2))
         self.assertTrue(server.is_gone)
         self.clock.now += 2 * server.heartbeat_s
-        self.carrier.take_report(builders.report(sequence=3))
-        self.assertFalse(server.is_gone)
+        # Others are told, also of one that drains and holds its flows.
+        going_on = builders.report(sequence=3, is_draining=True)
+        self.assertTrue(self.carrier.take_report(going_on))
+        self.assertEqual(self.carrier.state, members_const.STATE_READY)
+
+    def test_an_agent_that_has_left_does_not_come_back(self):
+        """Its backend server's exit is taken up a moment later."""
+        self.carrier.take_report(builders.report())
+        self.carrier.backend_server.leave('i-1')
+        self.assertEqual(self.carrier.state, members_const.STATE_VACANT)
+        self.carrier.is_leaving = True
+        self.assertEqual(self.carrier.state, members_const.STATE_LEAVING)
+        self.carrier.has_left = True
+        self.carrier.reset_if_gone()
+        self.assertEqual(self.carrier.state, members_const.STATE_GONE)
 
     def test_it_is_looked_for_in_doubt_and_not_often(self):
         server = self.carrier.backend_server
