--- a/script/testing/__main__.py
+++ b/script/testing/__main__.py
@@ -67,11 +67,17 @@
         running += [
             pool.submit(features.run, feature, number, FOLDER)
             for number, feature in enumerate(chosen)
+            if not features.is_alone(feature)
         ]
         for done in futures.as_completed(running):
             report = done.result()
             _print_report(report)
             yield from report.outcomes
+    for number, feature in enumerate(chosen):
+        if features.is_alone(feature):
+            report = features.run(feature, number, FOLDER)
+            _print_report(report)
+            yield from report.outcomes
 
 
 def _print_report(report: outcome.Report) -> None:
--- a/script/testing/features.py
+++ b/script/testing/features.py
@@ -14,6 +14,7 @@
 FOLDER: typing.Final = pathlib.Path('tests/features')
 TIMEOUT_S: typing.Final = 420
 JSON_FORMAT: typing.Final = 'json'
+TAG_ALONE: typing.Final = '@alone'
 STATUS_PASSED: typing.Final = 'passed'
 
 # Each feature has a loopback block of its own, from this one up.
@@ -26,6 +27,15 @@
     return sorted(FOLDER.glob('**/*.feature'))
 
 
+def is_alone(feature: pathlib.Path) -> bool:
+    """Tell whether a feature runs with no other beside it.
+
+    One that compares with what a processor can do needs it for itself.
+    """
+    first_line, _, _ = feature.read_text().partition('\n')
+    return TAG_ALONE in first_line.split()
+
+
 def run(
     feature: pathlib.Path, number: int, folder: pathlib.Path
 ) -> outcome.Report:
--- a/tests/features/request_cold_start.feature
+++ b/tests/features/request_cold_start.feature
@@ -1,4 +1,4 @@
-@issue-5 @promise-3
+@alone @issue-5 @promise-3
 Feature: A backend server that has just started is not overwhelmed
 
   Scenario: A cold start under more than full demand
--- a/tests/features/request_overload.feature
+++ b/tests/features/request_overload.feature
@@ -1,4 +1,4 @@
-@issue-5 @promise-3
+@alone @issue-5 @promise-3
 Feature: Overload is refused at once and passes
 
   Scenario Outline: Overload
