Read again: one base for tests of a balancer, one place that prints reports

Two cases built the same balancer on the same still clock (now BalancerTestCase); the runner printed reports in two loops; the store's record is explained by what happens; the mesh's property stands before its methods. Behaviour and assertions are as before.

--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -45,8 +45,8 @@
         self._store = store
         self._mesh = peers
         self._is_first = is_first
-        # Written as it is now: an agent may find itself vacant before, and what
-        # others read here must not say so for ever.
+        # The store is written once. The record in it is the ready one, since a
+        # vacant one would stay there after the backend server has started.
         self._written = peers.own.present
         self._is_whole = False
 
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -95,6 +95,11 @@
         self.own.changes.subscribe(self.tell_soon)
         held.subscribe(self._relay_soon)
 
+    @property
+    def balancers_digest(self) -> int:
+        """Return a digest of the records of all balancers."""
+        return self._members.shared_with(members.KIND_AGENT).total_digest()
+
     async def on_start(self) -> None:
         """Bind the socket and begin to tell others.
 
@@ -155,11 +160,6 @@
         """Send a packet to a client."""
         return self._send(datagram, (address, self._settings.client_port))
 
-    @property
-    def balancers_digest(self) -> int:
-        """Return a digest of the records of all balancers."""
-        return self._members.shared_with(members.KIND_AGENT).total_digest()
-
     def instance_at(self, address: str) -> str:
         """Return the instance at an address, empty if none is known."""
         return self._by_address.get(address, '')
--- a/script/testing/__main__.py
+++ b/script/testing/__main__.py
@@ -59,6 +59,12 @@
 
 
 def _run(options: argparse.Namespace) -> abc.Iterator[outcome.Outcome]:
+    for report in _reports(options):
+        _print_report(report)
+        yield from report.outcomes
+
+
+def _reports(options: argparse.Namespace) -> abc.Iterator[outcome.Report]:
     chosen = [] if options.unit else options.features or features.find()
     with futures.ThreadPoolExecutor(options.jobs) as pool:
         running = []
@@ -70,14 +76,10 @@
             if not features.is_alone(feature)
         ]
         for done in futures.as_completed(running):
-            report = done.result()
-            _print_report(report)
-            yield from report.outcomes
+            yield done.result()
     for number, feature in enumerate(chosen):
         if features.is_alone(feature):
-            report = features.run(feature, number, FOLDER)
-            _print_report(report)
-            yield from report.outcomes
+            yield features.run(feature, number, FOLDER)
 
 
 def _print_report(report: outcome.Report) -> None:
--- a/tests/builders/balancers.py
+++ b/tests/builders/balancers.py
@@ -1,7 +1,9 @@
 """A balancer without sockets, which holds the routes of the builders."""
 
 import typing
+import unittest
 from collections import abc
+from unittest import mock
 
 from kumquatport.process.packets import beliefs, forwarder, mesh, peers
 from kumquatport.version import members, routes
@@ -33,3 +35,28 @@
     made = forwarder.Forwarder(settings, packets.CODEC, held, peer_mesh)
     held.offer_routes(routes.encode(packets.table()), 'test')
     return Balancer(held, peer_mesh, made)
+
+
+class BalancerTestCase(unittest.TestCase):
+    """A balancer on a clock that stands still, and what it has sent.
+
+    Attributes:
+        now: Monotonic seconds; a test moves them on.
+        sent: Datagrams, each with the endpoint it went to.
+        beliefs: Of the balancer.
+        mesh: Of the balancer.
+        forwarder: Of the balancer.
+    """
+
+    def setUp(self) -> None:
+        """Build the balancer."""
+        self.now = 1000.0
+        patch = mock.patch('kumquatport.helpers.clock.now', lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+        self.beliefs, self.mesh, self.forwarder = make(self._send)
+
+    def _send(self, datagram: bytes, endpoint: tuple[str, int]) -> bool:
+        self.sent.append((datagram, endpoint))
+        return True
--- a/tests/unit/process/packets/test_directory.py
+++ b/tests/unit/process/packets/test_directory.py
@@ -124,16 +124,11 @@
         self.assertEqual(kept.find(flows[3]), 'side-1')
 
 
-class SearchTest(unittest.TestCase):
+class SearchTest(balancers.BalancerTestCase):
     """A balancer that meets an open flow asks its registrars first."""
 
     def setUp(self):
-        self.now = 1000.0
-        patch = mock.patch('kumquatport.helpers.clock.now', lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.sent = []
-        _, self.mesh, self.forwarder = balancers.make(self._send)
+        super().setUp()
         for name, address in {**FRONTS, **SIDES}.items():
             if name != 'front-1':
                 self.hear(name, address)
@@ -146,15 +141,12 @@
         self.first, self.second = chosen.of(self.flow)
         self.packet = builders.datagram(self.flow, acknowledged=7)
 
-    def _send(self, datagram, endpoint):
-        self.sent.append((datagram, endpoint[0]))
-        return True
-
     def hear(self, name, address, **fields):
         kind = members.KIND_BALANCER if name in FRONTS else members.KIND_AGENT
-        record = builders.record(name, address=address, kind=kind)
-        if name in FRONTS:
-            record = record._replace(service='', **fields)
+        service = '' if name in FRONTS else 'store'
+        record = builders.record(
+            name, address=address, kind=kind, service=service, **fields
+        )
         beat = messages.Heartbeat(
             record,
             builders.load() if name in SIDES else None,
@@ -177,7 +169,7 @@
 
     def kinds(self):
         """Return what was sent, by address, and its kind."""
-        return [(address, datagram[0]) for datagram, address in self.sent]
+        return [(endpoint[0], datagram[0]) for datagram, endpoint in self.sent]
 
     def test_a_registrar_is_asked_and_the_agent_it_names_gets_the_packet(self):
         self.client()
@@ -247,7 +239,7 @@
         self.forwarder.on_frame(
             frame.pack_where(self.packet), FRONTS['front-3']
         )
-        ((answer, address),) = self.sent
+        ((answer, (address, _)),) = self.sent
         self.assertEqual(address, FRONTS['front-3'])
         found = frame.unpack_found(answer)
         self.assertEqual(found.address, builders.number(SIDES['side-1']))
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -1,8 +1,5 @@
 """The balancer's packets, one by one."""
 
-import unittest
-from unittest import mock
-
 from kumquatport.connection.packets import frame
 from kumquatport.process.packets import (
     const,
@@ -16,23 +13,13 @@
 AGENTS = {'side-1': '10.0.0.11', 'side-2': '10.0.0.12', 'side-3': '10.0.0.13'}
 
 
-class ForwarderTest(unittest.TestCase):
+class ForwarderTest(balancers.BalancerTestCase):
     """Where packets go, and when a client is told that its flow is lost."""
 
     def setUp(self):
-        self.now = 1000.0
-        patch = mock.patch('kumquatport.helpers.clock.now', lambda: self.now)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.sent = []
-        made = balancers.make(self._send)
-        self.beliefs, self.mesh, self.forwarder = made
+        super().setUp()
         self.flow = builders.flow()
 
-    def _send(self, datagram, endpoint):
-        self.sent.append((datagram, endpoint))
-        return True
-
     def hear(self, instance, incarnation=1, state='ready', **load):
         """Take a heartbeat of an agent."""
         address = AGENTS[instance]
