Test of a cold backend server that joins: waves until it has flows to serve

Change: after the four waves up to eight more come until it has served 50. Never less load than before, the bound on requests and collapses unchanged.

--- a/tests/features/request_deployment.feature
+++ b/tests/features/request_deployment.feature
@@ -13,7 +13,9 @@
   Scenario: A cold backend server joins under load
     Given a deployment under requests with 2 storefront servers of 50 ms
     And 0 feeds and 8 workers under requests
-    When a cold storefront server joins and 4 waves of 20 workers come
+    When a cold storefront server joins
+    And 4 waves of 20 workers come
+    And up to 8 more come until the server that joined has served 50 requests
     Then no server under requests has collapsed
     And the server that joined has served at least 50 requests
     And no flow under requests is broken
--- a/tests/features/steps/request_deployment.py
+++ b/tests/features/steps/request_deployment.py
@@ -12,6 +12,7 @@
 WATCH_S = 4.0
 JOIN_S = 2.0
 WAVE_S = 2.0
+WAVE_WORKERS = 20
 
 
 @behave.given(
@@ -58,11 +59,8 @@
     assert after['after_leaving'] == before['after_leaving']
 
 
-@behave.when(
-    'a cold storefront server joins and {waves:d} waves of {workers:d}'
-    ' workers come'
-)
-def step_joins(context: runner.Context, waves: int, workers: int) -> None:
+@behave.when('a cold storefront server joins')
+def step_joins(context: runner.Context) -> None:
     joined = context.deployment.add_backend_server(SERVICE)
     context.deployment.start_some([f'{joined}-server'])
     context.deployment.control(
@@ -71,9 +69,32 @@
     context.deployment.start_some([joined])
     context.joined = joined
     time.sleep(JOIN_S)
+
+
+@behave.when('{waves:d} waves of {workers:d} workers come')
+def step_waves(context: runner.Context, waves: int, workers: int) -> None:
     for _ in range(waves):
-        context.run(context.traffic.async_start(0, workers, [SERVICE]))
-        time.sleep(WAVE_S)
+        _begin_wave(context, workers)
+
+
+def _begin_wave(context: runner.Context, workers: int) -> None:
+    context.run(context.traffic.async_start(0, workers, [SERVICE]))
+    time.sleep(WAVE_S)
+
+
+@behave.when(
+    'up to {waves:d} more come until the server that joined has served'
+    ' {count:d} requests'
+)
+def step_more_waves(context: runner.Context, waves: int, count: int) -> None:
+    for made in range(waves):
+        served = _report(context, context.joined)['started']
+        print(
+            f'FIGURE {context.scenario.name}: waves_more={made} served={served}'
+        )
+        if served >= count:
+            return
+        _begin_wave(context, WAVE_WORKERS)
 
 
 @behave.then('no server under requests has collapsed')
