Searches go on when those of the likely agents that may hold a flow have said no

Cause: eight agents are asked first, and all others once these eight have answered. Since vacant agents are not asked, but were still waited for.

--- a/kumquatport/connection/packets/search.py
+++ b/kumquatport/connection/packets/search.py
@@ -69,7 +69,7 @@
             now: Monotonic seconds.
         """
         left = holders - self.missing
-        likely = [name for name in _likely(order) if name in left]
+        likely = [name for name in _likely(holders, order) if name in left]
         if not self._narrow_until:
             self._narrow_until = now + ANSWER_S
         if likely and now < self._narrow_until:
@@ -77,9 +77,17 @@
         self.is_wide = True
         return sorted(left)
 
-    def begins_wide(self, order: abc.Iterable[str]) -> bool:
-        """Tell whether the likely agents have all said no, just now."""
-        return not self.is_wide and self.missing.issuperset(_likely(order))
+    def begins_wide(
+        self, holders: abc.Set[str], order: abc.Iterable[str]
+    ) -> bool:
+        """Tell whether the likely agents have all said no, just now.
+
+        Args:
+            holders: Agents that may hold the flow.
+            order: The order in which placement considered them.
+        """
+        likely = _likely(holders, order)
+        return not self.is_wide and self.missing.issuperset(likely)
 
     def tests(self, since: float) -> int:
         """Return how many deliveries since a moment only tested."""
@@ -91,5 +99,8 @@
         self._tests.append(now)
 
 
-def _likely(order: abc.Iterable[str]) -> abc.Iterator[str]:
-    return itertools.islice(order, LIKELY)
+def _likely(
+    holders: abc.Set[str], order: abc.Iterable[str]
+) -> abc.Iterator[str]:
+    first = itertools.islice(order, LIKELY)
+    return (name for name in first if name in holders)
--- a/kumquatport/process/packets/finder.py
+++ b/kumquatport/process/packets/finder.py
@@ -155,12 +155,15 @@
         """
         flow = sought.flow
         flow.search.missing.add(instance)
-        if not self._names(sought.route) - flow.search.missing:
+        names = self._names(sought.route)
+        if not names - flow.search.missing:
             self._give_up(sought)
         elif was_last:
             flow.is_settled = False
             self.look_up(sought)
-        elif not flow.agents and flow.search.begins_wide(self._order(sought)):
+        elif not flow.agents and flow.search.begins_wide(
+            names, self._order(sought)
+        ):
             self._ask_agents(sought)
 
     def _go_to(self, sought: Sought, instance: str) -> None:
--- a/tests/unit/connection/packets/test_search.py
+++ b/tests/unit/connection/packets/test_search.py
@@ -57,13 +57,25 @@
     def agents(self, now):
         return self.search.agents(self.holders, iter(NAMES), now)
 
+    def begins_wide(self):
+        return self.search.begins_wide(self.holders, iter(NAMES))
+
     def test_likely_ones_first(self):
         self.assertEqual(self.agents(1.0), NAMES[: search.LIKELY])
-        self.assertFalse(self.search.begins_wide(iter(NAMES)))
+        self.assertFalse(self.begins_wide())
         self.search.missing.update(NAMES[: search.LIKELY])
-        self.assertTrue(self.search.begins_wide(iter(NAMES)))
+        self.assertTrue(self.begins_wide())
         self.assertEqual(self.agents(1.01), NAMES[search.LIKELY :])
-        self.assertFalse(self.search.begins_wide(iter(NAMES)))
+        self.assertFalse(self.begins_wide())
+
+    def test_one_that_holds_nothing_is_not_waited_for(self):
+        """Eight of ten lost flows waited for copies (grown trouble-1)."""
+        vacant = NAMES[3]
+        self.holders.discard(vacant)
+        asked = self.agents(1.0)
+        self.assertNotIn(vacant, asked)
+        self.search.missing.update(asked)
+        self.assertTrue(self.begins_wide())
 
     def test_silent_likely_ones_are_waited_for_shortly(self):
         self.agents(1.0)
