Agents that the store has listed are known at once

Cause: a flow that nobody holds is reset only if no agent was new in the last second, since a process that starts learns them one after the other.

Change: only agents that the list did not name count as new, and of these not the ones that came back without a backend server: they deleted their record when they left. Moved from mesh to membership.

--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -92,6 +92,7 @@
         """Read all members, since nobody answers who knows the others."""
         after = ''
         has_more = True
+        names: set[str] = set()
         while has_more and not self.should_stop:
             try:
                 page = await self._store.async_page(const.KIND_INSTANCES, after)
@@ -99,11 +100,11 @@
                 _LOGGER.warning('members not read', error=error)
                 await self.sleep(const.STORE_RETRY_MAX_S)
                 continue
-            self._learn(page.objects)
+            names.update(self._learn(page.objects))
             has_more = page.has_more and bool(page.objects)
             if has_more:
                 after = page.objects[-1].name
-        self._mesh.members_read()
+        self._mesh.members_read(names)
         _LOGGER.info('all members read', known=len(self._mesh.registry))
 
     async def async_find(self) -> None:
@@ -135,30 +136,32 @@
         page = await self._store.async_page(const.KIND_INSTANCES, '')
         found = list(page.objects)
         self._is_whole = not page.has_more
-        if self._is_whole:
-            self._mesh.members_read()
-        else:
+        if not self._is_whole:
             # A second page, which begins just before this record, spreads
             # the greetings of many instances over many others.
             page = await self._store.async_page(
                 const.KIND_INSTANCES, _name(own)[:-1]
             )
             found.extend(page.objects)
-        return self._learn(found)
+        names = self._learn(found)
+        if self._is_whole:
+            self._mesh.members_read(names)
+        return own.instance in names
 
-    def _learn(self, found: abc.Iterable[objects.StoredObject]) -> bool:
-        """Take records; tell whether this instance's own is among them."""
+    def _learn(self, found: abc.Iterable[objects.StoredObject]) -> set[str]:
+        """Take records; return whose they were, this one's if it is as now."""
         own = self._mesh.own.present
-        is_own_there = False
+        names = set()
         for stored in found:
             record = _decoded(stored)
             if record is None:
                 continue
-            if record.instance == own.instance:
-                is_own_there = _is_same_place(record, own)
-            else:
+            if record.instance != own.instance:
                 self._mesh.learn(record)
-        return is_own_there
+            elif not _is_same_place(record, own):
+                continue
+            names.add(record.instance)
+        return names
 
     async def _async_remove(self, record: members.InstanceRecord) -> None:
         key = _key(record)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -89,8 +89,6 @@
         self._is_told_soon = False
         self._is_relayed_soon = False
         self._fetching = False
-        self._are_members_read = False
-        self._grown_at: dict[str, float] = {}
         self.registry.subscribe(self._on_record)
         self.own.changes.subscribe(self.tell_soon)
         held.subscribe(self._relay_soon)
@@ -186,22 +184,23 @@
             names.append(self._settings.instance)
         return sorted(set(names))
 
-    def members_read(self) -> None:
-        """Note that all members that the store knew have been learnt."""
-        self._are_members_read = True
+    def members_read(self, names: abc.Iterable[str]) -> None:
+        """Note that all members that the store holds have been learnt.
+
+        Args:
+            names: The instances.
+        """
+        self._members.note_listed(names)
 
     def knows_all(self, service: str) -> bool:
         """Tell whether every agent of a service is likely to be known.
 
-        A process that has just started learns them one after the other.
-
         Args:
             service: Name of the service.
         """
-        grown_at = self._grown_at.get(service, -math.inf)
-        if clock.now() - grown_at < const.MEMBERS_SETTLED_S:
+        if not self._members.is_settled(service):
             return False
-        return self._are_members_read or self._agrees_with_peer()
+        return self._members.is_listed or self._agrees_with_peer()
 
     def knows_others(self) -> bool:
         """Tell whether somebody is heard that this process must work with."""
@@ -550,8 +549,6 @@
             if self._by_address.get(record.address) == record.instance:
                 self._by_address.pop(record.address)
             return
-        if previous is None and record.service:
-            self._grown_at[record.service] = clock.now()
         if previous is None or previous.state != record.state:
             _LOGGER.info(
                 'instance changed',
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -39,7 +39,7 @@
         """Know the agents, for long enough to know that there is no other."""
         for instance in instances or AGENTS:
             self.hear(instance)
-        self.mesh.members_read()
+        self.mesh.members_read(instances or AGENTS)
         self.now += const.MEMBERS_SETTLED_S + 0.1
         for instance in instances or AGENTS:
             self.hear(instance)
@@ -154,6 +154,46 @@
         self.client(packet)
         self.assertEqual(self.forwards(), [('side-3', frame.ASK)])
 
+    def test_what_the_store_lists_is_all(self):
+        """After a loss of power resets waited 1.1 s (abra-grown trouble-1)."""
+        self.hear('side-1')
+        self.mesh.members_read(AGENTS)
+        self.hear('side-2')
+        self.hear('side-3')
+        self.mesh.members_read(AGENTS)
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        for instance in AGENTS:
+            self.back(instance, packet)
+        self.assertEqual(len(self.resets()), 1)
+
+    def test_an_agent_that_came_back_without_backend_server_is_no_news(self):
+        self.hear('side-1')
+        self.hear('side-2')
+        self.mesh.members_read(('side-1', 'side-2'))
+        self.hear('side-3', state='vacant')
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        self.back('side-1', packet)
+        self.back('side-2', packet)
+        self.assertEqual(len(self.resets()), 1)
+
+    def test_no_reset_just_after_an_agent_that_the_store_did_not_list(self):
+        self.hear('side-1')
+        self.hear('side-2')
+        self.mesh.members_read(('side-1', 'side-2'))
+        self.hear('side-3')
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.client(packet)
+        for instance in AGENTS:
+            self.back(instance, packet)
+        self.assertEqual(self.resets(), [])
+        self.now += const.MEMBERS_SETTLED_S
+        for instance in AGENTS:
+            self.hear(instance)
+        self.client(packet)
+        self.assertEqual(len(self.resets()), 1)
+
     def test_tests_are_few_while_the_holder_may_be_out_of_reach(self):
         self.settle()
         self.hear('side-1', is_sure=False)
