Agents answer by themselves what they could not tell when asked

Cause: an agent that started after its backend server, or does not know yet, is not sure which flows are there. What it is asked then it delivers as a test or leaves; the asking balancer went on only with the client's next packet.

--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -13,6 +13,7 @@
     held,
     registrars,
     registration,
+    unanswered,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -80,6 +81,7 @@
         )
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._is_sure = False
+        self._unanswered = unanswered.Unanswered()
 
     @property
     def state(self) -> str:
@@ -148,7 +150,9 @@
 
     def expire(self) -> None:
         """Forget old flows, and say what the log has left out."""
-        self._flows.expire(clock.now(), self._settings.bounds.flow_ttl_s)
+        now = clock.now()
+        self._flows.expire(now, self._settings.bounds.flow_ttl_s)
+        self._unanswered.expire(now)
         self._log.flush()
 
     def _on_started(self, started: backend_server.Started) -> None:
@@ -160,7 +164,7 @@
         is_heard_before = math.isfinite(started.former_until)
         if started.is_first_heartbeat or is_heard_before:
             # All flows of this incarnation passed through this process.
-            self._is_sure = True
+            self._be_sure()
         if is_heard_before:
             self._lose_until(started.former_until, 'backend_server_restarted')
 
@@ -187,12 +191,19 @@
         Returns:
             Whether it tells of something that balancers should know now.
         """
-        self._is_sure = True
+        self._be_sure()
         is_gone = self.backend_server.found_absent(looked_at)
         if is_gone:
             self._lose_until(looked_at, 'backend_server_gone')
         return is_gone
 
+    def _be_sure(self) -> None:
+        """Know all flows from now on, and answer who has asked before."""
+        self._is_sure = True
+        for packet, sender, _ in self._unanswered.take(clock.now()):
+            if self._flows.get(packet.flow) is None:
+                self._return(packet, frame.REASON_NOT_HELD, sender)
+
     def _lose(self, flow: bytes, state: held.Flow, reason: str) -> None:
         """Tell the client of a flow that its backend server is gone."""
         self._flows.drop(flow)
@@ -314,6 +325,7 @@
         if self._is_sure:
             self._return(packet, frame.REASON_NOT_HELD, sender)
             return
+        self._unanswered.note(unanswered.Question(packet, sender, clock.now()))
         is_asked = bool(message.detail & frame.ASK)
         may_test = bool(message.detail & frame.TEST)
         if not is_asked or may_test or packet.flow in self._hints:
@@ -370,6 +382,7 @@
         elif sender:
             self._flows.drop(packet.flow)
             self._hints.discard(packet.flow)
+            self._unanswered.drop(packet.flow)
             self._return(clean, frame.REASON_NOT_HELD, sender)
 
     def register(self, *, is_last: bool = False) -> None:
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from kumquatport.connection.packets import frame
+from kumquatport.connection.packets import frame, unanswered
 from kumquatport.process.packets import beliefs, carrier, mesh, peers
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -165,6 +165,39 @@
         self.forward(packet, frame.ASK | frame.TEST)
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
 
+    def test_it_answers_by_itself_once_it_knows_all_flows(self):
+        """Searches waited for the client's next packet (grown trouble-1)."""
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.ASK)
+        self.forward(packet, frame.ASK | frame.TEST, sender=OTHER)
+        self.assertEqual(self.returned(), [])
+        self.carrier.take_report(builders.report())
+        self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
+
+    def test_a_flow_that_turns_out_to_be_here_is_not_returned(self):
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.ASK | frame.TEST)
+        self.from_server(self.flow)
+        self.sent.clear()
+        self.carrier.take_report(builders.report())
+        self.assertEqual(self.returned(), [])
+
+    def test_a_bounced_question_is_answered_once(self):
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.ASK | frame.TEST)
+        self.bounce(self.delivered[0])
+        self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
+        self.sent.clear()
+        self.carrier.take_report(builders.report())
+        self.assertEqual(self.returned(), [])
+
+    def test_an_old_question_is_left(self):
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.ASK)
+        self.clock.now += unanswered.KEEP_S
+        self.carrier.take_report(builders.report())
+        self.assertEqual(self.returned(), [])
+
     def test_a_draining_backend_server_opens_nothing(self):
         flow = self.open()
         self.carrier.take_report(builders.report(is_draining=True))
