Backend servers that are cold or not known yet take what they can answer soon

Load pattern: after a loss of power clients come back at once to backend servers that are cold, some of them not heard yet.

Change: an agent whose backend server has not said that it bears full load turns a new flow away at two requests for each slot. The balancer offers it to others; the client's next copy comes when all are full. Warm backend servers take what they took.

--- a/kumquatport/connection/packets/admission.py
+++ b/kumquatport/connection/packets/admission.py
@@ -4,12 +4,21 @@
 reports of it, and offer flows to a backend server that drains, is cold, has
 fallen silent or is in a failure domain that was taken out. The agent is the
 last on the way and decides on the newest knowledge.
+
+After all machines lost power, clients come back at once to backend servers
+that are cold or not known yet. One that takes all of them answers none in
+time, so it takes as many as it can answer soon; the others come with their
+next copy or elsewhere.
 """
 
 import typing
 
 from kumquatport.connection.packets import frame
 
+# Requests in progress for each slot, beyond which a new flow would wait longer
+# than it takes to be served.
+MAX_BUSY_PER_SLOT: typing.Final = 2
+
 
 class Situation(typing.NamedTuple):
     """What an agent knows when it is offered a flow.
@@ -22,6 +31,9 @@
         is_route_allowed: Whether the routes send flows of this address here.
         is_sender_newer: Whether the balancer that offers the flow holds newer
             routes, by which it was sent here.
+        is_warm: Whether the backend server has said that it bears full load.
+        busy: Requests in progress at the backend server.
+        slots: Requests that it works on at a time.
     """
 
     is_draining: bool
@@ -30,6 +42,9 @@
     is_leaving: bool
     is_route_allowed: bool
     is_sender_newer: bool
+    is_warm: bool
+    busy: int
+    slots: int
 
 
 def refusal(situation: Situation) -> int:
@@ -44,4 +59,7 @@
         return frame.REASON_CLOSED
     if not situation.is_route_allowed and not situation.is_sender_newer:
         return frame.REASON_ROUTE
+    most = MAX_BUSY_PER_SLOT * situation.slots
+    if not situation.is_warm and situation.busy >= most:
+        return frame.REASON_FULL
     return 0
--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -26,6 +26,7 @@
 REASON_CLOSED: typing.Final = 3
 REASON_COLD: typing.Final = 4
 REASON_ROUTE: typing.Final = 5
+REASON_FULL: typing.Final = 6
 
 REASON_NAMES: typing.Final = types.MappingProxyType(
     {
@@ -34,6 +35,7 @@
         REASON_CLOSED: 'not_accepting',
         REASON_COLD: 'cold',
         REASON_ROUTE: 'route_unknown',
+        REASON_FULL: 'full',
     }
 )
 
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -93,6 +93,11 @@
         """Tell whether it bears just a few new flows."""
         return clock.now() < self._cold_until
 
+    @property
+    def is_warm(self) -> bool:
+        """Tell whether it has reported, and bears full load."""
+        return self.report is not None and not self.is_cold
+
     @property
     def slots(self) -> int:
         """Return the requests that it works on at a time."""
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -244,6 +244,7 @@
                     packet.flow,
                     reason=frame.REASON_NAMES[reason],
                     copy=packet.acknowledged,
+                    busy=self._flows.busy,
                     routes_version=self._beliefs.routes_version,
                     sender_version=message.version,
                 )
@@ -278,6 +279,9 @@
                     self._settings.service,
                 ),
                 is_sender_newer=message.version > self._beliefs.routes_version,
+                is_warm=self.backend_server.is_warm,
+                busy=self._flows.busy,
+                slots=self.backend_server.slots,
             )
         )
         if reason:
--- a/tests/unit/connection/packets/test_decisions.py
+++ b/tests/unit/connection/packets/test_decisions.py
@@ -1,6 +1,7 @@
 """Placement, cold starts and admission, each on the load it is meant for."""
 
 import collections
+import heapq
 import random
 import unittest
 
@@ -112,6 +113,47 @@
         self.assertTrue(allowance.take(4.0, 1.3))
 
 
+def _wave(is_warm):
+    """Play clients that come back to a backend server that is cold.
+
+    Forty flows a second for two seconds, a request each, at a backend server
+    of five slots that needs 0.2 s a request. One that is turned away comes
+    with its copies, 0.2 and 0.6 s later.
+
+    Args:
+        is_warm: Whether it has said that it bears full load.
+
+    Returns:
+        How many requests were answered within 0.5 s of their first packet.
+    """
+    arrivals = [(number / 40, 0, number / 40) for number in range(80)]
+    heapq.heapify(arrivals)
+    free_at = [0.0] * 5
+    ends: list[float] = []
+    in_time = 0
+    while arrivals:
+        now, copy, first_at = heapq.heappop(arrivals)
+        ends = [end for end in ends if end > now]
+        situation = AdmissionTest.GOOD._replace(is_warm=is_warm, busy=len(ends))
+        if admission.refusal(situation):
+            if copy < 2:
+                again = (first_at + (0.2, 0.6)[copy], copy + 1, first_at)
+                heapq.heappush(arrivals, again)
+            continue
+        end = max(heapq.heappop(free_at), now) + 0.2
+        heapq.heappush(free_at, end)
+        ends.append(end)
+        in_time += end - first_at <= 0.5
+    return in_time
+
+
+class FullTest(unittest.TestCase):
+    """More clients come back at once than a backend server can answer."""
+
+    def test_more_are_answered_in_time_than_with_a_long_queue(self):
+        self.assertGreater(_wave(is_warm=False), 2 * _wave(is_warm=True))
+
+
 class AdmissionTest(unittest.TestCase):
     """The agent decides on the newest knowledge."""
 
@@ -122,6 +164,9 @@
         is_leaving=False,
         is_route_allowed=True,
         is_sender_newer=False,
+        is_warm=True,
+        busy=0,
+        slots=5,
     )
 
     def test_reasons(self):
@@ -134,6 +179,9 @@
             ({'is_route_allowed': False}, frame.REASON_ROUTE),
             ({'is_route_allowed': False, 'is_sender_newer': True}, 0),
             ({'is_out': True, 'is_sender_newer': True}, frame.REASON_CLOSED),
+            ({'busy': 10}, 0),
+            ({'is_warm': False, 'busy': 9}, 0),
+            ({'is_warm': False, 'busy': 10}, frame.REASON_FULL),
         )
         for fields, reason in cases:
             with self.subTest(fields=fields):
