What the store listed is noted once for each new agent, not for each service

Cause: each name was looked for among the new agents of every service: 0.70 s of processor time at the start of a balancer with 10,000 agents of 1,600 services.

--- a/kumquatport/process/packets/membership.py
+++ b/kumquatport/process/packets/membership.py
@@ -74,9 +74,10 @@
             names: The instances.
         """
         self.is_listed = True
-        for name in names:
-            for agents in self._new_agents.values():
-                agents.pop(name, None)
+        listed = frozenset(names)
+        for agents in self._new_agents.values():
+            for name in listed.intersection(agents):
+                agents.pop(name)
 
     def is_settled(self, service: str) -> bool:
         """Tell whether no agent of a service has appeared lately.
