Read again: no state that follows from other state, no dead code

Cause: a last reading of the change. The likely agents that are left were found by two filters; a count of questions had no caller; the waves that come later had a number of workers of their own beside the feature's; a test kept a second name for the clock; a feature's title did not say what it is about.

Behaviour is the same.

--- a/kumquatport/connection/packets/search.py
+++ b/kumquatport/connection/packets/search.py
@@ -69,7 +69,7 @@
             now: Monotonic seconds.
         """
         left = holders - self.missing
-        likely = [name for name in _likely(holders, order) if name in left]
+        likely = list(_likely(left, order))
         if not self._narrow_until:
             self._narrow_until = now + ANSWER_S
         if likely and now < self._narrow_until:
--- a/kumquatport/connection/packets/unanswered.py
+++ b/kumquatport/connection/packets/unanswered.py
@@ -41,10 +41,6 @@
             collections.OrderedDict()
         )
 
-    def __len__(self) -> int:
-        """Return how many flows are asked about."""
-        return len(self._questions)
-
     def note(self, question: Question) -> None:
         """Keep a question; the oldest goes if there are too many."""
         flow = question.packet.flow
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -274,9 +274,9 @@
     def _look(self, address: str, carry: carrier.Carrier) -> None:
         """Have an agent look for its backend server's process, in doubt."""
         looks = carry.backend_server.should_look()
-        if looks and not self.backends[address].is_up:
-            if carry.found_absent(self.sim.time):
-                self._note_presence(address)
+        is_absent = looks and not self.backends[address].is_up
+        if is_absent and carry.found_absent(self.sim.time):
+            self._note_presence(address)
 
     def _on_gone(self, address: str) -> None:
         process = self.processes.get(address)
--- a/tests/features/request_refusals.feature
+++ b/tests/features/request_refusals.feature
@@ -1,5 +1,5 @@
 @alone @issue-5 @promise-3
-Feature: A refusal takes no time of the machine's
+Feature: Refusals come at once
 
   Scenario Outline: Refusals while overloaded
     Given a warm backend server of 50 ms a request beside a request handler
--- a/tests/features/steps/request_deployment.py
+++ b/tests/features/steps/request_deployment.py
@@ -12,7 +12,6 @@
 WATCH_S = 4.0
 JOIN_S = 2.0
 WAVE_S = 2.0
-WAVE_WORKERS = 20
 
 
 @behave.given(
@@ -73,11 +72,13 @@
 
 @behave.when('{waves:d} waves of {workers:d} workers come')
 def step_waves(context: runner.Context, waves: int, workers: int) -> None:
+    context.wave_workers = workers
     for _ in range(waves):
-        _begin_wave(context, workers)
+        _begin_wave(context)
 
 
-def _begin_wave(context: runner.Context, workers: int) -> None:
+def _begin_wave(context: runner.Context) -> None:
+    workers = context.wave_workers
     context.run(context.traffic.async_start(0, workers, [SERVICE]))
     time.sleep(WAVE_S)
 
@@ -94,7 +95,7 @@
         )
         if served >= count:
             return
-        _begin_wave(context, WAVE_WORKERS)
+        _begin_wave(context)
 
 
 @behave.then('no server under requests has collapsed')
--- a/tests/unit/request/test_queue.py
+++ b/tests/unit/request/test_queue.py
@@ -119,11 +119,10 @@
     """Slots, places in the queue and refusals at once."""
 
     async def asyncSetUp(self):
-        self.clock = clocks.now
         self.gate = make_gate(queue_s=0.05, queue_length=2)
 
     def ticket(self, left_s=5.0, cost_s=0.01, tenant='guild'):
-        return ticket(tenant, 'order', cost_s, self.clock() + left_s)
+        return ticket(tenant, 'order', cost_s, clocks.now() + left_s)
 
     async def fill(self):
         return [await self.gate.async_acquire(self.ticket()) for _ in range(2)]
@@ -159,7 +158,7 @@
         slots = await self.fill()
         for held in slots:
             held.release()
-        deadline_at = self.clock() + 5
+        deadline_at = clocks.now() + 5
 
         def acquire(class_name):
             ticket = self.gate.ticket('guild', class_name, deadline_at)
