Test of one tenant's crowd runs in simulated time, with eight seeds

It compares two 99th percentiles of some 230 requests in real time, and the second load is three times the first: a process that does not get its processor in time is late only there. Traced on the old scenario beside six busy processes on six cores, twice: 101.0 -> 217.9 ms and 101.5 -> 248.7 ms, 450 and 445 of the crowd served where an idle machine serves about 545.

Ruled out: the queue. In simulated time, where the machine's load plays no part, eight seeds give 90 to 114 ms alone and 108 to 133 ms beside the crowd, the most 1.26 times; load, durations and the bound of 1.5 are as before.

--- a/tests/features/request_tenants.feature
+++ b/tests/features/request_tenants.feature
@@ -1,14 +1,26 @@
 @issue-5 @promise-3
 Feature: One tenant does not starve another
 
-  Scenario: One tenant at ten times its share
-    Given a warm backend server of 50 ms a request beside a request handler
+  @simulated-time
+  Scenario Outline: One tenant at ten times its share
+    Given a warm backend server of 50 ms a request and seed <seed> beside a request handler
     And the request handler has learnt its latency
     When the guild asks for 0.3 of the capacity for 8 s alone
     And then for 8 s beside a tenant that asks for 10 times its share
     Then the guild's 99th percentile is within 1.5 of what it was alone
     And none of the guild's requests was refused
 
+    Examples:
+      | seed |
+      | 0    |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+
   Scenario: Feeds hold no slots
     Given a warm backend server of 50 ms a request beside a request handler
     And the request handler has learnt its latency
