Routes are fetched from peers after the HTTP library has been loaded

Change: a mesh keeps fetches until its process has loaded what it needs; then nothing connects beside that thread. test_fetching fails without it (the routes come at once) and passes with it.

--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -89,6 +89,7 @@
         self._is_told_soon = False
         self._is_relayed_soon = False
         self._fetching = False
+        self._may_fetch = asyncio.Event()
         self.registry.subscribe(self._on_record)
         self.own.changes.subscribe(self.tell_soon)
         held.subscribe(self._relay_soon)
@@ -132,6 +133,14 @@
         self._settings = settings
         self.hello(settings.seeds)
 
+    def allow_fetches(self) -> None:
+        """Fetch routes from now on, also those that were due before.
+
+        A process that connects while another of its threads loads modules may
+        end with an illegal instruction (docs/design/platform.md, question 6).
+        """
+        self._may_fetch.set()
+
     def connect(self, outside: peers.Outside) -> None:
         """Begin to speak to others."""
         self._outside = outside
@@ -612,6 +621,7 @@
         record: members.InstanceRecord,
         take: abc.Callable[[bytes | None], None],
     ) -> None:
+        await self._may_fetch.wait()
         encoded = None
         try:
             encoded = await fetch.async_fetch(
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -71,6 +71,7 @@
             StartError: The port of the metrics cannot be had.
         """
         loaded = await asyncio.to_thread(self._load)
+        self._mesh.allow_fetches()
         await loaded.store.async_setup()
         self._outside = loaded
         loaded.figures.count('decisions', lambda: watched.counts)
