Mesh in parts: its sockets, liveness and comparison of members

Cause: mesh.py had grown to 668 lines that bound sockets, beat, judged silence, compared members, fetched routes and spread changes. What binds and fetches is peer_link.PeerLink, what judges silence liveness.Liveness, what compares members comparison.Comparison; the mesh itself needs no event loop any more, which is how the emulator used it already. 500 lines are left.

--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -1,21 +1,15 @@
 """Heartbeats between instances: who lives, how busy, what they believe."""
 
-import asyncio
-import functools
-import math
 from collections import abc
 
-import mode
 import structlog
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import frame
-from kumquatport.helpers import backoff, clock
 from kumquatport.process.packets import (
     beliefs,
-    const,
-    datagrams,
-    fetch,
+    comparison,
+    liveness,
     membership,
     messages,
     models,
@@ -28,7 +22,7 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
-class Mesh(mode.Service):
+class Mesh:
     """This process among the others.
 
     Attributes:
@@ -57,7 +51,6 @@
             kind: ``agent`` or ``balancer``.
             held: Beliefs of this process.
         """
-        super().__init__()
         self._is_balancer = kind == members.KIND_BALANCER
         self._members = membership.Membership(keeps_agents=self._is_balancer)
         self.registry = self._members.registry
@@ -81,15 +74,17 @@
         self.load: abc.Callable[[], messages.Load | None] = _no_load
         self._settings = settings
         self._beliefs = held
-        self._peers: dict[str, peers.Peer] = {}
+        self._liveness = liveness.Liveness(
+            self.registry,
+            settings.failure_domain,
+            is_balancer=self._is_balancer,
+        )
+        self._comparison = comparison.Comparison(self._members, self.send)
         self._by_address: dict[str, str] = {}
-        self._undo: list[abc.Callable[[], None]] = []
         self._outside: peers.Outside | None = None
-        self._compared_at = -math.inf
         self._is_told_soon = False
         self._is_relayed_soon = False
         self._fetching = False
-        self._may_fetch = asyncio.Event()
         self.registry.subscribe(self._on_record)
         self.own.changes.subscribe(self.tell_soon)
         held.subscribe(self._relay_soon)
@@ -99,53 +94,25 @@
         """Return a digest of the records of all balancers."""
         return self._members.shared_with(members.KIND_AGENT).total_digest()
 
-    async def on_start(self) -> None:
-        """Bind the socket and begin to tell others.
-
-        Raises:
-            StartError: The address or port cannot be had.
-        """
-        where = (self._settings.address, self._settings.peer_port)
-        bound, close = datagrams.listen(where, self.on_datagram)
-        self._undo.append(close)
-        loop = asyncio.get_running_loop()
-        self.connect(
-            peers.Outside(
-                functools.partial(datagrams.send, bound),
-                loop.call_soon,
-                self._start_fetch,
-            )
-        )
-        server = await fetch.async_serve(
-            where, lambda: self._beliefs.encoded_routes
-        )
-        self._undo.append(server.close)
-        self.add_future(self._async_tell())
-
-    async def on_stop(self) -> None:
-        """Close the sockets."""
-        self._outside = None
-        while self._undo:
-            self._undo.pop()()
+    @property
+    def tick_s(self) -> float:
+        """Return the seconds between two rounds of heartbeats."""
+        return self._liveness.tick_s
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
         self._settings = settings
         self.hello(settings.seeds)
 
-    def allow_fetches(self) -> None:
-        """Fetch routes from now on, also those that were due before.
-
-        A process that connects while another of its threads loads modules may
-        end with an illegal instruction (docs/design/platform.md, question 6).
-        """
-        self._may_fetch.set()
-
     def connect(self, outside: peers.Outside) -> None:
         """Begin to speak to others."""
         self._outside = outside
         self.hello(self._settings.seeds)
 
+    def disconnect(self) -> None:
+        """Send nothing from now on."""
+        self._outside = None
+
     def send(self, datagram: bytes, address: str) -> bool:
         """Send a frame to the instance at an address."""
         return self._send(datagram, (address, self._settings.peer_port))
@@ -173,14 +140,11 @@
 
     def peer(self, instance: str) -> peers.Peer | None:
         """Return what was heard from an instance."""
-        return self._peers.get(instance)
+        return self._liveness.peer(instance)
 
     def is_suspect(self, instance: str) -> bool:
         """Tell whether an instance has gone silent."""
-        peer = self._peers.get(instance)
-        if peer is None:
-            return True
-        return clock.now() - peer.heard_at > self._suspect_s(instance)
+        return self._liveness.is_suspect(instance)
 
     def live_balancers(self) -> list[str]:
         """Return the balancers that are heard, this process too if one."""
@@ -271,13 +235,6 @@
             return False
         return self._outside.send(datagram, endpoint)
 
-    async def _async_tell(self) -> None:
-        tick = 0
-        while not self.should_stop:
-            self.beat(tick)
-            tick += 1
-            await self.sleep(backoff.jittered(self._tick_s()))
-
     def _tell(self) -> None:
         """Tell everybody all, since something has changed."""
         self._is_told_soon = False
@@ -291,14 +248,16 @@
         Args:
             tick: Counts the rounds.
         """
-        self._sweep()
+        for instance in self._liveness.sweep():
+            self._forget(instance)
+        self._members.expire()
         beats = {
             kind: messages.encode_beat(self._short(kind))
             for kind in (members.KIND_AGENT, members.KIND_BALANCER)
         }
         greeting = b''
         for place, record in enumerate(self._others()):
-            if (tick + place) % self._every(record.failure_domain):
+            if (tick + place) % self._liveness.every(record.failure_domain):
                 continue
             if not self.is_suspect(record.instance):
                 self.send(beats[record.kind], record.address)
@@ -308,11 +267,6 @@
             )
             self.send(greeting, record.address)
 
-    def _every(self, failure_domain: str) -> int:
-        """Return of how many ticks one brings a heartbeat to a peer."""
-        is_near = failure_domain == self._settings.failure_domain
-        return 1 if is_near and not self._is_balancer else const.FAR_EVERY
-
     def _others(self) -> abc.Iterator[members.InstanceRecord]:
         """Yield the instances that this one exchanges heartbeats with."""
         own = self._settings.instance
@@ -324,22 +278,6 @@
         for service in self.registry.services():
             yield from self.registry.agents(service)
 
-    def _tick_s(self) -> float:
-        return peers.tick_s(len(self.registry))
-
-    def _suspect_s(self, instance: str) -> float:
-        """Return the silence in seconds after which a peer is suspect."""
-        record = self.registry.get(instance)
-        is_near = (
-            record is not None
-            and record.kind == members.KIND_AGENT
-            and record.failure_domain == self._settings.failure_domain
-        )
-        every = 1 if is_near else const.FAR_EVERY
-        peer = self._peers.get(instance)
-        tick_s = peer.tick_s if peer else const.HEARTBEAT_S
-        return const.SUSPECT_AFTER * every * tick_s
-
     def _short(self, kind: str) -> messages.Beat:
         """Return the short heartbeat for peers of a kind."""
         own = self.own.present
@@ -350,7 +288,7 @@
             routes_version=self._beliefs.routes_version,
             domains_changed=self._beliefs.domains_changed,
             age_s=self._beliefs.told_age_s,
-            tick_s=self._tick_s(),
+            tick_s=self.tick_s,
             load=self.load(),
         )
 
@@ -386,7 +324,7 @@
         """Take a short heartbeat; ask for a whole one if it tells of news."""
         instance = self._by_address.get(sender, '')
         record = self.registry.get(instance)
-        peer = self._peers.get(instance)
+        peer = self._liveness.peer(instance)
         if (
             record is None
             or peer is None
@@ -396,14 +334,14 @@
             self.hello((sender,))
             return
         peer.tick_s = beat.tick_s
-        self._note_heard(peer, record)
-        self._note_load(peer, beat.load)
+        self._liveness.hear(peer, record)
+        self._liveness.take_load(peer, beat.load)
         is_newer = self._beliefs.compare(
             beat.routes_version, beat.domains_changed, beat.age_s
         )
         if is_newer:
             self.hello((sender,))
-        self._compare(peer, record, beat.members_digest)
+        self._comparison.compare(peer, record, beat.members_digest)
 
     def _on_message(
         self, message: messages.Message, sender: tuple[str, int]
@@ -419,30 +357,30 @@
         record = message.record
         if record.instance == self._settings.instance:
             return
-        peer = self._peers.get(record.instance) or peers.Peer()
+        peer = self._liveness.peer(record.instance) or peers.Peer()
         if record.incarnation < peer.incarnation:
             return
         if not self._members.keeps(record):
             return
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
-        self._peers[record.instance] = peer
+        self._liveness.keep(record.instance, peer)
         if record != self.registry.get(record.instance):
             self._members.merge(record)
-        self._note_heard(peer, record)
+        self._liveness.hear(peer, record)
         self._take_beliefs(message.beliefs, record)
         if message.receiver_drains:
             self.on_told_draining()
         if message.wants_answer or is_new:
             self._answer(peer, record, message.beliefs.routes_version)
-        self._note_load(peer, message.load)
+        self._liveness.take_load(peer, message.load)
         if is_new:
             self._on_new(peer, record)
 
     def _on_new(self, peer: peers.Peer, record: members.InstanceRecord) -> None:
         self.on_return(record)
         if self._is_balancer and record.kind == members.KIND_BALANCER:
-            self._ask_records(peer, record)
+            self._comparison.ask(peer, record)
 
     def _take_beliefs(
         self, told: messages.Beliefs, record: members.InstanceRecord
@@ -473,90 +411,24 @@
         answer = answer._replace(receiver_drains=peer.drains)
         self.send(messages.encode(answer), record.address)
 
-    def _note_load(self, peer: peers.Peer, load: messages.Load | None) -> None:
-        peer.load = load
-        peer.placed = 0
-        if load is not None and load.is_known:
-            peer.drains = load.is_draining
-
-    def _note_heard(
-        self, peer: peers.Peer, record: members.InstanceRecord
-    ) -> None:
-        peer.heard_at = clock.now()
-        if peer.is_suspect:
-            peer.is_suspect = False
-            _LOGGER.info(
-                'instance heard',
-                peer=record.instance,
-                incarnation=record.incarnation,
-                state=record.state,
-            )
-
-    def _compare(
-        self, peer: peers.Peer, record: members.InstanceRecord, digest: int
-    ) -> None:
-        """Ask for the records that differ, if any do."""
-        peer.members_digest = digest
-        shared = self._members.shared_with(record.kind)
-        if digest != shared.total_digest():
-            self._ask_records(peer, record)
-
-    def _ask_records(
-        self, peer: peers.Peer, record: members.InstanceRecord
-    ) -> None:
-        """Ask for the records that differ, one peer after the other.
-
-        After a start or a loss of power all peers hold what is missing here.
-        """
-        now = clock.now()
-        if now - peer.compared_at < const.COMPARE_S:
-            return
-        if now - self._compared_at < const.COMPARE_PAUSE_S:
-            return
-        peer.compared_at = now
-        self._compared_at = now
-        shared = self._members.shared_with(record.kind)
-        message = messages.Digests(shared.digests())
-        self.send(messages.encode(message), record.address)
-
     def _on_digests(self, message: messages.Digests, sender: str) -> None:
         asking = self.registry.get(self.instance_at(sender))
         if asking is None:
             self.hello((sender,))
             return
-        shared = self._members.shared_with(asking.kind)
-        own = shared.digests()
-        differing = [
-            record
-            for bucket, digest in enumerate(message.digests[: len(own)])
-            if digest != own[bucket]
-            for record in shared.bucket(bucket)
-        ]
-        self._send_records(differing, (sender,))
+        self._comparison.answer(message, asking)
 
     def _on_records(self, message: messages.Records) -> None:
         for record in message.records:
             self.learn(record)
 
-    def _send_records(
-        self,
-        records: abc.Sequence[members.InstanceRecord],
-        addresses: abc.Iterable[str],
-    ) -> None:
-        step = const.RECORDS_PER_MESSAGE
-        for start in range(0, len(records), step):
-            part = messages.Records(tuple(records[start : start + step]))
-            for address in addresses:
-                self.send(messages.encode(part), address)
-
     def _on_record(
         self,
         record: members.InstanceRecord,
         previous: members.InstanceRecord | None,
     ) -> None:
         if members.is_departed(record):
-            if self._by_address.get(record.address) == record.instance:
-                self._by_address.pop(record.address)
+            self._leave_address(record)
             return
         if previous is None or previous.state != record.state:
             _LOGGER.info(
@@ -574,7 +446,7 @@
         return any(
             peer.members_digest == own
             for record in self.registry.balancers()
-            if (peer := self._peers.get(record.instance)) is not None
+            if (peer := self._liveness.peer(record.instance)) is not None
             and not self.is_suspect(record.instance)
         )
 
@@ -587,7 +459,7 @@
                 return
             _LOGGER.info('instance replaced', peer=former, by=record.instance)
             self._members.forget(former)
-            self._peers.pop(former, None)
+            self._liveness.drop(former)
         self._by_address[record.address] = record.instance
 
     def _fetch_from(self, record: members.InstanceRecord, root: str) -> None:
@@ -609,58 +481,17 @@
         except exceptions.DocumentRejectedError as error:
             _LOGGER.warning('routes refused', peer=source, error=error)
 
-    def _start_fetch(
-        self,
-        record: members.InstanceRecord,
-        take: abc.Callable[[bytes | None], None],
-    ) -> None:
-        self.add_future(self._async_fetch(record, take))
-
-    async def _async_fetch(
-        self,
-        record: members.InstanceRecord,
-        take: abc.Callable[[bytes | None], None],
-    ) -> None:
-        await self._may_fetch.wait()
-        encoded = None
-        try:
-            encoded = await fetch.async_fetch(
-                (record.address, self._settings.peer_port)
-            )
-        except exceptions.PeerUnavailableError as error:
-            _LOGGER.warning(
-                'routes not fetched', peer=record.instance, error=error
-            )
-            await self.sleep(const.FETCH_RETRY_S)
-        take(encoded)
-
-    def _sweep(self) -> None:
-        now = clock.now()
-        for instance, peer in tuple(self._peers.items()):
-            silent_s = now - peer.heard_at
-            if silent_s > self._suspect_s(instance) and not peer.is_suspect:
-                peer.is_suspect = True
-                _LOGGER.warning(
-                    'instance silent',
-                    peer=instance,
-                    silent_s=round(silent_s, 3),
-                )
-            if silent_s > const.FORGET_S:
-                self._forget(instance, silent_s)
-        self._members.expire()
-
-    def _forget(self, instance: str, silent_s: float) -> None:
-        _LOGGER.warning(
-            'instance forgotten', peer=instance, silent_s=round(silent_s, 1)
-        )
-        self._peers.pop(instance)
+    def _forget(self, instance: str) -> None:
         record = self.registry.get(instance)
         self._members.forget(instance)
         if record is not None:
-            if self._by_address.get(record.address) == instance:
-                self._by_address.pop(record.address)
+            self._leave_address(record)
             self.on_forget(record)
 
+    def _leave_address(self, record: members.InstanceRecord) -> None:
+        if self._by_address.get(record.address) == record.instance:
+            self._by_address.pop(record.address)
+
 
 def _ignore_frame(_datagram: bytes, _address: str) -> None:
     """Take a frame before anybody wants it."""
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -12,6 +12,7 @@
     mesh,
     models,
     outside,
+    peer_link,
 )
 
 
@@ -43,6 +44,7 @@
         self._settings = settings
         self._beliefs = beliefs.Beliefs(settings.instance)
         self._mesh = mesh.Mesh(settings, kind, self._beliefs)
+        self._link = peer_link.PeerLink(settings, self._beliefs, self._mesh)
         self._load = load
         self._outside: outside.Outside | None = None
         self._undo: list[abc.Callable[[], None]] = []
@@ -50,7 +52,7 @@
 
     def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
         """Return the services that run as long as this one."""
-        return (self._mesh,)
+        return (self._link,)
 
     async def on_stop(self) -> None:
         """Close the sockets."""
@@ -71,7 +73,7 @@
             StartError: The port of the metrics cannot be had.
         """
         loaded = await asyncio.to_thread(self._load)
-        self._mesh.allow_fetches()
+        self._link.allow_fetches()
         await loaded.store.async_setup()
         self._outside = loaded
         loaded.figures.count('decisions', lambda: watched.counts)
--- a/tests/unit/process/packets/test_fetching.py
+++ b/tests/unit/process/packets/test_fetching.py
@@ -1,9 +1,9 @@
-"""Routes fetched from a peer over TCP, between two real meshes."""
+"""Routes fetched from a peer over TCP, between two linked meshes."""
 
 import asyncio
 import unittest
 
-from kumquatport.process.packets import beliefs, mesh
+from kumquatport.process.packets import beliefs, mesh, peer_link
 from kumquatport.version import members, routes
 from tests.builders import packets as builders
 
@@ -20,38 +20,34 @@
     """A process that still loads modules makes no connection."""
 
     async def asyncSetUp(self):
-        self.front = await self._async_mesh('front-1', FRONT)
-        self.front_beliefs.offer_routes(routes.encode(builders.table(3)), 'x')
-        self.front.allow_fetches()
-        self.side = await self._async_mesh('side-1', SIDE)
-        self.side.hello((FRONT,))
+        front_beliefs, _, front = await self._async_link('front-1', FRONT)
+        front_beliefs.offer_routes(routes.encode(builders.table(3)), 'x')
+        front.allow_fetches()
+        self.beliefs, self.mesh, self.link = await self._async_link(
+            'side-1', SIDE
+        )
+        self.mesh.hello((FRONT,))
 
-    async def _async_mesh(self, instance, address):
+    async def _async_link(self, instance, address):
         held = beliefs.Beliefs(instance)
         is_front = address == FRONT
         kind = members.KIND_BALANCER if is_front else members.KIND_AGENT
-        if is_front:
-            self.front_beliefs = held
-        else:
-            self.side_beliefs = held
-        made = mesh.Mesh(
-            builders.settings(
-                instance=instance, address=address, peer_port=PORT
-            ),
-            kind,
-            held,
+        settings = builders.settings(
+            instance=instance, address=address, peer_port=PORT
         )
-        await made.start()
-        self.addAsyncCleanup(made.stop)
-        return made
+        connected = mesh.Mesh(settings, kind, held)
+        link = peer_link.PeerLink(settings, held, connected)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        return held, connected, link
 
     async def test_a_fetch_waits_until_it_is_allowed(self):
         await asyncio.sleep(SETTLE_S)
-        self.assertIsNotNone(self.side.peer('front-1'))
-        self.assertEqual(self.side_beliefs.routes_version, 0)
-        self.side.allow_fetches()
+        self.assertIsNotNone(self.mesh.peer('front-1'))
+        self.assertEqual(self.beliefs.routes_version, 0)
+        self.link.allow_fetches()
         async with asyncio.timeout(TIMEOUT_S):
-            while self.side_beliefs.routes_version != 3:
+            while self.beliefs.routes_version != 3:
                 await asyncio.sleep(POLL_S)
 
 
