Offers ask agents for their load; who leaves one unanswered is passed over

Cause: a killed, frozen or cut agent was offered flows until 3.4 heartbeats were missing: 1.0 s after its end within its failure domain, 3.1 s across. Each such client waits 0.2 s for its copy.

Change: an offer to an agent that was last heard 75 ms ago or longer asks for its load, one question at a time; the answer is its short heartbeat. Without one for 0.15 s the agent counts as suspect for placement, and for nothing else: searches and resets go by heartbeats as before. test_forwarder and test_carrier fail without it.

--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -19,6 +19,8 @@
 ASK: typing.Final = 1
 # The agent may ask its backend server by delivering the packet.
 TEST: typing.Final = 2
+# The agent tells its load at once; only with opening packets.
+REPORT: typing.Final = 4
 
 # Reasons of a return.
 REASON_NOT_HELD: typing.Final = 1
--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -34,7 +34,8 @@
         flows: Flows open when it reported.
         placed: Flows placed on it since, by this balancer.
         crosses: Whether it is in another failure domain than the balancer.
-        is_suspect: Whether its reports have stopped.
+        is_suspect: Whether its reports have stopped, or it has left an offer
+            unanswered.
         penalty: Further score, 0 for an agent in good order.
     """
 
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -229,6 +229,8 @@
             return
         if packet.is_opening:
             self._open(packet, message, sender)
+            if message.detail & frame.REPORT:
+                self._mesh.tell_load(sender)
         else:
             self._carry(packet, message, sender)
 
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -13,6 +13,14 @@
 # Heartbeats that may be missing before a peer is suspect.
 SUSPECT_AFTER: typing.Final = 3.4
 
+# Seconds within which an agent answers an offer that asks for its load: a round
+# trip and a turn of its processor, which a quota may hold back for 0.1 s.
+OFFER_ANSWER_S: typing.Final = 0.15
+
+# Seconds since an agent was heard from which an offer asks for its load. Four
+# in the time of a heartbeat's period keep a busy agent's load fresh.
+REPORT_AGE_S: typing.Final = 0.075
+
 # Bytes a second that heartbeats may take; beyond it they become rarer. A node
 # has 25 KB/s for control, of which the rest is for records and routes.
 HEARTBEAT_BYTES_PER_S: typing.Final = 15_000
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -167,7 +167,8 @@
             peer = self._mesh.peer(chosen.instance)
             if peer is not None:
                 peer.placed += 1
-            self._forward(packet, chosen.instance, 0)
+            asks = self._mesh.ask_load(chosen.instance)
+            self._forward(packet, chosen.instance, frame.REPORT if asks else 0)
         elif flow.agents:
             self._forward(packet, flow.agents[-1], 0)
         elif self._waits(packet, route):
@@ -228,7 +229,8 @@
             flows=peer.load.flows,
             placed=peer.placed,
             crosses=record.failure_domain != self._settings.failure_domain,
-            is_suspect=self._mesh.is_suspect(record.instance),
+            is_suspect=self._mesh.is_suspect(record.instance)
+            or self._mesh.is_unresponsive(record.instance),
             penalty=placement.COLD_COST if peer.load.is_cold else 0,
         )
 
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -1,5 +1,6 @@
 """Which of the other instances are heard, and how often each is told."""
 
+import math
 from collections import abc
 
 import structlog
@@ -66,9 +67,33 @@
             return True
         return clock.now() - peer.heard_at > self._suspect_s(instance, peer)
 
+    def ask(self, instance: str) -> bool:
+        """Tell whether an offer is to ask for the load; notes that it does.
+
+        An agent that leaves it unanswered is passed over at once, where its
+        missing heartbeats tell only after several periods. These grow with
+        the number of peers; the time for an answer does not.
+        """
+        peer = self._peers.get(instance)
+        if peer is None or math.isfinite(peer.asked_at):
+            return False
+        now = clock.now()
+        if now - peer.heard_at < const.REPORT_AGE_S:
+            return False
+        peer.asked_at = now
+        return True
+
+    def is_unresponsive(self, instance: str) -> bool:
+        """Tell whether an instance has left an offer unanswered."""
+        peer = self._peers.get(instance)
+        if peer is None:
+            return True
+        return clock.now() - peer.asked_at > const.OFFER_ANSWER_S
+
     def hear(self, peer: peers.Peer, record: members.InstanceRecord) -> None:
         """Note a heartbeat of a peer."""
         peer.heard_at = clock.now()
+        peer.asked_at = math.inf
         if peer.is_suspect:
             peer.is_suspect = False
             _LOGGER.info(
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -146,6 +146,19 @@
         """Tell whether an instance has gone silent."""
         return self._liveness.is_suspect(instance)
 
+    def ask_load(self, instance: str) -> bool:
+        """Tell whether an offer to an agent is to ask for its load."""
+        return self._liveness.ask(instance)
+
+    def is_unresponsive(self, instance: str) -> bool:
+        """Tell whether an instance has left an offer unanswered."""
+        return self._liveness.is_unresponsive(instance)
+
+    def tell_load(self, address: str) -> None:
+        """Send the balancer at an address a short heartbeat."""
+        beat = self._short(members.KIND_BALANCER)
+        self.send(messages.encode_beat(beat), address)
+
     def live_balancers(self) -> list[str]:
         """Return the balancers that are heard, this process too if one."""
         names = [
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -32,6 +32,8 @@
 
     Attributes:
         heard_at: Monotonic seconds of its last heartbeat.
+        asked_at: Monotonic seconds of the first offer since then that asked
+            for its load; infinity if there was none.
         incarnation: Of the process that sent it.
         load: Of an agent.
         placed: Flows placed on it since that heartbeat.
@@ -44,6 +46,7 @@
     """
 
     __slots__ = (
+        'asked_at',
         'compared_at',
         'drains',
         'heard_at',
@@ -58,6 +61,7 @@
     def __init__(self) -> None:
         """Start as never heard."""
         self.heard_at = -math.inf
+        self.asked_at = math.inf
         self.incarnation = 0
         self.load: messages.Load | None = None
         self.placed = 0
--- a/tests/unit/process/packets/test_carrier.py
+++ b/tests/unit/process/packets/test_carrier.py
@@ -4,7 +4,13 @@
 from unittest import mock
 
 from kumquatport.connection.packets import frame, unanswered
-from kumquatport.process.packets import beliefs, carrier, mesh, peers
+from kumquatport.process.packets import (
+    beliefs,
+    carrier,
+    mesh,
+    messages,
+    peers,
+)
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
 from tests.builders import packets as builders
@@ -106,6 +112,27 @@
         self.forward(builders.datagram(self.flow, acknowledged=6))
         self.assertEqual(len(self.delivered), 1)
 
+    def test_an_offer_that_asks_is_answered_with_the_load(self):
+        """Also one that is turned away, and with what it changed."""
+        for state in ('ready', 'draining'):
+            report = builders.report(is_draining=state == 'draining')
+            self.carrier.take_report(report)
+            self.mesh.load = self.carrier.load
+            packet = builders.datagram(self.flow, builders.SYN)
+            self.forward(packet, frame.REPORT)
+            told = [
+                messages.decode_beat(datagram)
+                for datagram, endpoint in self.sent
+                if datagram[0] == frame.KIND_BEAT and endpoint[0] == BALANCER
+            ]
+            self.assertEqual(
+                [beat.load for beat in told], [self.carrier.load()]
+            )
+            self.assertEqual(told[0].load.accepts, state == 'ready')
+        self.forward(builders.datagram(builders.flow(40009), builders.SYN))
+        kinds = {datagram[0] for datagram, _ in self.sent}
+        self.assertNotIn(frame.KIND_BEAT, kinds)
+
     def test_half_open_gets_no_packet_of_a_flow_opened_elsewhere(self):
         """A backend server would answer it with a reset (grown trouble-1)."""
         self.forward(builders.datagram(self.flow, builders.SYN))
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -1,5 +1,7 @@
 """The balancer's packets, one by one."""
 
+import itertools
+
 from kumquatport.connection.packets import frame
 from kumquatport.process.packets import (
     const,
@@ -19,6 +21,7 @@
     def setUp(self):
         super().setUp()
         self.flow = builders.flow()
+        self.ports = itertools.count(50000)
 
     def hear(self, instance, incarnation=1, state='ready', **load):
         """Take a heartbeat of an agent."""
@@ -72,9 +75,46 @@
     def test_packets_follow_the_opening_one(self):
         self.settle()
         self.client(builders.datagram(self.flow, builders.SYN))
-        (chosen,) = self.forwards()
+        ((chosen, _),) = self.forwards()
         self.client(builders.datagram(self.flow, acknowledged=5))
-        self.assertEqual(self.forwards(), [chosen])
+        self.assertEqual(self.forwards(), [(chosen, 0)])
+
+    def open_many(self, count, answering=(), **load):
+        """Open flows a hundredth of a second apart; return who got them.
+
+        Some agents answer each of them with their load.
+        """
+        chosen = []
+        for _ in range(count):
+            self.now += 0.01
+            for instance in answering:
+                self.hear(instance, **load)
+            flow = builders.flow(next(self.ports))
+            self.client(builders.datagram(flow, builders.SYN))
+            chosen += self.forwards()
+        return chosen
+
+    def test_an_agent_that_leaves_an_offer_unanswered_is_passed_over(self):
+        """Killed agents were offered flows until heartbeats were missing.
+
+        The others are busy, so it would be chosen by its last load.
+        """
+        self.settle()
+        self.now += const.REPORT_AGE_S
+        first = self.open_many(30)
+        silent = {name for name, detail in first if detail & frame.REPORT}
+        self.assertEqual(silent, set(AGENTS))
+        self.now += const.OFFER_ANSWER_S
+        answering = ('side-2', 'side-3')
+        later = self.open_many(30, answering, busy=20, flows=20)
+        self.assertNotIn('side-1', {name for name, _ in later})
+        last = self.open_many(30, answering=AGENTS)
+        self.assertIn('side-1', {name for name, _ in last})
+
+    def test_offers_to_an_agent_that_was_just_heard_ask_for_nothing(self):
+        self.settle()
+        self.now += const.REPORT_AGE_S / 2
+        self.assertEqual({detail for _, detail in self.open_many(1)}, {0})
 
     def test_a_copy_goes_to_another_agent_and_then_the_holder_settles(self):
         self.settle()
