The code says client account where it said tenant

Change: renamed once. A document with the former key is refused with an error that names the new one (RenamedTest fails without that rule: an extra key is just "not allowed"). The feature of client accounts is named after them. test_labels_are_bounded counts labels that sort behind `other`, as those before did.

--- a/kumquatport/process/console/forms.py
+++ b/kumquatport/process/console/forms.py
@@ -55,10 +55,10 @@
     )
 
 
-class TenantForm(wtforms.Form):
-    """One tenant of a service; without a name it does not count."""
+class ClientAccountForm(wtforms.Form):
+    """One client account of a service; without a name it does not count."""
 
-    name = _text('Tenant')
+    name = _text('Client account')
     share = wtforms.FloatField('Share', [wtforms.validators.Optional()])
 
 
@@ -76,7 +76,7 @@
     start_share = _number('Share of full work at the start')
     double_s = _number('Time in which work doubles (s)')
     classes = wtforms.FieldList(wtforms.FormField(ClassForm))
-    tenants = wtforms.FieldList(wtforms.FormField(TenantForm))
+    client_accounts = wtforms.FieldList(wtforms.FormField(ClientAccountForm))
 
 
 class RuleForm(wtforms.Form):
@@ -103,7 +103,7 @@
         content.update(row['ramp'])
         content.update({key: row[key] for key in ('name', 'address')})
         content['entry_port'] = row['entry_port']
-        content['tenants'] = list(row['tenants'])
+        content['client_accounts'] = list(row['client_accounts'])
         content['classes'] = [
             {**one, 'methods': ', '.join(one['methods'])}
             for one in row['classes']
@@ -114,11 +114,11 @@
 
 
 def add_rows(form: ServiceForm) -> None:
-    """Add an empty row for one more class and one more tenant."""
+    """Add an empty row for one more class and one more client account."""
     form.classes.append_entry(
         {'path_prefix': '/', 'holds_slot': True, 'repeatable': False}
     )
-    form.tenants.append_entry({'share': document_const.DEFAULT_SHARE})
+    form.client_accounts.append_entry({'share': document_const.DEFAULT_SHARE})
 
 
 def service_row(form: ServiceForm) -> typing.Any:
@@ -131,12 +131,12 @@
         'limits': _picked(typed, document.Limits),
         'ramp': _picked(typed, document.Ramp),
         'classes': [_class_row(one) for one in typed['classes'] if one['name']],
-        'tenants': [
+        'client_accounts': [
             {
                 'name': one['name'],
                 'share': one['share'] or document_const.DEFAULT_SHARE,
             }
-            for one in typed['tenants']
+            for one in typed['client_accounts']
             if one['name']
         ],
     }
--- a/kumquatport/process/metrics/flusher.py
+++ b/kumquatport/process/metrics/flusher.py
@@ -83,7 +83,9 @@
 
 
 def _add_summary(pipe: statsd.StatsClient, summary: histograms.Summary) -> None:
-    base = f'latency.{_safe(summary["tenant"])}.{_safe(summary["kind"])}'
+    base = (
+        f'latency.{_safe(summary["client_account"])}.{_safe(summary["kind"])}'
+    )
     pipe.incr(f'{base}.count', summary['count'])
     for name, micros in summary['percentiles_us'].items():
         pipe.gauge(f'{base}.{name}_us', micros)
--- a/kumquatport/process/metrics/histograms.py
+++ b/kumquatport/process/metrics/histograms.py
@@ -1,4 +1,4 @@
-"""Latency histograms for each tenant and class."""
+"""Latency histograms for each client account and class."""
 
 import typing
 
@@ -11,14 +11,14 @@
 class Label(typing.NamedTuple):
     """What a histogram is about; ``kind`` is the class of request."""
 
-    tenant: str
+    client_account: str
     kind: str
 
 
 class Summary(typing.TypedDict):
     """A histogram in numbers; latencies in microseconds."""
 
-    tenant: str
+    client_account: str
     kind: str
     count: int
     mean_us: float
@@ -70,9 +70,9 @@
         self._limit = limit
         self._by_label: dict[Label, _Series] = {}
 
-    def record(self, tenant: str, kind: str, seconds: float) -> None:
+    def record(self, client_account: str, kind: str, seconds: float) -> None:
         """Add one latency; beyond an hour it counts as an hour."""
-        held = self._get(Label(tenant, kind))
+        held = self._get(Label(client_account, kind))
         micros = int(seconds * const.MICROSECONDS_PER_SECOND)
         highest = metrics_const.HIGHEST_US
         held.record(min(max(micros, metrics_const.LOWEST_US), highest))
@@ -104,7 +104,7 @@
     # One walk over the buckets for all percentiles.
     found = held.histogram.get_percentile_to_value_dict(wanted)
     return {
-        'tenant': label.tenant,
+        'client_account': label.client_account,
         'kind': label.kind,
         'count': held.count,
         'mean_us': held.mean_us,
--- a/kumquatport/process/metrics/registry.py
+++ b/kumquatport/process/metrics/registry.py
@@ -41,16 +41,16 @@
         """Set a gauge."""
         self.gauges[name] = value
 
-    def timing(self, tenant: str, kind: str, seconds: float) -> None:
+    def timing(self, client_account: str, kind: str, seconds: float) -> None:
         """Add the latency of one request.
 
         Args:
-            tenant: Tenant of the request.
+            client_account: Client account of the request.
             kind: Class of the request.
             seconds: From its arrival to the end of its answer.
         """
-        self.total.record(tenant, kind, seconds)
-        self.recent.record(tenant, kind, seconds)
+        self.total.record(client_account, kind, seconds)
+        self.recent.record(client_account, kind, seconds)
 
     def add_sampler(self, sampler: abc.Callable[[], None]) -> None:
         """Have a function set counters and gauges before they are read."""
--- a/kumquatport/request/admission/admission.py
+++ b/kumquatport/request/admission/admission.py
@@ -62,13 +62,13 @@
 
     def ticket(
         self,
-        tenant: str,
+        client_account: str,
         class_name: str,
         deadline_at: float,
     ) -> waiter.Ticket:
         """Describe a request to the queue."""
         cost_s = self.costs.expected_s(class_name)
-        return waiter.Ticket(tenant, class_name, cost_s, deadline_at)
+        return waiter.Ticket(client_account, class_name, cost_s, deadline_at)
 
     async def async_acquire(self, ticket: waiter.Ticket) -> slot.Slot:
         """Return once the request holds a slot.
@@ -132,14 +132,14 @@
     def _patience_s(self, ticket: waiter.Ticket, now: float) -> float:
         """Return how long a request may wait now.
 
-        A tenant's queue that has not emptied for the longest wait only adds
+        A client account's queue that has not emptied for the longest wait adds
         delay: it is kept just long enough to keep the slots in use. The other
-        tenants' work is not the worse for it.
+        client accounts' work is not the worse for it.
         """
         queue_s = self._limits.queue_s
-        if not self._queue.length(ticket.tenant):
+        if not self._queue.length(ticket.client_account):
             return queue_s
-        if now - self._filled_at[ticket.tenant] < queue_s:
+        if now - self._filled_at[ticket.client_account] < queue_s:
             return queue_s
         return queue_s * const.STANDING_SHARE
 
@@ -165,8 +165,8 @@
                 'the wait is longer than the request may wait',
                 self.retry_after_s(),
             )
-        if not self._queue.length(ticket.tenant):
-            self._filled_at[ticket.tenant] = self._clock()
+        if not self._queue.length(ticket.client_account):
+            self._filled_at[ticket.client_account] = self._clock()
         loop = asyncio.get_running_loop()
         request = waiter.Waiter(ticket, loop.create_future())
         self._queue.push(request)
--- a/kumquatport/request/arrival.py
+++ b/kumquatport/request/arrival.py
@@ -13,7 +13,7 @@
     exchange: messages.Exchange,
     now: float,
 ) -> job.Job:
-    """Check a head and find its class, tenant and deadline.
+    """Check a head and find its class, client account and deadline.
 
     Args:
         current: Of the current document, None before the first.
@@ -35,7 +35,7 @@
         exchange=exchange,
         body=body.RequestBody(exchange),
         request_class=request_class,
-        tenant=policy.tenant_of(current, head.headers),
+        client_account=policy.client_account_of(current, head.headers),
         service=current.service,
         deadline_at=deadline.latest(head, request_class, now),
         arrived_at=now,
--- a/kumquatport/request/const.py
+++ b/kumquatport/request/const.py
@@ -6,13 +6,13 @@
 ATTR_RETRY = 'x-kumquatport-retry'
 ATTR_RETRY_AFTER = 'retry-after'
 ATTR_SERVICE = 'x-kumquatport-service'
-ATTR_TENANT = 'x-tenant'
+ATTR_CLIENT_ACCOUNT = 'x-client-account'
 ATTR_IDEMPOTENCY_KEY = 'idempotency-key'
 
 OUTCOME_NOT_RUN = 'not-run'
 OUTCOME_UNKNOWN = 'unknown'
 
-DEFAULT_TENANT = 'default'
+DEFAULT_CLIENT_ACCOUNT = 'default'
 DEFAULT_CLASS = 'other'
 DEFAULT_DEADLINE_S = 10.0
 DEFAULT_SLOTS = 5
--- a/kumquatport/request/handler.py
+++ b/kumquatport/request/handler.py
@@ -216,4 +216,4 @@
     def _record(self, asked: job.Job) -> None:
         took_s = self._clock() - asked.arrived_at
         class_name = asked.request_class.name
-        self._metrics.timing(asked.tenant, class_name, took_s)
+        self._metrics.timing(asked.client_account, class_name, took_s)
--- a/kumquatport/request/idempotency/coordinator.py
+++ b/kumquatport/request/idempotency/coordinator.py
@@ -132,8 +132,8 @@
         if not text:
             # A repeat could not be recognised; this attempt runs once.
             return await claims.async_grant(head, deadline_at)
-        tenant = headers.get(request_const.ATTR_TENANT, '')
-        key = _digest(self._service, tenant, text)
+        client_account = headers.get(request_const.ATTR_CLIENT_ACCOUNT, '')
+        key = _digest(self._service, client_account, text)
         request = _digest(head.method, head.path)
         return await self._async_claim_key(key, request, deadline_at)
 
--- a/kumquatport/request/idempotency/messages.py
+++ b/kumquatport/request/idempotency/messages.py
@@ -24,7 +24,7 @@
     """What a replica keeps of one key.
 
     Attributes:
-        key: Hash of service, tenant and idempotency key.
+        key: Hash of service, client account and idempotency key.
         request: Hash of the request's method and path.
         attempt: The attempt that holds the key.
         state: ``claimed``, ``answered``, ``unknown`` or ``released``.
--- a/kumquatport/request/messages.py
+++ b/kumquatport/request/messages.py
@@ -32,7 +32,7 @@
     Attributes:
         increment: Takes a metric's name and by how much.
         gauge: Takes a metric's name and its value.
-        timing: Takes tenant, class and a duration in seconds.
+        timing: Takes client account, class and a duration in seconds.
     """
 
     increment: abc.Callable[[str, int], None]
--- a/kumquatport/request/policy.py
+++ b/kumquatport/request/policy.py
@@ -66,10 +66,10 @@
         The policy, with defaults for what the entry leaves out.
     """
     shares = {
-        tenant['name']: float(tenant['share'])
-        for tenant in service.get('tenants', ())
+        client_account['name']: float(client_account['share'])
+        for client_account in service.get('client_accounts', ())
     }
-    shares.setdefault(const.DEFAULT_TENANT, 1.0)
+    shares.setdefault(const.DEFAULT_CLIENT_ACCOUNT, 1.0)
     return Policy(
         service=service['name'],
         classes=tuple(map(_build_class, service.get('classes', ()))),
@@ -91,12 +91,12 @@
     return _OTHER_SAFE if head.method in _SAFE else _OTHER
 
 
-def tenant_of(policy: Policy, headers: messages.Headers) -> str:
-    """Name the tenant; unknown ones share the default tenant."""
+def client_account_of(policy: Policy, headers: messages.Headers) -> str:
+    """Name the client account; unknown ones share the default one."""
     for name, value in headers:
-        if name == const.ATTR_TENANT and value in policy.shares:
+        if name == const.ATTR_CLIENT_ACCOUNT and value in policy.shares:
             return value
-    return const.DEFAULT_TENANT
+    return const.DEFAULT_CLIENT_ACCOUNT
 
 
 def _build_class(section: Section) -> RequestClass:
--- a/kumquatport/request/proxy/job.py
+++ b/kumquatport/request/proxy/job.py
@@ -14,7 +14,7 @@
         exchange: The way back to the caller.
         body: The request's body.
         request_class: Its class.
-        tenant: Whose share it counts to.
+        client_account: Whose share it counts to.
         service: Which service it is meant for.
         deadline_at: When its answer must have begun.
         arrived_at: When its head came in.
@@ -24,7 +24,7 @@
     exchange: messages.Exchange
     body: body.RequestBody
     request_class: policy.RequestClass
-    tenant: str
+    client_account: str
     service: str
     deadline_at: float
     arrived_at: float
--- a/kumquatport/request/queue/fair.py
+++ b/kumquatport/request/queue/fair.py
@@ -1,6 +1,6 @@
-"""A queue fair between tenants, then between the classes of a tenant.
+"""A queue fair between client accounts, then between the classes of each.
 
-Within one tenant and class the earliest deadline goes first.
+Within one client account and class the earliest deadline goes first.
 """
 
 import heapq
@@ -13,8 +13,8 @@
 _Entry: typing.TypeAlias = tuple[float, int, waiter.Waiter]
 
 
-class _Tenant:
-    """The waiting requests of one tenant, a heap for each class."""
+class _Account:
+    """The waiting requests of one client account, a heap for each class."""
 
     def __init__(self) -> None:
         self.classes: dict[str, list[_Entry]] = {}
@@ -29,45 +29,47 @@
     def __init__(self) -> None:
         """Begin empty."""
         self._shares: abc.Mapping[str, float] = {}
-        self._tenants: dict[str, _Tenant] = {}
+        self._accounts: dict[str, _Account] = {}
         self._turns = schedule.Schedule()
         self._numbers = itertools.count()
 
     @property
     def queued_s(self) -> float:
         """Slot time of all that waits, in seconds."""
-        return sum(tenant.queued_s for tenant in self._tenants.values())
+        return sum(account.queued_s for account in self._accounts.values())
 
     def __len__(self) -> int:
         """Count the requests that wait."""
-        return sum(tenant.length for tenant in self._tenants.values())
+        return sum(account.length for account in self._accounts.values())
 
-    def length(self, tenant_name: str) -> int:
-        """Count the requests of one tenant that wait."""
-        tenant = self._tenants.get(tenant_name)
-        return tenant.length if tenant else 0
+    def length(self, name: str) -> int:
+        """Count the requests of one client account that wait."""
+        account = self._accounts.get(name)
+        return account.length if account else 0
 
     def configure(self, shares: abc.Mapping[str, float]) -> None:
-        """Take the tenants' shares of the current document."""
+        """Take the client accounts' shares of the current document."""
         self._shares = shares
-        for name in tuple(self._tenants):
-            if name not in shares and not self._tenants[name].length:
-                self._tenants.pop(name)
+        for name in tuple(self._accounts):
+            if name not in shares and not self._accounts[name].length:
+                self._accounts.pop(name)
                 self._turns.forget(name)
 
     def push(self, request: waiter.Waiter) -> None:
         """Add a waiting request."""
         ticket = request.ticket
-        tenant = self._tenants.setdefault(ticket.tenant, _Tenant())
-        if not tenant.length:
-            self._turns.join(ticket.tenant, self._share(ticket.tenant))
-        heap = tenant.classes.setdefault(ticket.class_name, [])
+        account = self._accounts.setdefault(ticket.client_account, _Account())
+        if not account.length:
+            self._turns.join(
+                ticket.client_account, self._share(ticket.client_account)
+            )
+        heap = account.classes.setdefault(ticket.class_name, [])
         if not heap:
-            tenant.turns.join(ticket.class_name, 1)
+            account.turns.join(ticket.class_name, 1)
         entry = (ticket.deadline_at, next(self._numbers), request)
         heapq.heappush(heap, entry)
-        tenant.length += 1
-        tenant.queued_s += ticket.cost_s
+        account.length += 1
+        account.queued_s += ticket.cost_s
 
     def has_work(self, blocked: abc.Container[str] = ()) -> bool:
         """Tell whether a request of a class that is not blocked waits."""
@@ -79,48 +81,48 @@
         Args:
             blocked: Classes whose turn does not come now.
         """
-        tenant_name = self._turns.choose(self._backlogged(blocked))
-        tenant = self._tenants[tenant_name]
-        class_name = tenant.turns.choose(_backlogged_classes(tenant, blocked))
-        entry = heapq.heappop(tenant.classes[class_name])
-        _removed(tenant, entry)
+        name = self._turns.choose(self._backlogged(blocked))
+        account = self._accounts[name]
+        class_name = account.turns.choose(_backlogged_classes(account, blocked))
+        entry = heapq.heappop(account.classes[class_name])
+        _removed(account, entry)
         self.charge(entry[2].ticket, entry[2].ticket.cost_s)
         return entry[2]
 
     def charge(self, ticket: waiter.Ticket, cost_s: float) -> None:
-        """Charge slot time to the ticket's tenant and class."""
-        self._turns.charge(ticket.tenant, cost_s)
-        tenant = self._tenants.get(ticket.tenant)
-        if tenant is not None:
-            tenant.turns.charge(ticket.class_name, cost_s)
+        """Charge slot time to the ticket's client account and class."""
+        self._turns.charge(ticket.client_account, cost_s)
+        account = self._accounts.get(ticket.client_account)
+        if account is not None:
+            account.turns.charge(ticket.class_name, cost_s)
 
     def discard(self, request: waiter.Waiter) -> None:
         """Take out a request that no longer waits, if it is still there."""
-        tenant = self._tenants.get(request.ticket.tenant)
-        if tenant is None:
+        account = self._accounts.get(request.ticket.client_account)
+        if account is None:
             return
-        heap = tenant.classes.get(request.ticket.class_name, [])
+        heap = account.classes.get(request.ticket.class_name, [])
         for entry in heap:
             if entry[2] is request:
                 heap.remove(entry)
                 heapq.heapify(heap)
-                _removed(tenant, entry)
+                _removed(account, entry)
                 return
 
     def evict(self) -> waiter.Waiter | None:
-        """Take out the request that can wait longest of the greediest tenant.
+        """Take out the request of the greediest client account that can wait.
 
         The greediest has the most slot time waiting for its share.
         """
         names = tuple(self._backlogged())
         if not names:
             return None
-        tenant = self._tenants[max(names, key=self._backlog_s)]
-        heap = max(tenant.classes.values(), key=len)
+        account = self._accounts[max(names, key=self._backlog_s)]
+        heap = max(account.classes.values(), key=len)
         entry = max(heap)
         heap.remove(entry)
         heapq.heapify(heap)
-        _removed(tenant, entry)
+        _removed(account, entry)
         return entry[2]
 
     def wait_s(self, ticket: waiter.Ticket, slots: float) -> float:
@@ -130,42 +132,42 @@
             ticket: The request, not yet in the queue.
             slots: How many requests may be in progress at once.
         """
-        share = self._share(ticket.tenant)
+        share = self._share(ticket.client_account)
         competing = sum(
             self._share(name)
             for name in self._backlogged()
-            if name != ticket.tenant
+            if name != ticket.client_account
         )
-        tenant = self._tenants.get(ticket.tenant)
-        ahead_s = tenant.queued_s if tenant else 0
+        account = self._accounts.get(ticket.client_account)
+        ahead_s = account.queued_s if account else 0
         return ahead_s * (share + competing) / share / slots
 
     def _backlogged(
         self,
         blocked: abc.Container[str] = (),
     ) -> abc.Iterator[str]:
-        for name, tenant in self._tenants.items():
-            if any(_backlogged_classes(tenant, blocked)):
+        for name, account in self._accounts.items():
+            if any(_backlogged_classes(account, blocked)):
                 yield name
 
     def _backlog_s(self, name: str) -> float:
-        return self._tenants[name].queued_s / self._share(name)
+        return self._accounts[name].queued_s / self._share(name)
 
     def _share(self, name: str) -> float:
         return self._shares.get(name, 1)
 
 
 def _backlogged_classes(
-    tenant: _Tenant,
+    account: _Account,
     blocked: abc.Container[str],
 ) -> abc.Iterator[str]:
-    for name, heap in tenant.classes.items():
+    for name, heap in account.classes.items():
         if heap and name not in blocked:
             yield name
 
 
-def _removed(tenant: _Tenant, entry: _Entry) -> None:
-    tenant.length -= 1
-    tenant.queued_s -= entry[2].ticket.cost_s
-    if not tenant.length:
-        tenant.queued_s = 0
+def _removed(account: _Account, entry: _Entry) -> None:
+    account.length -= 1
+    account.queued_s -= entry[2].ticket.cost_s
+    if not account.length:
+        account.queued_s = 0
--- a/kumquatport/request/queue/waiter.py
+++ b/kumquatport/request/queue/waiter.py
@@ -8,13 +8,13 @@
     """What the queue needs to know of a request.
 
     Attributes:
-        tenant: Whose share it counts to.
+        client_account: Whose share it counts to.
         class_name: Its class.
         cost_s: Slot time it will probably take, in seconds.
         deadline_at: When its answer must have begun.
     """
 
-    tenant: str
+    client_account: str
     class_name: str
     cost_s: float
     deadline_at: float
--- a/kumquatport/request/serving.py
+++ b/kumquatport/request/serving.py
@@ -48,7 +48,7 @@
         errors.AnswerBrokenError: The answer broke off; reset the stream.
     """
     ticket = parts.gate.ticket(
-        asked.tenant,
+        asked.client_account,
         asked.request_class.name,
         asked.deadline_at,
     )
--- a/kumquatport/version/document/__init__.py
+++ b/kumquatport/version/document/__init__.py
@@ -43,7 +43,7 @@
 failure_domains_of = lookup.failure_domains_of
 service = lookup.service
 services_named = lookup.services_named
-tenant_of = lookup.tenant_of
+client_account_of = lookup.client_account_of
 weight_of = lookup.weight_of
 
 Document = model.Document
@@ -53,5 +53,5 @@
 Ramp = model.Ramp
 Rule = model.Rule
 Service = model.Service
-Tenant = model.Tenant
+ClientAccount = model.ClientAccount
 TrafficClass = model.TrafficClass
--- a/kumquatport/version/document/checks.py
+++ b/kumquatport/version/document/checks.py
@@ -43,10 +43,10 @@
 ) -> list[exceptions.Fault]:
     """Return the faults of names used twice within a service."""
     classes = _rows(service, const.CONF_CLASSES, f'{path}.')
-    tenants = _rows(service, const.CONF_TENANTS, f'{path}.')
+    client_accounts = _rows(service, const.CONF_CLIENT_ACCOUNTS, f'{path}.')
     return [
         *_repeated(classes, (const.CONF_NAME,)),
-        *_repeated(tenants, (const.CONF_NAME,)),
+        *_repeated(client_accounts, (const.CONF_NAME,)),
     ]
 
 
--- a/kumquatport/version/document/composite.py
+++ b/kumquatport/version/document/composite.py
@@ -41,6 +41,15 @@
     return functools.partial(_check_shared, validator, {})
 
 
+def renamed(to: str) -> fields.Validator:
+    """Return a validator that refuses a key's former name and tells the new."""
+    return functools.partial(_refuse_renamed, to)
+
+
+def _refuse_renamed(to: str, _value: typing.Any) -> typing.Any:
+    raise voluptuous.Invalid(f'was renamed to {to}')
+
+
 def _check_optional(
     validator: fields.Validator, value: typing.Any
 ) -> typing.Any:
--- a/kumquatport/version/document/lookup.py
+++ b/kumquatport/version/document/lookup.py
@@ -55,16 +55,18 @@
     }
 
 
-def tenant_of(service: model.Service, name: str | None) -> model.Tenant:
-    """Return the tenant a request names, else the tenant ``default``."""
-    default: model.Tenant = {
-        'name': const.TENANT_DEFAULT,
+def client_account_of(
+    service: model.Service, name: str | None
+) -> model.ClientAccount:
+    """Return the client account a request names, else ``default``."""
+    default: model.ClientAccount = {
+        'name': const.CLIENT_ACCOUNT_DEFAULT,
         'share': const.DEFAULT_SHARE,
     }
-    for row in service['tenants']:
+    for row in service['client_accounts']:
         if row['name'] == name:
             return row
-        if row['name'] == const.TENANT_DEFAULT:
+        if row['name'] == const.CLIENT_ACCOUNT_DEFAULT:
             default = row
     return default
 
--- a/kumquatport/version/document/model.py
+++ b/kumquatport/version/document/model.py
@@ -25,8 +25,8 @@
     deadline_s: float | None
 
 
-class Tenant(typing.TypedDict):
-    """A tenant of a service and its share against the others."""
+class ClientAccount(typing.TypedDict):
+    """A client account of a service and its share against the others."""
 
     name: str
     share: float
@@ -56,7 +56,7 @@
     address: str
     entry_port: int
     classes: list[TrafficClass]
-    tenants: list[Tenant]
+    client_accounts: list[ClientAccount]
     limits: Limits
     ramp: Ramp
 
--- a/kumquatport/version/document/schema.py
+++ b/kumquatport/version/document/schema.py
@@ -56,7 +56,7 @@
     },
 )
 
-TENANT = voluptuous.Schema(
+CLIENT_ACCOUNT = voluptuous.Schema(
     {
         voluptuous.Required(const.CONF_NAME): fields.name,
         voluptuous.Optional(
@@ -75,8 +75,13 @@
         voluptuous.Optional(const.CONF_CLASSES, default=list): composite.rows(
             composite.shared(TRAFFIC_CLASS), const.MAX_CLASSES
         ),
-        voluptuous.Optional(const.CONF_TENANTS, default=list): composite.rows(
-            composite.shared(TENANT), const.MAX_TENANTS
+        voluptuous.Optional(
+            const.CONF_CLIENT_ACCOUNTS, default=list
+        ): composite.rows(
+            composite.shared(CLIENT_ACCOUNT), const.MAX_CLIENT_ACCOUNTS
+        ),
+        voluptuous.Optional(const.CONF_TENANTS): composite.renamed(
+            const.CONF_CLIENT_ACCOUNTS
         ),
         voluptuous.Optional(const.CONF_LIMITS, default=dict): composite.shared(
             LIMITS
--- a/tests/builders/broken_documents.py
+++ b/tests/builders/broken_documents.py
@@ -25,7 +25,7 @@
     ('services', -1, 'entry_port'),
     ('services', -1, 'classes', 0, 'name'),
     ('services', 0, 'classes', -1, 'methods'),
-    ('services', 0, 'tenants', 0, 'name'),
+    ('services', 0, 'client_accounts', 0, 'name'),
     ('rules', 0, 'service'),
     ('rules', -1, 'failure_domain'),
 )
@@ -34,7 +34,7 @@
     ('failure_domains', 0),
     ('services', -1),
     ('services', 0, 'classes', 1),
-    ('services', 0, 'tenants', 0),
+    ('services', 0, 'client_accounts', 0),
     ('services', 0, 'limits'),
     ('services', -1, 'ramp'),
     ('rules', 0),
@@ -44,7 +44,7 @@
     ('base_version',): (-1, 0.5),
     ('services', 0, 'entry_port'): (0, -1, 65536, 1.5),
     ('services', 0, 'classes', 0, 'deadline_s'): (0, -1, 1e300),
-    ('services', 0, 'tenants', 0, 'share'): (0, -3, 1e300),
+    ('services', 0, 'client_accounts', 0, 'share'): (0, -3, 1e300),
     ('services', 0, 'limits', 'slots'): (0, -5, 2.5, 10**30),
     ('services', 0, 'limits', 'connections'): (0, -1, 10**30),
     ('services', -1, 'limits', 'queue_s'): (-0.1, 1e9),
@@ -59,7 +59,7 @@
     ('failure_domains', 0, 'region'),
     ('services', 0, 'name'),
     ('services', 0, 'classes', 0, 'name'),
-    ('services', 0, 'tenants', 0, 'name'),
+    ('services', 0, 'client_accounts', 0, 'name'),
     ('rules', 0, 'service'),
 )
 BAD_NAMES = ('', 'A', 'a b', '-a', 'é', 'a\n', 'a/b', 'x' * 64, '\ud800')
@@ -89,7 +89,7 @@
     ('services', 0),
     ('services', 0, 'classes'),
     ('services', 0, 'classes', 0, 'methods'),
-    ('services', 0, 'tenants', 0),
+    ('services', 0, 'client_accounts', 0),
     ('services', 0, 'limits'),
     ('services', 0, 'ramp'),
     ('rules',),
@@ -104,7 +104,7 @@
     ('failure_domains',),
     ('services',),
     ('services', 0, 'classes'),
-    ('services', 0, 'tenants'),
+    ('services', 0, 'client_accounts'),
     ('rules',),
 )
 RAW = (
--- a/tests/builders/claims.py
+++ b/tests/builders/claims.py
@@ -150,7 +150,7 @@
 
 def head(key: str, path: str = '/orders') -> stream.RequestHead:
     """Build the head of an order with an idempotency key."""
-    headers = (('idempotency-key', key), ('x-tenant', 'guild'))
+    headers = (('idempotency-key', key), ('x-client-account', 'guild'))
     return stream.RequestHead('POST', path, 'desk', headers, 1)
 
 
--- a/tests/builders/documents.py
+++ b/tests/builders/documents.py
@@ -53,7 +53,7 @@
         'address': address,
         'entry_port': entry_port,
         'classes': list(CLASSES),
-        'tenants': [{'name': 'guild', 'share': 3}],
+        'client_accounts': [{'name': 'guild', 'share': 3}],
         'limits': {
             'slots': 5,
             'connections': 2000,
--- a/tests/builders/exchanges.py
+++ b/tests/builders/exchanges.py
@@ -71,7 +71,7 @@
     path: str = '/small',
     **headers: typing.Any,
 ) -> messages.RequestHead:
-    """Build a head; ``x_tenant='guild'`` becomes ``x-tenant: guild``."""
+    """Build a head; ``x_echo='one'`` becomes ``x-echo: one``."""
     fields = tuple(
         (name.replace('_', '-'), str(value)) for name, value in headers.items()
     )
--- a/tests/features/request_client_accounts.feature
+++ b/tests/features/request_client_accounts.feature
@@ -1,12 +1,12 @@
 @issue-5 @promise-3
-Feature: One tenant does not starve another
+Feature: One client account does not starve another
 
   @simulated-time
-  Scenario Outline: One tenant at ten times its share
+  Scenario Outline: One client account at ten times its share
     Given a warm backend server of 50 ms a request and seed <seed> beside a request handler
     And the request handler has learnt its latency
     When the guild asks for 0.3 of the capacity for 8 s alone
-    And then for 8 s beside a tenant that asks for 10 times its share
+    And then for 8 s beside a client account that asks for 10 times its share
     Then the guild's 99th percentile is within 1.5 of what it was alone
     And none of the guild's requests was refused
 
--- a/tests/features/steps/product.py
+++ b/tests/features/steps/product.py
@@ -116,7 +116,7 @@
             SERVICE,
             local=(target.caller_address, 0),
         )
-        exchange = context.feeder.start('GET', '/feed', workload.TENANT)
+        exchange = context.feeder.start('GET', '/feed', workload.CLIENT_ACCOUNT)
         context.feed = exchange.async_lines()
         context.last = await anext(context.feed)
 
--- a/tests/features/steps/request_load.py
+++ b/tests/features/steps/request_load.py
@@ -1,4 +1,4 @@
-"""Steps of load: cold starts, misleading reports, overload, tenants."""
+"""Steps of load: cold starts, misleading reports, overload, client accounts."""
 
 import asyncio
 import statistics
@@ -270,8 +270,8 @@
 
 
 @behave.when(
-    'then for {duration:d} s beside a tenant that asks for {times:d} times'
-    ' its share'
+    'then for {duration:d} s beside a client account that asks for'
+    ' {times:d} times its share'
 )
 def step_guild_beside(
     context: runner.Context, duration: int, times: int
@@ -293,8 +293,8 @@
     context.guild, context.crowd = context.run(_async_both())
 
 
-def _of(tenant: str) -> exchanges.messages.RequestHead:
-    return exchanges.head(x_tenant=tenant)
+def _of(client_account: str) -> exchanges.messages.RequestHead:
+    return exchanges.head(x_client_account=client_account)
 
 
 @behave.then(
--- a/tests/metrics_page.py
+++ b/tests/metrics_page.py
@@ -7,7 +7,7 @@
 PAGE = pathlib.Path('docs/METRICS.md')
 _FIRST_CELL = re.compile(r'^\| (`[^|]*) \|', re.MULTILINE)
 _NAME = re.compile('`([^`]+)`')
-# Parts in capitals stand for any tenant, class, reason and so on.
+# Parts in capitals stand for any client account, class, reason and so on.
 _PLACE = re.compile('[A-Z]+')
 
 
--- a/tests/orders.py
+++ b/tests/orders.py
@@ -101,7 +101,7 @@
     async def _async_attempt(
         self, connection: caller.Connection, key: str
     ) -> tuple[str, dict | None]:
-        headers = {'x-tenant': 'hangar', 'idempotency-key': key}
+        headers = {'x-client-account': 'hangar', 'idempotency-key': key}
         try:
             answer = await connection.async_request(
                 'POST',
--- a/tests/standins/backend_server.py
+++ b/tests/standins/backend_server.py
@@ -45,7 +45,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.runs: collections.Counter[str] = collections.Counter()
         self.completed: collections.Counter[str] = collections.Counter()
-        self.tenants: collections.Counter[str] = collections.Counter()
+        self.client_accounts: collections.Counter[str] = collections.Counter()
         self.runner: web.AppRunner | None = None
         self._feed_interval_s = feed_interval_s
         self._feeds = 0
@@ -110,7 +110,7 @@
             **self.counts,
             'runs': dict(self.runs),
             'completed': dict(self.completed),
-            'tenants': dict(self.tenants),
+            'client_accounts': dict(self.client_accounts),
             'collapses': self.capacity.collapses,
             'running': self.capacity.running,
             'waiting': self.capacity.waiting,
@@ -201,7 +201,7 @@
 
     def _note_new_work(self, request: web.Request) -> None:
         self._last_new_work = clocks.now()
-        self.tenants[request.headers.get('x-tenant', '')] += 1
+        self.client_accounts[request.headers.get('x-client-account', '')] += 1
         if self.leaving:
             self.counts['after_leaving'] += 1
 
--- a/tests/traffic.py
+++ b/tests/traffic.py
@@ -114,7 +114,7 @@
 
     async def _async_feed(self, service: str) -> None:
         connection = await self._async_open(service)
-        exchange = connection.start('GET', '/feed', workload.TENANT)
+        exchange = connection.start('GET', '/feed', workload.CLIENT_ACCOUNT)
         keepalive = asyncio.create_task(_async_keep_alive(connection))
         started = time.monotonic()
         expected = 0
--- a/tests/unit/process/metrics/test_metrics.py
+++ b/tests/unit/process/metrics/test_metrics.py
@@ -51,10 +51,10 @@
     def test_labels_are_bounded(self):
         held = histograms.Histograms(limit=3)
         for number in range(100):
-            held.record(f'tenant-{number}', 'order', 0.1)
+            held.record(f'visitor-{number}', 'order', 0.1)
         summaries = held.summaries()
         self.assertEqual(len(summaries), 4)
-        self.assertEqual(summaries[0]['tenant'], const.OTHER_LABEL)
+        self.assertEqual(summaries[0]['client_account'], const.OTHER_LABEL)
         self.assertEqual(summaries[0]['count'], 97)
 
 
--- a/tests/unit/process/status/test_server.py
+++ b/tests/unit/process/status/test_server.py
@@ -44,7 +44,7 @@
         self.metrics.timing('guild', 'order', 0.25)
         status, body = await self.get('/metrics.json')
         self.assertEqual(status, 200)
-        self.assertIn(b'"tenant":"guild"', body)
+        self.assertIn(b'"client_account":"guild"', body)
 
     async def test_other_paths(self):
         self.assertEqual((await self.get('/'))[0], 404)
--- a/tests/unit/request/test_queue.py
+++ b/tests/unit/request/test_queue.py
@@ -15,8 +15,10 @@
 BOUNDS = sample.Bounds(slots=2, start_share=1.0, double_s=1.0)
 
 
-def ticket(tenant='guild', class_name='order', cost_s=1.0, deadline_at=9.0):
-    return waiter.Ticket(tenant, class_name, cost_s, deadline_at)
+def ticket(
+    client_account='guild', class_name='order', cost_s=1.0, deadline_at=9.0
+):
+    return waiter.Ticket(client_account, class_name, cost_s, deadline_at)
 
 
 def waiting(*args, **kwargs):
@@ -30,32 +32,32 @@
         self.queue = fair.FairQueue()
         self.queue.configure(SHARES)
 
-    def pop_tenants(self, count):
-        return [self.queue.pop().ticket.tenant for _ in range(count)]
+    def pop_client_accounts(self, count):
+        return [self.queue.pop().ticket.client_account for _ in range(count)]
 
-    async def test_tenants_by_share(self):
+    async def test_client_accounts_by_share(self):
         for _ in range(40):
             self.queue.push(waiting('guild'))
             self.queue.push(waiting('default'))
-        popped = self.pop_tenants(40)
+        popped = self.pop_client_accounts(40)
         self.assertEqual(popped.count('guild'), 30)
 
-    async def test_an_idle_tenant_saves_up_nothing(self):
+    async def test_an_idle_client_account_saves_up_nothing(self):
         for _ in range(40):
             self.queue.push(waiting('default'))
-        self.pop_tenants(20)
+        self.pop_client_accounts(20)
         for _ in range(40):
             self.queue.push(waiting('guild'))
-        self.assertLessEqual(self.pop_tenants(8).count('guild'), 7)
+        self.assertLessEqual(self.pop_client_accounts(8).count('guild'), 7)
 
     async def test_cost_counts_not_number(self):
         for _ in range(40):
             self.queue.push(waiting('guild', cost_s=3.0))
             self.queue.push(waiting('default', cost_s=1.0))
-        popped = self.pop_tenants(40)
+        popped = self.pop_client_accounts(40)
         self.assertEqual(popped.count('guild'), 20)
 
-    async def test_classes_of_a_tenant_take_turns(self):
+    async def test_classes_of_a_client_account_take_turns(self):
         for _ in range(20):
             self.queue.push(waiting(class_name='pull'))
         self.queue.push(waiting(class_name='order'))
@@ -74,7 +76,7 @@
             self.queue.push(waiting('default'))
         for _ in range(4):
             self.queue.push(waiting('guild'))
-        self.assertEqual(self.queue.evict().ticket.tenant, 'default')
+        self.assertEqual(self.queue.evict().ticket.client_account, 'default')
 
     @settings(max_examples=50, deadline=None)
     @given(
@@ -94,9 +96,9 @@
         queue = fair.FairQueue()
         queue.configure(SHARES)
         held = []
-        for tenant, class_name, step in steps:
+        for client_account, class_name, step in steps:
             if step == 'push':
-                held.append(waiting(tenant, class_name))
+                held.append(waiting(client_account, class_name))
                 queue.push(held[-1])
             elif held and step == 'pop':
                 held.remove(queue.pop())
@@ -121,8 +123,8 @@
     async def asyncSetUp(self):
         self.gate = make_gate(queue_s=0.05, queue_length=2)
 
-    def ticket(self, left_s=5.0, cost_s=0.01, tenant='guild'):
-        return ticket(tenant, 'order', cost_s, clocks.now() + left_s)
+    def ticket(self, left_s=5.0, cost_s=0.01, client_account='guild'):
+        return ticket(client_account, 'order', cost_s, clocks.now() + left_s)
 
     async def fill(self):
         return [await self.gate.async_acquire(self.ticket()) for _ in range(2)]
@@ -211,9 +213,9 @@
 
 
 class StandingQueueTest(unittest.TestCase):
-    """A tenant's queue that does not empty, in simulated time."""
+    """A client account's queue that does not empty, in simulated time."""
 
-    def test_a_standing_queue_is_only_its_tenants_own(self):
+    def test_a_standing_queue_is_only_its_client_accounts_own(self):
         with asyncio.Runner(loop_factory=clocks.SimulatedLoop) as runner:
             crowd_s, guild_s = runner.run(self.async_waits())
         self.assertGreaterEqual(guild_s, 0.19)
@@ -230,11 +232,11 @@
         guild_s = await self.wait(gate, 'guild')
         return await crowd[3], guild_s
 
-    async def wait(self, gate, tenant):
+    async def wait(self, gate, client_account):
         began_at = clocks.now()
         with self.assertRaises(errors.QueueTimeoutError):
-            await gate.async_acquire(self.ticket(tenant))
+            await gate.async_acquire(self.ticket(client_account))
         return clocks.now() - began_at
 
-    def ticket(self, tenant):
-        return ticket(tenant, 'order', 0.001, clocks.now() + 5)
+    def ticket(self, client_account):
+        return ticket(client_account, 'order', 0.001, clocks.now() + 5)
--- a/tests/unit/request/test_sending.py
+++ b/tests/unit/request/test_sending.py
@@ -78,7 +78,7 @@
             exchange=exchange,
             body=read,
             request_class=policy.RequestClass(repeatable=repeatable),
-            tenant='default',
+            client_account='default',
             service='desk',
             deadline_at=self.clock() + left_s,
             arrived_at=self.clock(),
@@ -202,7 +202,7 @@
 
 
 class PolicyTest(unittest.TestCase):
-    """Classes and tenants of a request."""
+    """Classes and client accounts of a request."""
 
     def setUp(self):
         self.policy = policy.build(
@@ -217,7 +217,7 @@
                         'deadline_s': None,
                     },
                 ],
-                'tenants': [{'name': 'hangar', 'share': 2}],
+                'client_accounts': [{'name': 'hangar', 'share': 2}],
             }
         )
 
@@ -229,8 +229,10 @@
         read = policy.classify(self.policy, exchanges.head('GET', '/x'))
         self.assertTrue(read.repeatable)
 
-    def test_tenant(self):
-        known: messages.Headers = (('x-tenant', 'hangar'),)
-        self.assertEqual(policy.tenant_of(self.policy, known), 'hangar')
-        unknown: messages.Headers = (('x-tenant', 'nobody'),)
-        self.assertEqual(policy.tenant_of(self.policy, unknown), 'default')
+    def test_client_account(self):
+        known: messages.Headers = (('x-client-account', 'hangar'),)
+        self.assertEqual(policy.client_account_of(self.policy, known), 'hangar')
+        unknown: messages.Headers = (('x-client-account', 'nobody'),)
+        self.assertEqual(
+            policy.client_account_of(self.policy, unknown), 'default'
+        )
--- a/tests/unit/version/document/test_document.py
+++ b/tests/unit/version/document/test_document.py
@@ -22,7 +22,7 @@
 
 
 class LookupTest(unittest.TestCase):
-    """Classes, tenants, weights."""
+    """Classes, client accounts, weights."""
 
     def setUp(self):
         self.document = _build()
@@ -44,11 +44,11 @@
         self.assertFalse(found['repeatable'])
         self.assertIsNone(found['deadline_s'])
 
-    def test_tenant(self):
-        guild = document.tenant_of(self.service, 'guild')
+    def test_client_account(self):
+        guild = document.client_account_of(self.service, 'guild')
         self.assertEqual(guild, {'name': 'guild', 'share': 3.0})
         for name in (None, '', 'stranger'):
-            found = document.tenant_of(self.service, name)
+            found = document.client_account_of(self.service, name)
             self.assertEqual(found, {'name': 'default', 'share': 1.0})
 
     def test_weights(self):
@@ -72,6 +72,27 @@
             document.with_domain_out(self.document, 'd', out=True)
 
 
+class RenamedTest(unittest.TestCase):
+    """Keys that had another name before."""
+
+    def test_the_error_names_the_new_key(self):
+        entry = documents.document(
+            'accra', ('a',), [documents.service('manuals', '127.30.0.2:1', 2)]
+        )
+        row = entry['services'][0]
+        row['tenants'] = row.pop('client_accounts')
+        with self.assertRaises(exceptions.DocumentRejectedError) as rejected:
+            document.parse(json.dumps(entry).encode())
+        self.assertEqual(
+            rejected.exception.faults,
+            (
+                exceptions.Fault(
+                    'services[0].tenants', 'was renamed to client_accounts'
+                ),
+            ),
+        )
+
+
 class CompareTest(unittest.TestCase):
     """Differences by name."""
 
@@ -162,7 +183,7 @@
             schema.FAILURE_DOMAIN,
             schema.SERVICE,
             schema.TRAFFIC_CLASS,
-            schema.TENANT,
+            schema.CLIENT_ACCOUNT,
             schema.LIMITS,
             schema.RAMP,
             schema.RULE,
--- a/tests/workload.py
+++ b/tests/workload.py
@@ -10,7 +10,7 @@
 from tests.standins import caller, caller_exchange
 from tests.standins import caller_errors as errors
 
-TENANT = {'x-tenant': 'guild'}
+CLIENT_ACCOUNT = {'x-client-account': 'guild'}
 PULL_BYTES = 250_000
 FEED_LINES = 2
 ANSWER_TIMEOUT_S = 15.0
@@ -41,7 +41,7 @@
 async def async_order(connection: caller.Connection, service: str) -> Outcome:
     """Send an order with a key of its own and check its receipt."""
     key = uuid.uuid4().hex
-    headers = {**TENANT, 'idempotency-key': key}
+    headers = {**CLIENT_ACCOUNT, 'idempotency-key': key}
     answer = await connection.async_request(
         'POST', '/orders', headers, b'{"item": "cups"}', ANSWER_TIMEOUT_S
     )
@@ -55,7 +55,7 @@
 async def async_small(connection: caller.Connection, service: str) -> Outcome:
     """Ask for a small answer and check that it is this request's own."""
     echo = uuid.uuid4().hex
-    headers = {**TENANT, 'x-echo': echo}
+    headers = {**CLIENT_ACCOUNT, 'x-echo': echo}
     answer = await connection.async_request(
         'GET', f'/stock/{echo}', headers, b'', ANSWER_TIMEOUT_S
     )
@@ -70,14 +70,14 @@
     """Pull a body; its checksum is checked by the caller."""
     name = uuid.uuid4().hex
     answer = await connection.async_pull(
-        name, PULL_BYTES, TENANT, ANSWER_TIMEOUT_S
+        name, PULL_BYTES, CLIENT_ACCOUNT, ANSWER_TIMEOUT_S
     )
     return _outcome(service, 'pull', answer, right=answer.status == 200)
 
 
 async def async_feed(connection: caller.Connection, service: str) -> Outcome:
     """Read the first lines of a feed, then leave it."""
-    exchange = connection.start('GET', '/feed', TENANT)
+    exchange = connection.start('GET', '/feed', CLIENT_ACCOUNT)
     status = await exchange.async_headers(ANSWER_TIMEOUT_S)
     lines: list[str] = []
     if status == 200:
