--- a/kumquatport/platform/__main__.py
+++ b/kumquatport/platform/__main__.py
@@ -2,6 +2,7 @@
 
 # Before all others, which take their time.
 from kumquatport.process.program import hangup  # noqa: F401, I001 - it acts when imported
+from kumquatport.process.program import omitted  # noqa: F401 - it acts when imported
 
 import argparse
 import asyncio
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -1,6 +1,6 @@
 """What a balancer and an agent have in common as processes."""
 
-import asyncio
+import gc
 import typing
 from collections import abc
 
@@ -9,6 +9,7 @@
 from kumquatport.process.packets import (
     beliefs,
     discovery,
+    loading,
     mesh,
     models,
     outside,
@@ -72,7 +73,8 @@
         Raises:
             StartError: The port of the metrics cannot be had.
         """
-        loaded = await asyncio.to_thread(self._load)
+        loaded = await loading.async_load(self._load)
+        _settle_memory()
         self._link.allow_fetches()
         await loaded.store.async_setup()
         self._outside = loaded
@@ -95,3 +97,13 @@
         )
         await self.add_runtime_dependency(found)
         return found
+
+
+def _settle_memory() -> None:
+    """Leave what was loaded out of later garbage collections.
+
+    Modules live as long as the process, and going through them each time
+    takes longer than all that a running process leaves behind.
+    """
+    gc.freeze()
+    gc.enable()
--- /dev/null
+++ b/tests/unit/process/packets/test_loading.py
@@ -0,0 +1,69 @@
+"""Packets that arrive while a process loads its libraries."""
+
+import asyncio
+import importlib
+import importlib.abc
+import importlib.util
+import sys
+import time
+import unittest
+
+from kumquatport.process.packets import loading
+
+MODULES = 40
+MODULE_S = 0.003
+TICK_S = 0.0005
+
+
+class _Slow(importlib.abc.MetaPathFinder, importlib.abc.Loader):
+    """Modules that only take processor time, without a pause."""
+
+    def find_spec(self, name, _path, _target=None):
+        if not name.startswith('slow_'):
+            return None
+        return importlib.util.spec_from_loader(name, self)
+
+    def exec_module(self, _module):
+        until = time.perf_counter() + MODULE_S
+        while time.perf_counter() < until:
+            pass
+
+
+def _load():
+    for number in range(MODULES):
+        importlib.import_module(f'slow_{number}')
+    return 'loaded'
+
+
+class LoadingTest(unittest.IsolatedAsyncioTestCase):
+    """A loop whose thread is given the interpreter only when it is free."""
+
+    def setUp(self):
+        self.addCleanup(sys.setswitchinterval, sys.getswitchinterval())
+        sys.setswitchinterval(10)
+        finder = _Slow()
+        sys.meta_path.insert(0, finder)
+        self.addCleanup(sys.meta_path.remove, finder)
+        self.addCleanup(self._forget)
+
+    def _forget(self):
+        for number in range(MODULES):
+            sys.modules.pop(f'slow_{number}', None)
+
+    async def test_the_loop_goes_on_while_modules_load(self):
+        ticks = 0
+        loaded = asyncio.ensure_future(loading.async_load(_load))
+        while not loaded.done():
+            await asyncio.sleep(TICK_S)
+            ticks += 1
+        self.assertEqual(loaded.result(), 'loaded')
+        self.assertGreater(ticks, MODULES / 4)
+
+    async def test_a_failure_leaves_nothing_behind(self):
+        def fail():
+            raise ImportError('x')
+
+        before = list(sys.meta_path)
+        with self.assertRaises(ImportError):
+            await loading.async_load(fail)
+        self.assertEqual(sys.meta_path, before)
