What follows the members is kept up to date, not built anew

Cause: each change of a record changes the digest of its service or of the balancers, and after it a balancer placed all agents of the service on the ring again (1,744 hashes for 109 agents), each node chose the registrars of all 256 groups again among all balancers (15,100 hashes for 59), and each answer in a search sorted and listed all agents.

Change: the ring and the registrars take away who is gone and place who is new; the registry keeps its sorted lists, the finder the holders of a service, until a record changes. A release of 30 agents with two changes each costs 30 times 16 hashes; a rolling stop of 60 balancers costs each group less than three names a change, 60 before.

The test that compared two rings by identity after a change now compares the walk of each: the ring is the same object now, and what it yields is what counts.

--- a/kumquatport/connection/packets/registrars.py
+++ b/kumquatport/connection/packets/registrars.py
@@ -17,7 +17,7 @@
 REGISTRARS: typing.Final = 2
 
 # Groups of flows that share their registrars; the work after a change of the
-# balancers is bounded by groups times balancers.
+# balancers is bounded by the groups, however many balancers there are.
 GROUPS: typing.Final = 256
 
 
@@ -26,22 +26,50 @@
 
     def __init__(self) -> None:
         """Start without balancers."""
-        self._names: tuple[str, ...] = ()
+        self._names: frozenset[str] = frozenset()
+        self._digest = 0
         self._chosen: dict[int, tuple[str, ...]] = {}
 
+    def follow(
+        self, digest: int, names: abc.Callable[[], abc.Iterable[str]]
+    ) -> None:
+        """Take the balancers that are there, if they have changed.
+
+        Args:
+            digest: Changes whenever they do.
+            names: Returns their names.
+        """
+        if digest != self._digest:
+            self._digest = digest
+            self.update(names())
+
     def update(self, names: abc.Iterable[str]) -> None:
         """Take the names of the balancers that are there."""
-        sorted_names = tuple(sorted(names))
-        if sorted_names != self._names:
-            self._names = sorted_names
-            self._chosen.clear()
+        found = frozenset(names)
+        gone = self._names - found
+        joined = found - self._names
+        self._names = found
+        if gone:
+            self._chosen = {
+                group: chosen
+                for group, chosen in self._chosen.items()
+                if gone.isdisjoint(chosen)
+            }
+        if joined:
+            self._chosen = {
+                group: _first(group, joined.union(chosen))
+                for group, chosen in self._chosen.items()
+            }
 
     def of(self, flow: bytes) -> tuple[str, ...]:
         """Return the registrars of a flow, at most ``REGISTRARS``."""
         group = xxhash.xxh64_intdigest(flow) % GROUPS
         chosen = self._chosen.get(group)
         if chosen is None:
-            ranked = order.ranked(str(group), self._names)
-            chosen = tuple(ranked[:REGISTRARS])
+            chosen = _first(group, self._names)
             self._chosen[group] = chosen
         return chosen
+
+
+def _first(group: int, names: abc.Iterable[str]) -> tuple[str, ...]:
+    return tuple(order.ranked(str(group), names)[:REGISTRARS])
--- a/kumquatport/connection/packets/ring.py
+++ b/kumquatport/connection/packets/ring.py
@@ -17,35 +17,55 @@
 POINTS: typing.Final = 16
 
 
+_Point = tuple[int, str]
+
+
 class Ring:
     """Agents on a ring of hashes."""
 
-    def __init__(self, names: abc.Iterable[str]) -> None:
+    def __init__(self, names: abc.Iterable[str] = ()) -> None:
         """Place the agents.
 
         Args:
             names: Of the agents.
         """
-        self._points = sorted(
-            (xxhash.xxh64_intdigest(f'{point}/{name}'.encode()), name)
-            for name in names
-            for point in range(POINTS)
-        )
+        self._names: frozenset[str] = frozenset()
+        self._points: list[_Point] = []
+        self.update(names)
+
+    def update(self, names: abc.Iterable[str]) -> None:
+        """Place the agents that are new and take away those that are gone.
+
+        Args:
+            names: Of all agents.
+        """
+        found = frozenset(names)
+        gone = self._names - found
+        joined = found - self._names
+        self._names = found
+        if gone:
+            self._points = [
+                point for point in self._points if point[1] not in gone
+            ]
+        if joined:
+            self._points.extend(_points(joined))
+            self._points.sort()
 
     def walk(self, flow: bytes) -> abc.Iterator[str]:
         """Yield each agent once, in the order that the flow decides."""
-        count = len(self._points)
-        start = bisect.bisect(self._points, (xxhash.xxh64_intdigest(flow), ''))
+        points = self._points
+        count = len(points)
+        start = bisect.bisect(points, (xxhash.xxh64_intdigest(flow), ''))
         seen = set()
         for step in range(count):
-            _, name = self._points[(start + step) % count]
+            _, name = points[(start + step) % count]
             if name not in seen:
                 seen.add(name)
                 yield name
 
 
 class Rings:
-    """The rings of all services, built anew when their agents change."""
+    """The rings of all services, which follow their agents."""
 
     def __init__(self) -> None:
         """Start without rings."""
@@ -65,7 +85,15 @@
             names: Returns the names of its agents.
         """
         held = self._rings.get(service)
-        if held is None or held[0] != digest:
-            held = (digest, Ring(names()))
-            self._rings[service] = held
-        return held[1]
+        if held is not None and held[0] == digest:
+            return held[1]
+        found = held[1] if held else Ring()
+        found.update(names())
+        self._rings[service] = (digest, found)
+        return found
+
+
+def _points(names: abc.Iterable[str]) -> abc.Iterator[_Point]:
+    for name in names:
+        for point in range(POINTS):
+            yield xxhash.xxh64_intdigest(f'{point}/{name}'.encode()), name
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -398,8 +398,8 @@
             is_last: Whether this process is about to stop, so that flows
                 that have just opened are told too.
         """
-        self._registrars.update(
-            record.instance for record in self._mesh.registry.balancers()
+        self._registrars.follow(
+            self._mesh.balancers_digest, self._mesh.balancer_names
         )
         now = clock.now()
         news = self._registration.news(
--- a/kumquatport/process/packets/finder.py
+++ b/kumquatport/process/packets/finder.py
@@ -41,6 +41,20 @@
     drop: abc.Callable[[bytes], None]
 
 
+class _Holders(typing.NamedTuple):
+    """The agents of a service that may hold flows.
+
+    Attributes:
+        digest: Of the agents of the service when these were chosen.
+        records: Of those that may.
+        names: Of the same.
+    """
+
+    digest: int
+    records: tuple[members.InstanceRecord, ...]
+    names: frozenset[str]
+
+
 class Sought(typing.NamedTuple):
     """A packet whose flow's agent this balancer does not know.
 
@@ -85,6 +99,7 @@
         self._log = log
         self._outlets = outlets
         self._rings = ring.Rings()
+        self._holders: dict[str, _Holders] = {}
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
@@ -106,12 +121,10 @@
         One that is vacant has no backend server beside it. Its record says so,
         so this spreads like the records, over all balancers.
         """
-        registry = self._mesh.registry
         return [
             record
             for share in route.shares
-            for record in registry.agents(share.service)
-            if record.state != members_const.STATE_VACANT
+            for record in self._holders_of(share.service).records
         ]
 
     def look_up(self, sought: Sought) -> None:
@@ -179,8 +192,30 @@
         flow = sought.packet.flow
         return self.order(service_of(sought.route, flow), flow)
 
-    def _names(self, route: routes.Route) -> set[str]:
-        return {record.instance for record in self.holders(route)}
+    def _names(self, route: routes.Route) -> frozenset[str]:
+        first, *others = [
+            self._holders_of(share.service).names for share in route.shares
+        ]
+        return first.union(*others) if others else first
+
+    def _holders_of(self, service: str) -> _Holders:
+        """Return the holders of a service, chosen again after a change.
+
+        Each answer in a search asks for them, and each change of a record
+        changes the digest.
+        """
+        digest = self._mesh.registry.service_digest(service)
+        found = self._holders.get(service)
+        if found is None or found.digest != digest:
+            chosen = tuple(
+                record
+                for record in self._mesh.registry.agents(service)
+                if record.state != members_const.STATE_VACANT
+            )
+            names = frozenset(record.instance for record in chosen)
+            found = _Holders(digest, chosen, names)
+            self._holders[service] = found
+        return found
 
     def _ask_agents(self, sought: Sought) -> None:
         """Ask the agents that may hold a flow by sending them its packet."""
@@ -211,7 +246,7 @@
         peer = self._mesh.peer(instance)
         return bool(peer and peer.load and peer.load.is_sure)
 
-    def _tests_left(self, search: searches.Search, names: set[str]) -> int:
+    def _tests_left(self, search: searches.Search, names: abc.Set[str]) -> int:
         """Return how many backend servers may be tested for a flow now.
 
         While its holder may be one that cannot be reached, packets that only
--- a/kumquatport/process/packets/loading.py
+++ b/kumquatport/process/packets/loading.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import importlib.abc
 import sys
 import threading
 import time
@@ -24,8 +23,8 @@
 LoadedT = typing.TypeVar('LoadedT')
 
 
-class _Turns(importlib.abc.MetaPathFinder):
-    """Pauses the thread that loads; finds nothing itself."""
+class _Turns:
+    """Finder of modules that pauses the thread that loads; it finds none."""
 
     def __init__(self) -> None:
         """Begin a turn of this thread."""
@@ -54,7 +53,7 @@
 
 
 def _by_turns(load: abc.Callable[[], LoadedT]) -> LoadedT:
-    turns = _Turns()
+    turns: typing.Any = _Turns()
     sys.meta_path.insert(0, turns)
     try:
         return load()
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -170,6 +170,13 @@
             names.append(self._settings.instance)
         return sorted(set(names))
 
+    def balancer_names(self) -> set[str]:
+        """Return the balancers that are known, this process too if one."""
+        names = {record.instance for record in self.registry.balancers()}
+        if self._is_balancer:
+            names.add(self._settings.instance)
+        return names
+
     def members_read(self, names: abc.Iterable[str]) -> None:
         """Note that all members that the store holds have been learnt.
 
@@ -228,11 +235,10 @@
             for record in self._others()
             if record.kind == members.KIND_AGENT
         ]
-        balancers = {one.instance for one in self.registry.balancers()}
         chosen = relay.receivers(
             own,
             self._beliefs.root,
-            sorted(balancers | {own}),
+            sorted(self.balancer_names()),
             sorted(agents),
         )
         change = messages.encode(
--- a/kumquatport/process/packets/registrar.py
+++ b/kumquatport/process/packets/registrar.py
@@ -29,7 +29,6 @@
         self._mesh = peers
         self._directory = directory.Directory()
         self._registrars = registrars.Registrars()
-        self._balancers_digest = 0
 
     def __len__(self) -> int:
         """Return how many flows are registered here."""
@@ -47,7 +46,9 @@
 
         One that leaves comes last: it may end before it answers.
         """
-        self._follow_balancers()
+        self._registrars.follow(
+            self._mesh.balancers_digest, self._mesh.balancer_names
+        )
         heard = [
             name
             for name in self._registrars.of(flow)
@@ -59,13 +60,6 @@
         record = self._mesh.registry.get(registrar)
         return record is None or record.state != members_const.STATE_READY
 
-    def _follow_balancers(self) -> None:
-        digest = self._mesh.balancers_digest
-        if digest != self._balancers_digest:
-            self._balancers_digest = digest
-            names = {one.instance for one in self._mesh.registry.balancers()}
-            self._registrars.update(names | {self._own})
-
     def ask(self, registrar: str, packet: packets.Packet) -> None:
         """Ask a registrar where a packet is to be sent."""
         record = self._mesh.registry.get(registrar)
--- a/kumquatport/version/members/registry.py
+++ b/kumquatport/version/members/registry.py
@@ -19,6 +19,11 @@
 Defender = abc.Callable[[records.InstanceRecord], bool]
 
 
+# Group of the balancers among the services of agents, none of which has an
+# empty name.
+_BALANCERS: typing.Final = ''
+
+
 class _Entry(typing.NamedTuple):
     record: records.InstanceRecord
     fingerprint: int
@@ -43,6 +48,7 @@
         self._services: dict[str, set[str]] = {}
         self._service_digests: dict[str, int] = {}
         self._balancers: set[str] = set()
+        self._in_order: dict[str, tuple[records.InstanceRecord, ...]] = {}
         self._tombstones: set[str] = set()
         self._buckets: list[dict[str, None]] = [
             {} for _ in range(const.DIGEST_BUCKETS)
@@ -73,7 +79,7 @@
 
     def agents(self, service: str) -> tuple[records.InstanceRecord, ...]:
         """Return the agents of a service that have not departed, by name."""
-        return self._sorted(self._services.get(service, ()))
+        return self._ordered(service, self._services.get(service, ()))
 
     def agent_count(self, service: str) -> int:
         """Return how many agents of a service have not departed."""
@@ -81,7 +87,7 @@
 
     def balancers(self) -> tuple[records.InstanceRecord, ...]:
         """Return the balancers that have not departed, by name."""
-        return self._sorted(self._balancers)
+        return self._ordered(_BALANCERS, self._balancers)
 
     def services(self) -> tuple[str, ...]:
         """Return the services that have an agent."""
@@ -204,6 +210,21 @@
     ) -> tuple[records.InstanceRecord, ...]:
         return tuple(self._entries[name].record for name in sorted(instances))
 
+    def _ordered(
+        self,
+        group: str,
+        instances: abc.Iterable[str],
+    ) -> tuple[records.InstanceRecord, ...]:
+        """Return the records of a service or of the balancers, by name.
+
+        They are read far more often than they change.
+        """
+        found = self._in_order.get(group)
+        if found is None:
+            found = self._sorted(instances)
+            self._in_order[group] = found
+        return found
+
     def _replace(
         self,
         held: _Entry | None,
@@ -224,6 +245,7 @@
             self._tombstones.add(record.instance)
             return
         self._toggle_digests(entry)
+        self._in_order.pop(_group(record), None)
         if record.kind == const.KIND_BALANCER:
             self._balancers.add(record.instance)
         else:
@@ -238,6 +260,7 @@
             self._tombstones.discard(record.instance)
             return
         self._toggle_digests(entry)
+        self._in_order.pop(_group(record), None)
         self._balancers.discard(record.instance)
         names = self._services.get(record.service, set())
         names.discard(record.instance)
@@ -260,6 +283,11 @@
     return xxhash.xxh64_intdigest(instance.encode()) % const.DIGEST_BUCKETS
 
 
+def _group(record: records.InstanceRecord) -> str:
+    is_balancer = record.kind == const.KIND_BALANCER
+    return _BALANCERS if is_balancer else record.service
+
+
 def _outranks(
     record: records.InstanceRecord,
     held: records.InstanceRecord,
--- a/tests/unit/connection/packets/test_search.py
+++ b/tests/unit/connection/packets/test_search.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from kumquatport.connection.packets import placement, ring, search
 
@@ -44,7 +45,36 @@
         rings = ring.Rings()
         first = rings.of('store', 1, lambda: NAMES)
         self.assertIs(rings.of('store', 1, lambda: ()), first)
-        self.assertIsNot(rings.of('store', 2, lambda: ()), first)
+        self.assertEqual(sorted(first.walk(b'flow')), NAMES)
+        self.assertEqual(
+            list(rings.of('store', 2, lambda: ()).walk(b'flow')), []
+        )
+
+    def test_a_ring_that_follows_is_the_one_built_at_once(self):
+        rng = random.Random(5)
+        followed = ring.Ring()
+        for _ in range(60):
+            names = rng.sample(NAMES, rng.randint(0, len(NAMES)))
+            followed.update(names)
+            built = ring.Ring(names)
+            for flow in self.flows[:20]:
+                self.assertEqual(
+                    list(followed.walk(flow)), list(built.walk(flow))
+                )
+
+    def test_a_release_places_only_the_agents_that_are_new(self):
+        """One after the other changes its state, goes and comes anew."""
+        rings = ring.Rings()
+        names = list(NAMES)
+        rings.of('store', 0, lambda: names)
+        with mock.patch.object(
+            ring.xxhash, 'xxh64_intdigest', wraps=ring.xxhash.xxh64_intdigest
+        ) as hashed:
+            for step in range(30):
+                rings.of('store', 2 * step + 1, lambda: names)
+                names[step] = f'new-{step}'
+                rings.of('store', 2 * step + 2, lambda: names)
+        self.assertEqual(hashed.call_count, 30 * ring.POINTS)
 
 
 class SearchTest(unittest.TestCase):
--- a/tests/unit/process/packets/test_directory.py
+++ b/tests/unit/process/packets/test_directory.py
@@ -1,6 +1,7 @@
 """Registrars of flows: who they are, what they are told, who asks them."""
 
 import collections
+import random
 import unittest
 from unittest import mock
 
@@ -17,6 +18,7 @@
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
+from kumquatport.version.spread import order
 from tests.builders import balancers
 from tests.builders import packets as builders
 
@@ -58,6 +60,44 @@
         self.assertTrue(all('front-x' in new for _, new in changed))
         self.assertLess(len(changed), 0.2 * len(self.flows))
 
+    def test_following_changes_gives_what_choosing_at_once_gives(self):
+        rng = random.Random(6)
+        names = [f'front-{number}' for number in range(30)]
+        followed = registrars.Registrars()
+        for _ in range(80):
+            present = rng.sample(names, rng.randint(0, len(names)))
+            followed.update(present)
+            self.assertEqual(
+                [followed.of(flow) for flow in self.flows[:200]],
+                self.chosen(present)[:200],
+            )
+
+    def test_a_rolling_stop_costs_each_group_a_few_names(self):
+        """Many balancers go and come back, one after the other."""
+        names = [f'front-{number}' for number in range(60)]
+        found = registrars.Registrars()
+        found.update(names)
+        for flow in self.flows:
+            found.of(flow)
+        considered = 0
+        real = order.ranked
+
+        def ranked(key, chosen):
+            nonlocal considered
+            listed = list(chosen)
+            considered += len(listed)
+            return real(key, listed)
+
+        changes = 2 * len(names)
+        with mock.patch.object(registrars.order, 'ranked', ranked):
+            for name in names:
+                found.update([one for one in names if one != name])
+                for flow in self.flows:
+                    found.of(flow)
+                found.update(names)
+        bound = (registrars.REGISTRARS + 1) * registrars.GROUPS * changes
+        self.assertLess(considered, bound)
+
     def test_one_balancer_and_none(self):
         self.assertEqual(set(self.chosen(['front-1'])), {('front-1',)})
         self.assertEqual(set(self.chosen([])), {()})
--- a/tests/unit/version/members/test_registry.py
+++ b/tests/unit/version/members/test_registry.py
@@ -40,6 +40,21 @@
         self.assertFalse(self.registry.merge(first))
         self.assertEqual(self.registry.get(first.instance), second)
 
+    @hypothesis.given(_histories(), strategies.integers(0, 12))
+    def test_agents_are_those_present_after_each_change(self, history, drop):
+        registry = members.Registry(clock=lambda: self.now)
+        for step, record in enumerate(history):
+            registry.merge(record)
+            if step == drop:
+                registry.forget(record.instance)
+            present = [
+                one
+                for one in sorted(registry.all_records())
+                if not members.is_departed(one)
+                and one.service == record.service
+            ]
+            self.assertEqual(registry.agents(record.service), tuple(present))
+
     def test_lapse_outranks_its_record_and_is_refuted_by_the_next(self):
         record = builders.agent(sequence=4)
         lapse = record._replace(state=const.STATE_LAPSED)
