Heartbeats to far balancers grow rarer with their number; lines about peers are bounded

Each balancer also wrote a line or more for each instance when all started: 36,956 lines of 59 balancers before traffic began.

Loads come with offers and changes at once, as before. Sites of up to 24 balancers see no difference. Lines about peers are bounded at 60 at once and 20 a second, and those left out are counted.

--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -10,6 +10,17 @@
 # domains, and the little that depends on them.
 FAR_EVERY: typing.Final = 3
 
+# Lines a second about peers, and at once after a quiet time. Each of many
+# balancers hears of each of many instances when all start.
+PEER_LINES_PER_S: typing.Final = 20.0
+PEER_BURST_LINES: typing.Final = 60.0
+
+# Balancers that an agent tells in one round, about; with more of them those of
+# other failure domains hear it more rarely. They learn its load by offers and
+# its changes at once, and heartbeats were half of the bytes between failure
+# domains with sixty balancers.
+FAR_PEERS_PER_ROUND: typing.Final = 8
+
 # Heartbeats that may be missing before a peer is suspect.
 SUSPECT_AFTER: typing.Final = 3.4
 
--- a/kumquatport/process/packets/decisions.py
+++ b/kumquatport/process/packets/decisions.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from kumquatport.helpers import clock
+from kumquatport.process.logs import bounded
 
 # Lines a second that one process writes about flows, and how many it may
 # write at once after a quiet time.
@@ -27,9 +27,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._logger = logger
         self._describe = describe
-        self._lines = BURST_LINES
-        self._filled_at = clock.now()
-        self._left_out = 0
+        self._lines = bounded.Bounded(logger, LINES_PER_S, BURST_LINES)
 
     def note(self, event: str, flow: bytes, **inputs: typing.Any) -> None:
         """Count a decision and write its line, if the rate allows.
@@ -40,18 +38,9 @@
             **inputs: What decided it.
         """
         self.counts[event] += 1
-        now = clock.now()
-        grown = (now - self._filled_at) * LINES_PER_S
-        self._lines = min(self._lines + grown, BURST_LINES)
-        self._filled_at = now
-        if self._lines < 1:
-            self._left_out += 1
-            return
-        self._lines -= 1
-        self._logger.info(event, flow=self._describe(flow), **inputs)
+        if self._lines.admits():
+            self._logger.info(event, flow=self._describe(flow), **inputs)
 
     def flush(self) -> None:
         """Say how many lines were left out since the last time."""
-        if self._left_out:
-            self._logger.warning('lines left out', count=self._left_out)
-            self._left_out = 0
+        self._lines.flush()
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -6,6 +6,7 @@
 import structlog
 
 from kumquatport.helpers import clock
+from kumquatport.process.logs import bounded
 from kumquatport.process.packets import const, messages, peers
 from kumquatport.version import members
 
@@ -13,7 +14,11 @@
 
 
 class Liveness:
-    """What was heard from each peer, and since when nothing was."""
+    """What was heard from each peer, and since when nothing was.
+
+    Attributes:
+        lines: Log lines about peers.
+    """
 
     def __init__(
         self,
@@ -33,6 +38,9 @@
         self._failure_domain = failure_domain
         self._is_balancer = is_balancer
         self._peers: dict[str, peers.Peer] = {}
+        self.lines = bounded.Bounded(
+            _LOGGER, const.PEER_LINES_PER_S, const.PEER_BURST_LINES
+        )
 
     @property
     def tick_s(self) -> float:
@@ -57,8 +65,23 @@
         Args:
             failure_domain: Of the peer.
         """
-        is_near = failure_domain == self._failure_domain
-        return 1 if is_near and not self._is_balancer else const.FAR_EVERY
+        if self._is_balancer:
+            return const.FAR_EVERY
+        if failure_domain == self._failure_domain:
+            return 1
+        return peers.far_every(len(self._registry.balancers()))
+
+    def told_tick_s(self, failure_domain: str) -> float:
+        """Return the seconds that a peer is told for a round.
+
+        It expects each ``const.FAR_EVERY`` th round to reach it from another
+        failure domain.
+
+        Args:
+            failure_domain: Of the peer.
+        """
+        rounds = max(self.every(failure_domain) / const.FAR_EVERY, 1)
+        return self.tick_s * rounds
 
     def is_suspect(self, instance: str) -> bool:
         """Tell whether an instance has gone silent."""
@@ -96,7 +119,7 @@
         peer.asked_at = math.inf
         if peer.is_suspect:
             peer.is_suspect = False
-            _LOGGER.info(
+            self.lines.info(
                 'instance heard',
                 peer=record.instance,
                 incarnation=record.incarnation,
@@ -113,18 +136,19 @@
     def sweep(self) -> abc.Iterator[str]:
         """Log who has gone silent; yield those that are to be forgotten."""
         now = clock.now()
+        self.lines.flush()
         for instance, peer in tuple(self._peers.items()):
             silent_s = now - peer.heard_at
             is_silent = silent_s > self._suspect_s(instance, peer)
             if is_silent and not peer.is_suspect:
                 peer.is_suspect = True
-                _LOGGER.warning(
+                self.lines.warning(
                     'instance silent',
                     peer=instance,
                     silent_s=round(silent_s, 3),
                 )
             if silent_s > const.FORGET_S:
-                _LOGGER.warning(
+                self.lines.warning(
                     'instance forgotten',
                     peer=instance,
                     silent_s=round(silent_s, 1),
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -156,7 +156,10 @@
 
     def tell_load(self, address: str) -> None:
         """Send the balancer at an address a short heartbeat."""
-        beat = self._short(members.KIND_BALANCER)
+        record = self.registry.get(self.instance_at(address))
+        domain = record.failure_domain if record else ''
+        tick_s = self._liveness.told_tick_s(domain)
+        beat = self._short(members.KIND_BALANCER, tick_s)
         self.send(messages.encode_beat(beat), address)
 
     def live_balancers(self) -> list[str]:
@@ -270,16 +273,17 @@
         for instance in self._liveness.sweep():
             self._forget(instance)
         self._members.expire()
-        beats = {
-            kind: messages.encode_beat(self._short(kind))
-            for kind in (members.KIND_AGENT, members.KIND_BALANCER)
-        }
+        beats: dict[tuple[str, float], bytes] = {}
         greeting = b''
         for place, record in enumerate(self._others()):
             if (tick + place) % self._liveness.every(record.failure_domain):
                 continue
             if not self.is_suspect(record.instance):
-                self.send(beats[record.kind], record.address)
+                tick_s = self._liveness.told_tick_s(record.failure_domain)
+                key = (record.kind, tick_s)
+                if key not in beats:
+                    beats[key] = messages.encode_beat(self._short(*key))
+                self.send(beats[key], record.address)
                 continue
             greeting = greeting or messages.encode(
                 self._heartbeat(wants_answer=True)
@@ -297,8 +301,13 @@
         for service in self.registry.services():
             yield from self.registry.agents(service)
 
-    def _short(self, kind: str) -> messages.Beat:
-        """Return the short heartbeat for peers of a kind."""
+    def _short(self, kind: str, tick_s: float) -> messages.Beat:
+        """Return the short heartbeat for peers.
+
+        Args:
+            kind: Of the peers.
+            tick_s: Seconds between two rounds that they are told.
+        """
         own = self.own.present
         return messages.Beat(
             incarnation=own.incarnation,
@@ -307,7 +316,7 @@
             routes_version=self._beliefs.routes_version,
             domains_changed=self._beliefs.domains_changed,
             age_s=self._beliefs.told_age_s,
-            tick_s=self.tick_s,
+            tick_s=tick_s,
             load=self.load(),
         )
 
@@ -450,7 +459,7 @@
             self._leave_address(record)
             return
         if previous is None or previous.state != record.state:
-            _LOGGER.info(
+            self._liveness.lines.info(
                 'instance changed',
                 peer=record.instance,
                 state=record.state,
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -83,3 +83,12 @@
         const.HEARTBEAT_S,
         far * const.HEARTBEAT_BYTES / const.HEARTBEAT_BYTES_PER_S,
     )
+
+
+def far_every(balancers: int) -> int:
+    """Return of how many rounds one of an agent's reaches far balancers.
+
+    Args:
+        balancers: How many it knows.
+    """
+    return max(const.FAR_EVERY, balancers // const.FAR_PEERS_PER_ROUND)
