An agent that leaves gives up a silent store within its grace

An agent that stops waits up to 1.5 s for its requests, then deletes its record; a store that does not answer takes the timeout of each call, and the lock behind a withdrawal that is under way as well, with no bound over all.

The test fails on the commit before (3 s of grace, a store that never answers).

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import backoff, clock
@@ -18,6 +20,8 @@
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
 
+_LOGGER = structlog.get_logger(__name__)
+
 
 class Agent(node.Node):
     """Carries the packets of one backend server."""
@@ -91,9 +95,11 @@
     async def async_drain(self) -> None:
         """Leave at a moment without requests in progress, soon.
 
-        The registrars are told which flows are open here, so that they are
+        A store that does not answer is given up in time to end before the
+        platform ends the process by force. The registrars are told which flows are open here, so that they are
         found again when this agent is back.
         """
+        ends_at = clock.now() + self._settings.bounds.grace_s - const.EXIT_S
         self._carrier.is_leaving = True
         self._note_presence()
         self._carrier.register(is_last=True)
@@ -108,8 +114,17 @@
         if is_gone:
             self._carrier.has_left = True
             self._note_presence()
-            if self._discovery is not None:
+            await self._async_withdraw_until(ends_at)
+
+    async def _async_withdraw_until(self, ends_at: float) -> None:
+        """Delete this instance's record, or leave it to the others."""
+        if self._discovery is None:
+            return
+        try:
+            async with asyncio.timeout(ends_at - clock.now()):
                 await self._discovery.async_withdraw()
+        except TimeoutError as error:
+            _LOGGER.warning('record left in the store', error=error)
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Take over settings that changed while running."""
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -106,6 +106,10 @@
 AGENT_LEAVE_MIN_S: typing.Final = 0.15
 AGENT_LEAVE_POLL_S: typing.Final = 0.01
 
+# Seconds of the platform's grace that are left for closing sockets and ending,
+# once an agent has done what it does before it stops.
+EXIT_S: typing.Final = 1.0
+
 # Seconds between two rounds of telling registrars about flows; a flow that
 # moves before it is told costs a message to each agent of its service.
 REGISTER_S: typing.Final = 0.25
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -11,11 +11,20 @@
 ADDRESS = '127.0.66.3'
 KEY = f'{const.KIND_INSTANCES}/b-side-1'
 TIMEOUT_S = 5.0
+GRACE_S = 3.0
 POLL_S = 0.01
 
 
 class Store(memberships.MemoryPlatform):
-    """A store without connections."""
+    """A store without connections, which may not answer either."""
+
+    is_silent = False
+
+    async def async_get(self, key):
+        """Read, or wait for ever."""
+        if self.is_silent:
+            await asyncio.Event().wait()
+        return await super().async_get(key)
 
     async def async_setup(self):
         """Open nothing."""
@@ -37,6 +46,8 @@
             backend_server=models.Endpoint(ADDRESS, 7424),
             is_first_start=True,
         )
+        bounds = settings.bounds._replace(grace_s=GRACE_S)
+        settings = settings._replace(bounds=bounds)
         self.agent = agent.Agent(settings, builders.CODEC, self._load)
         await self.agent.start()
         self.addAsyncCleanup(self.agent.stop)
@@ -91,6 +102,14 @@
         await self.agent.async_drain()
         self.assertNotIn(KEY, self.store.objects)
 
+    async def test_a_silent_store_does_not_outlast_the_grace(self):
+        self.report(builders.report())
+        self.store.is_silent = True
+        self.leave('i-1')
+        async with asyncio.timeout(GRACE_S):
+            await self.agent.async_drain()
+        self.assertIn(KEY, self.store.objects)
+
 
 if __name__ == '__main__':
     unittest.main()
