A process that stood still opens no flow until a balancer tells what is in force

Cause: an agent whose machine was frozen or suspended for seconds delivered the opening packets that waited in its sockets, on routes, failure domains and a drain it believed before: a permission that had run out meanwhile.

Change: a loop notices turns that are more than 1 s apart, asks all balancers, and opens nothing until one that went on itself has answered this very question and no newer routes are to be fetched; after 2 s it goes on, since nobody else can be reached then. A numbered question and its answer are new kinds of messages after the known ones.

--- a/kumquatport/connection/packets/admission.py
+++ b/kumquatport/connection/packets/admission.py
@@ -34,6 +34,7 @@
         is_warm: Whether the backend server has said that it bears full load.
         busy: Requests in progress at the backend server.
         slots: Requests that it works on at a time.
+        is_doubtful: Whether the agent stood still and has not caught up.
     """
 
     is_draining: bool
@@ -45,17 +46,16 @@
     is_warm: bool
     busy: int
     slots: int
+    is_doubtful: bool = False
 
 
 def refusal(situation: Situation) -> int:
     """Return the reason why a new flow is turned away, 0 for none."""
-    is_closed = (
-        situation.is_draining
-        or situation.is_out
-        or situation.is_leaving
-        or not situation.is_answering
+    is_agent_closed = (
+        situation.is_out or situation.is_leaving or situation.is_doubtful
     )
-    if is_closed:
+    is_server_closed = situation.is_draining or not situation.is_answering
+    if is_agent_closed or is_server_closed:
         return frame.REASON_CLOSED
     if not situation.is_route_allowed and not situation.is_sender_newer:
         return frame.REASON_ROUTE
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -284,6 +284,7 @@
                 is_warm=self.backend_server.is_warm,
                 busy=self._flows.busy,
                 slots=self.backend_server.slots,
+                is_doubtful=self._mesh.catching_up.is_doubtful(),
             )
         )
         if reason:
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -10,6 +10,9 @@
 # domains, and the little that depends on them.
 FAR_EVERY: typing.Final = 3
 
+# Seconds between two turns by which a process notices that it stood still.
+TURN_S: typing.Final = 0.25
+
 # Lines a second about peers, and at once after a quiet time. Each of many
 # balancers hears of each of many instances when all start.
 PEER_LINES_PER_S: typing.Final = 20.0
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -8,6 +8,7 @@
 from kumquatport.connection.packets import frame
 from kumquatport.process.packets import (
     beliefs,
+    catching_up,
     comparison,
     liveness,
     membership,
@@ -28,6 +29,7 @@
     Attributes:
         registry: Records of the instances that this process keeps.
         own: This instance's record.
+        catching_up: Whether this process has stood still.
         on_frame: Called with each frame that carries a packet or names flows,
             and the address of its sender.
         on_return: Called with the record of a peer that is heard for the
@@ -80,6 +82,9 @@
             is_balancer=self._is_balancer,
         )
         self._comparison = comparison.Comparison(self._members, self.send)
+        self.catching_up = catching_up.CatchingUp(
+            settings.instance, self.registry, held, self.send
+        )
         self._by_address: dict[str, str] = {}
         self._outside: peers.Outside | None = None
         self._is_told_soon = False
@@ -270,6 +275,7 @@
         Args:
             tick: Counts the rounds.
         """
+        self.catching_up.is_doubtful()
         for instance in self._liveness.sweep():
             self._forget(instance)
         self._members.expire()
@@ -378,8 +384,12 @@
             self._on_heartbeat(message)
         elif isinstance(message, messages.Records):
             self._on_records(message)
-        else:
+        elif isinstance(message, messages.Digests):
             self._on_digests(message, sender[0])
+        elif isinstance(message, messages.Question):
+            self._on_question(message, sender[0])
+        else:
+            self._on_confirmation(message, sender[0])
 
     def _on_heartbeat(self, message: messages.Heartbeat) -> None:
         record = message.record
@@ -446,6 +456,23 @@
             return
         self._comparison.answer(message, asking)
 
+    def _on_question(self, message: messages.Question, sender: str) -> None:
+        if self._is_balancer:
+            peer = self._liveness.peer(self.instance_at(sender))
+            drains = peer is not None and peer.drains
+            self.catching_up.answer(message, sender, drains=drains)
+
+    def _on_confirmation(
+        self, message: messages.Confirmation, sender: str
+    ) -> None:
+        record = self.registry.get(self.instance_at(sender))
+        if record is None:
+            return
+        self._take_beliefs(message.beliefs, record)
+        if message.receiver_drains:
+            self.on_told_draining()
+        self.catching_up.take(message, record.instance)
+
     def _on_records(self, message: messages.Records) -> None:
         for record in message.records:
             self.learn(record)
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -89,6 +89,31 @@
     digests: tuple[int, ...]
 
 
+class Question(typing.NamedTuple):
+    """Asked by a process that has stood still: what is in force now.
+
+    Attributes:
+        token: Number of its pause.
+    """
+
+    token: int
+
+
+class Confirmation(typing.NamedTuple):
+    """The answer of a balancer that went on.
+
+    Attributes:
+        token: As asked.
+        beliefs: Of the balancer.
+        receiver_drains: Whether the receiver's backend server was draining
+            when the receiver last told of it.
+    """
+
+    token: int
+    beliefs: Beliefs
+    receiver_drains: bool
+
+
 class Beat(typing.NamedTuple):
     """A short heartbeat between two of those that carry everything.
 
@@ -125,9 +150,10 @@
 _MS_PER_S: typing.Final = 1000
 
 
-Message = Heartbeat | Records | Digests
+Message = Heartbeat | Records | Digests | Question | Confirmation
 
-_KINDS: typing.Final = (Heartbeat, Records, Digests)
+# In the order of their numbers on the wire; new kinds come last.
+_KINDS: typing.Final = (Heartbeat, Records, Digests, Question, Confirmation)
 
 
 def encode(message: Message) -> bytes:
--- a/kumquatport/process/packets/peer_link.py
+++ b/kumquatport/process/packets/peer_link.py
@@ -66,6 +66,7 @@
         )
         self._undo.append(server.close)
         self.add_future(self._async_beat())
+        self.add_future(self._async_turn())
 
     async def on_stop(self) -> None:
         """Close the sockets."""
@@ -81,6 +82,13 @@
         """
         self._may_fetch.set()
 
+    async def _async_turn(self) -> None:
+        """Notice pauses, and ask again until one is confirmed."""
+        while not self.should_stop:
+            if self._mesh.catching_up.is_doubtful():
+                self._mesh.catching_up.ask()
+            await asyncio.sleep(const.TURN_S)
+
     async def _async_beat(self) -> None:
         tick = 0
         while not self.should_stop:
