--- a/tests/unit/test_operations_page.py
+++ b/tests/unit/test_operations_page.py
@@ -8,6 +8,15 @@
 ROOT = pathlib.Path(__file__).parents[2]
 PAGE = ROOT / 'docs' / 'OPERATIONS.md'
 PARTS = ('kumquatport/process/packets', 'kumquatport/platform')
+LOGGERS = frozenset(
+    (
+        '_LOGGER',
+        'self._log',
+        'self._logger',
+        'self.lines',
+        'self._liveness.lines',
+    )
+)
 LEVELS = frozenset(('info', 'warning', 'error', 'note'))
 
 
@@ -26,7 +35,7 @@
 
 
 def _is_logger(value: ast.expr) -> bool:
-    return ast.unparse(value) in {'_LOGGER', 'self._log', 'self._logger'}
+    return ast.unparse(value) in LOGGERS
 
 
 def _texts(nodes: abc.Iterable[ast.expr]) -> abc.Iterator[str]:
