--- a/kumquatport/process/ctl/__main__.py
+++ b/kumquatport/process/ctl/__main__.py
@@ -15,6 +15,7 @@
     domain,
     explain,
     output,
+    recovery,
     settings,
     status,
     verbs,
@@ -42,6 +43,7 @@
     offline: dict[str, abc.Callable[[], output.Report]] = {
         'validate': lambda: verbs.validate(options.file),
         'explain': lambda: explain.explain(options.flow, options.logs),
+        'recovery': lambda: recovery.recovery(options.logs, options.since),
     }
     make = offline.get(options.verb)
     if make is not None:
--- a/kumquatport/process/ctl/arguments.py
+++ b/kumquatport/process/ctl/arguments.py
@@ -13,6 +13,7 @@
   kumquatportctl --platform URL show > document.json
   kumquatportctl --platform URL apply document.json
   kumquatportctl --platform URL domain out accra-a
+  kumquatportctl recovery --logs *.log
   kumquatportctl explain '100.64.0.7:40001>198.18.0.1:443' --logs *.log
 
 exit codes:
@@ -26,7 +27,7 @@
 
 
 # Verbs that work without the platform.
-_OFFLINE: typing.Final = frozenset(('validate', 'explain'))
+_OFFLINE: typing.Final = frozenset(('validate', 'explain', 'recovery'))
 
 
 def parse(argv: abc.Sequence[str] | None) -> argparse.Namespace:
@@ -111,7 +112,21 @@
     explain.add_argument(
         'flow', help='as logged, CLIENT:PORT>ADDRESS:PORT, or CLIENT:PORT'
     )
-    explain.add_argument(
+    _add_logs(explain)
+    recovery = verbs.add_parser(
+        'recovery', help='show how many processes came back, by stages'
+    )
+    recovery.add_argument(
+        '--since',
+        metavar='TIME',
+        default='',
+        help='ISO time to count from; else the first start',
+    )
+    _add_logs(recovery)
+
+
+def _add_logs(verb: argparse.ArgumentParser) -> None:
+    verb.add_argument(
         '--logs',
         metavar='FILE',
         nargs='+',
--- a/kumquatport/process/ctl/explain.py
+++ b/kumquatport/process/ctl/explain.py
@@ -2,15 +2,11 @@
 
 import bisect
 import collections
-import datetime
-import pathlib
 import typing
 from collections import abc
 
-import msgspec
-
 from kumquatport import exceptions
-from kumquatport.process.ctl import const, output
+from kumquatport.process.ctl import const, log_lines, output
 
 # Events that change what a process believes; the last of each before a decision
 # tells what it was taken on.
@@ -29,15 +25,6 @@
 _OF_PEERS: typing.Final = frozenset(
     ('instance silent', 'instance heard', 'instance changed')
 )
-_HIDDEN: typing.Final = frozenset(
-    ('event', 'flow', 'instance', 'failure_domain', 'level', 'timestamp')
-)
-
-
-class LogUnreadableError(exceptions.KumquatportError):
-    """A log file cannot be read."""
-
-    code = 'KQ-6011'
 
 
 class FlowNotLoggedError(exceptions.KumquatportError):
@@ -46,22 +33,6 @@
     code = 'KQ-6012'
 
 
-class Line(typing.NamedTuple):
-    """One line of a log.
-
-    Attributes:
-        at: Seconds since the epoch, by the clock of its machine.
-        instance: Who wrote it.
-        event: What it says.
-        inputs: Its other fields.
-    """
-
-    at: float
-    instance: str
-    event: str
-    inputs: dict[str, typing.Any]
-
-
 class Belief(typing.NamedTuple):
     """What a process believed when it decided.
 
@@ -79,7 +50,7 @@
 class Step(typing.NamedTuple):
     """A line about the flow or about an instance that it went to."""
 
-    line: Line
+    line: log_lines.Line
     beliefs: tuple[Belief, ...]
 
 
@@ -102,13 +73,7 @@
         LogUnreadableError: A file cannot be read.
         FlowNotLoggedError: No line is about the flow.
     """
-    lines: list[Line] = []
-    unreadable = 0
-    for file in files:
-        found, skipped = _read(file)
-        lines.extend(found)
-        unreadable += skipped
-    lines.sort(key=lambda line: line.at)
+    lines, unreadable = log_lines.read(files)
     about = [line for line in lines if _is_about(line, flow)]
     if not about:
         raise FlowNotLoggedError(f'{flow}: {len(lines)} lines, none about it')
@@ -124,51 +89,21 @@
     return output.Report(const.EXIT_DONE, tuple(texts), answer)
 
 
-def _read(file: str) -> tuple[list[Line], int]:
-    """Read a log; return its lines and how many could not be read."""
-    found = []
-    skipped = 0
-    try:
-        with pathlib.Path(file).open('rb') as stream:
-            for raw in stream:
-                line = _line(raw)
-                if line is not None:
-                    found.append(line)
-                elif raw.strip():
-                    skipped += 1
-    except OSError as error:
-        raise LogUnreadableError(f'{file}: {error.strerror}') from error
-    return found, skipped
-
-
-def _line(raw: bytes) -> Line | None:
-    """Read a line; what a log collector put before the object is left out."""
-    start = max(raw.find(b'{'), 0)
-    try:
-        row = msgspec.json.decode(raw[start:], type=dict[str, typing.Any])
-        stamp = str(row['timestamp'])
-        at = datetime.datetime.fromisoformat(stamp).timestamp()
-    except (msgspec.MsgspecError, LookupError, ValueError):
-        return None
-    inputs = {key: row[key] for key in row if key not in _HIDDEN}
-    flow = row.get('flow')
-    if flow is not None:
-        inputs['flow'] = flow
-    event = str(row.get('event', ''))
-    return Line(at, str(row.get('instance', '')), event, inputs)
-
-
-def _is_about(line: Line, flow: str) -> bool:
+def _is_about(line: log_lines.Line, flow: str) -> bool:
     logged = str(line.inputs.get('flow', ''))
     return bool(logged) and flow in {logged, logged.partition('>')[0]}
 
 
-def _steps(lines: abc.Sequence[Line], about: abc.Sequence[Line]) -> list[Step]:
+def _steps(
+    lines: abc.Sequence[log_lines.Line], about: abc.Sequence[log_lines.Line]
+) -> list[Step]:
     """Add what was believed, and what became of the instances concerned."""
     agents = {str(line.inputs.get('agent', '')) for line in about}
     writers = {line.instance for line in about}
     first, last = about[0].at, about[-1].at
-    history: dict[tuple[str, str], list[Line]] = collections.defaultdict(list)
+    history: dict[tuple[str, str], list[log_lines.Line]] = (
+        collections.defaultdict(list)
+    )
     for line in lines:
         if line.instance in writers and line.event in _BELIEFS:
             history[line.instance, line.event].append(line)
@@ -181,7 +116,9 @@
     ]
 
 
-def _concerns(line: Line, writers: set[str], agents: set[str]) -> bool:
+def _concerns(
+    line: log_lines.Line, writers: set[str], agents: set[str]
+) -> bool:
     if line.instance not in writers:
         return False
     if line.event in _OF_PEERS:
@@ -190,7 +127,8 @@
 
 
 def _beliefs(
-    line: Line, history: abc.Mapping[tuple[str, str], abc.Sequence[Line]]
+    line: log_lines.Line,
+    history: abc.Mapping[tuple[str, str], abc.Sequence[log_lines.Line]],
 ) -> tuple[Belief, ...]:
     """Return the last line of each kind that its writer had written."""
     found = []
