Backend servers that fail requests are found from their flows and passed over

Change: an agent counts requests that are overdue (ten times the mean service time, 0.8 s at least), reset or closed without an answer; with three or more of the last 8 s and a fifth of all it says so with its load, and balancers prefer any that does not fail. If all fail they are equal again. A FIN that overtakes its answer ends no request: it had left flows that close with their answer without a service time.

Ruled out: that agents refuse by themselves, since a fault of a whole service would then refuse all.

--- a/kumquatport/connection/packets/held.py
+++ b/kumquatport/connection/packets/held.py
@@ -3,6 +3,7 @@
 import typing
 from collections import abc
 
+from kumquatport.connection.packets import outcomes
 from kumquatport.connection.packets import packet as packets
 
 # Largest difference of sequence numbers that counts as the same flow: what
@@ -27,6 +28,7 @@
         'acknowledged',
         'client_closed',
         'is_open',
+        'is_overdue',
         'opened_at',
         'seen_at',
         'server_closed',
@@ -50,6 +52,7 @@
         self.client_closed = False
         self.server_closed = False
         self.waiting_since: float = 0
+        self.is_overdue = False
 
     @property
     def is_ended(self) -> bool:
@@ -68,6 +71,7 @@
         busy: Requests in progress.
         service_s: Moving mean of the seconds to the first byte of an answer.
         observe: Called with a flow and those seconds, for each answer.
+        outcomes: How requests have ended.
     """
 
     def __init__(self) -> None:
@@ -76,6 +80,7 @@
         self.busy = 0
         self.service_s: float = 0
         self.observe: Observer = _ignore
+        self.outcomes = outcomes.Outcomes()
 
     def __len__(self) -> int:
         """Return how many flows are known, half-open and ended ones too."""
@@ -120,9 +125,12 @@
         held.acknowledged = packet.acknowledged
         if packet.length and not held.waiting_since:
             held.waiting_since = now
+            held.is_overdue = False
             self.busy += 1
         if packet.flags & packets.FLAG_FIN:
             held.client_closed = True
+            if held.server_closed:
+                self._fail(held, now)
 
     def from_backend_server(self, packet: packets.Packet, now: float) -> Flow:
         """Note a packet of the backend server; it shows that it holds it."""
@@ -139,10 +147,11 @@
         if packet.length:
             self._answered(packet.flow, held, now)
         if packet.flags & (packets.FLAG_FIN | packets.FLAG_RST):
+            # The answer may follow a FIN that overtook it.
             held.server_closed = True
-            self._idle(held)
         if packet.is_reset:
             held.client_closed = True
+            self._fail(held, now)
         return held
 
     def drop(self, flow: bytes) -> None:
@@ -166,6 +175,14 @@
             self.drop(flow)
         return len(due)
 
+    def note_overdue(self, now: float) -> None:
+        """Note the requests that have waited too long for an answer."""
+        since = now - outcomes.overdue_s(self.service_s)
+        for held in self.flows.values():
+            if 0 < held.waiting_since < since and not held.is_overdue:
+                held.is_overdue = True
+                self.outcomes.note(now, failed=True)
+
     def open_flows(self) -> abc.Iterator[tuple[bytes, Flow]]:
         """Yield the flows that are open."""
         for flow, held in self.flows.items():
@@ -180,10 +197,18 @@
         if not held.waiting_since:
             return
         took_s = now - held.waiting_since
+        if not held.is_overdue:
+            self.outcomes.note(now, failed=False)
         self.service_s += (took_s - self.service_s) * SERVICE_SHARE
         self.observe(flow, took_s)
         self._idle(held)
 
+    def _fail(self, held: Flow, now: float) -> None:
+        """Note that a request, if there is one, gets no answer any more."""
+        if held.waiting_since and not held.is_overdue:
+            self.outcomes.note(now, failed=True)
+        self._idle(held)
+
     def _idle(self, held: Flow) -> None:
         if held.waiting_since:
             held.waiting_since = 0
--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -23,6 +23,11 @@
 # allowance of new flows.
 COLD_COST: typing.Final = 0.5
 
+# Score of an agent whose backend server fails requests: behind any that is not
+# several times overloaded, and ahead of one that is silent. If all fail they are
+# equal again.
+FAILING_COST: typing.Final = 5.0
+
 
 class Candidate(typing.NamedTuple):
     """What a balancer knows of an agent that may take a new flow.
@@ -49,6 +54,16 @@
     penalty: float = 0
 
 
+def penalty(*, is_cold: bool, is_failing: bool) -> float:
+    """Return the score of what is wrong with a backend server.
+
+    Args:
+        is_cold: Whether it has just started.
+        is_failing: Whether a part of its requests get no answer.
+    """
+    return is_cold * COLD_COST + is_failing * FAILING_COST
+
+
 def busy_per_flow(loads: abc.Iterable[tuple[int, int]]) -> float:
     """Return the mean requests in progress of an open flow.
 
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -81,6 +81,7 @@
         )
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._is_sure = False
+        self._was_failing = False
         self._unanswered = unanswered.Unanswered()
 
     @property
@@ -161,6 +162,7 @@
         What the backend server sent while the earlier one lived was of that
         one. Later packets may be of either; a bounce will tell.
         """
+        self._flows.outcomes.forget()
         is_heard_before = math.isfinite(started.former_until)
         if started.is_first_heartbeat or is_heard_before:
             # All flows of this incarnation passed through this process.
@@ -392,6 +394,22 @@
             self._unanswered.drop(packet.flow)
             self._return(clean, frame.REASON_NOT_HELD, sender)
 
+    def _is_failing(self) -> bool:
+        """Tell whether the backend server leaves requests unanswered."""
+        now = clock.now()
+        self._flows.note_overdue(now)
+        is_failing = self._flows.outcomes.is_failing(now)
+        if is_failing != self._was_failing:
+            self._was_failing = is_failing
+            _LOGGER.info(
+                'backend server fails requests'
+                if is_failing
+                else 'backend server is tested again',
+                busy=self._flows.busy,
+                service_ms=round(self._flows.service_s * 1000, 1),
+            )
+        return is_failing
+
     def register(self, *, is_last: bool = False) -> None:
         """Tell the registrars which flows are open here.
 
@@ -437,4 +455,5 @@
             is_sure=self._is_sure,
             is_draining=server.is_draining,
             is_known=server.report is not None,
+            is_failing=self._is_failing(),
         )
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -231,7 +231,9 @@
             crosses=record.failure_domain != self._settings.failure_domain,
             is_suspect=self._mesh.is_suspect(record.instance)
             or self._mesh.is_unresponsive(record.instance),
-            penalty=placement.COLD_COST if peer.load.is_cold else 0,
+            penalty=placement.penalty(
+                is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
+            ),
         )
 
     def _waits(self, packet: packets.Packet, route: routes.Route) -> bool:
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -23,6 +23,7 @@
         is_sure: Whether the agent knows all flows of its backend server.
         is_draining: Whether the backend server is about to leave.
         is_known: Whether the agent has heard from its backend server.
+        is_failing: Whether a part of its requests get no answer.
     """
 
     slots: int
@@ -34,6 +35,7 @@
     is_sure: bool
     is_draining: bool
     is_known: bool
+    is_failing: bool = False
 
 
 class Beliefs(typing.NamedTuple):
@@ -146,6 +148,7 @@
 _IS_SURE: typing.Final = 16
 _IS_DRAINING: typing.Final = 32
 _IS_KNOWN: typing.Final = 64
+_IS_FAILING: typing.Final = 128
 _MAX_COUNT: typing.Final = 0xFFFF
 _MS_PER_S: typing.Final = 1000
 
@@ -187,6 +190,7 @@
         + load.is_sure * _IS_SURE
         + load.is_draining * _IS_DRAINING
         + load.is_known * _IS_KNOWN
+        + load.is_failing * _IS_FAILING
     )
     return bytes((frame.KIND_BEAT,)) + _BEAT.pack(
         beat.incarnation,
@@ -227,6 +231,7 @@
             is_sure=bool(bits & _IS_SURE),
             is_draining=bool(bits & _IS_DRAINING),
             is_known=bool(bits & _IS_KNOWN),
+            is_failing=bool(bits & _IS_FAILING),
         )
     return Beat(
         incarnation=row[0],
