Sockets are bound before the programs load; packets wait for routes and agents

Cause: what clients send in the 0.2 to 0.3 s in which a process loads its modules was lost, and a balancer dropped what came before it knew the routes; a copy follows only 0.2 to 0.8 s later. Greetings to agents that were loading were lost as well: the last agent of nine heard a balancer 0.81 s after the power.

Change: the sockets are bound from the settings first; a balancer keeps the latest packet of each flow until it knows the routes and an agent takes openings; in its first 3 s an agent of a backend server that is cold or unknown counts flows that are about to ask and takes four a slot. Backend servers that are not warm are not taken for failing ones: resets by overload had marked three of nine in the first second.

--- a/kumquatport/connection/forward/sockets.py
+++ b/kumquatport/connection/forward/sockets.py
@@ -1,9 +1,15 @@
 """UDP sockets of the packet path."""
 
+from __future__ import annotations
+
 import socket
+import typing
 
 from kumquatport import exceptions
-from kumquatport.connection.forward import header
+
+if typing.TYPE_CHECKING:
+    # Brings in more than programs need that bind before they load.
+    from kumquatport.connection.forward import header
 
 
 def udp() -> socket.socket:
--- a/kumquatport/connection/packets/admission.py
+++ b/kumquatport/connection/packets/admission.py
@@ -11,6 +11,7 @@
 next copy or elsewhere.
 """
 
+import math
 import typing
 
 from kumquatport.connection.packets import frame
@@ -19,6 +20,18 @@
 # than it takes to be served.
 MAX_BUSY_PER_SLOT: typing.Final = 2
 
+# The same in the first seconds of an agent, with the flows that are about to send
+# their request: a wave comes all at once, within one round trip, and ends by
+# itself, so that a longer queue does not stand.
+MAX_WAVE_PER_SLOT: typing.Final = 4
+
+# Slots assumed of a backend server that has not reported yet.
+ASSUMED_SLOTS: typing.Final = 3
+
+# Seconds after its start within which an agent expects such a wave: clients give
+# their first try up after 1.4 s.
+WAVE_S: typing.Final = 3.0
+
 
 class Situation(typing.NamedTuple):
     """What an agent knows when it is offered a flow.
@@ -35,6 +48,8 @@
         busy: Requests in progress at the backend server.
         slots: Requests that it works on at a time.
         is_doubtful: Whether the agent stood still and has not caught up.
+        opening: Flows that opened of late and have sent no request yet.
+        up_s: Seconds since the agent started.
     """
 
     is_draining: bool
@@ -47,6 +62,8 @@
     busy: int
     slots: int
     is_doubtful: bool = False
+    opening: int = 0
+    up_s: float = math.inf
 
 
 def refusal(situation: Situation) -> int:
@@ -59,7 +76,13 @@
         return frame.REASON_CLOSED
     if not situation.is_route_allowed and not situation.is_sender_newer:
         return frame.REASON_ROUTE
-    most = MAX_BUSY_PER_SLOT * situation.slots
-    if not situation.is_warm and situation.busy >= most:
+    if not situation.is_warm and _is_full(situation):
         return frame.REASON_FULL
     return 0
+
+
+def _is_full(situation: Situation) -> bool:
+    if situation.up_s > WAVE_S:
+        return situation.busy >= MAX_BUSY_PER_SLOT * situation.slots
+    expected = situation.busy + situation.opening
+    return expected >= MAX_WAVE_PER_SLOT * situation.slots
--- a/kumquatport/connection/packets/held.py
+++ b/kumquatport/connection/packets/held.py
@@ -13,6 +13,9 @@
 # Share of a new answer in the moving mean of the service time.
 SERVICE_SHARE: typing.Final = 0.1
 
+# Seconds within which a client's first request follows its opening packet.
+OPENING_S: typing.Final = 0.1
+
 # Seconds that an ended flow is remembered for late copies of its packets.
 LINGER_S: typing.Final = 4.0
 
@@ -27,6 +30,7 @@
     __slots__ = (
         'acknowledged',
         'client_closed',
+        'has_asked',
         'is_open',
         'is_overdue',
         'opened_at',
@@ -53,6 +57,7 @@
         self.server_closed = False
         self.waiting_since: float = 0
         self.is_overdue = False
+        self.has_asked = False
 
     @property
     def is_ended(self) -> bool:
@@ -126,6 +131,7 @@
         if packet.length and not held.waiting_since:
             held.waiting_since = now
             held.is_overdue = False
+            held.has_asked = True
             self.busy += 1
         if packet.flags & packets.FLAG_FIN:
             held.client_closed = True
@@ -189,6 +195,14 @@
             if held.is_open and not held.is_ended:
                 yield flow, held
 
+    def opening_count(self, now: float) -> int:
+        """Return how many flows opened of late and have sent no request."""
+        since = now - OPENING_S
+        return sum(
+            held.opened_at > since and not held.has_asked
+            for held in self.flows.values()
+        )
+
     def open_count(self) -> int:
         """Return how many flows are open or opening."""
         return sum(not held.is_ended for held in self.flows.values())
--- a/kumquatport/platform/const.py
+++ b/kumquatport/platform/const.py
@@ -1,7 +1,10 @@
-"""Names and limits of the platform's store."""
+"""Names and limits of the platform and its store."""
 
 import typing
 
+# Names the settings file of a process.
+ENVIRONMENT_VARIABLE: typing.Final = 'KUMQUATPORT_SETTINGS'
+
 PATH_OBJECTS: typing.Final = 'objects'
 
 # Stands for a slash within the name of one of the project's own objects.
--- a/kumquatport/platform/settings.py
+++ b/kumquatport/platform/settings.py
@@ -8,10 +8,9 @@
 import voluptuous as vol
 
 from kumquatport import exceptions
+from kumquatport.platform import const
 from kumquatport.process.packets import models
 
-ENVIRONMENT_VARIABLE: typing.Final = 'KUMQUATPORT_SETTINGS'
-
 _MS_PER_S: typing.Final = 1000.0
 
 
@@ -74,10 +73,13 @@
     Raises:
         SettingsError: The environment does not name it.
     """
-    found = os.environ.get(ENVIRONMENT_VARIABLE, '')
+    found = os.environ.get(const.ENVIRONMENT_VARIABLE, '')
     if not found:
         raise exceptions.SettingsError(
-            ENVIRONMENT_VARIABLE, 0, '', 'expected the path of a settings file'
+            const.ENVIRONMENT_VARIABLE,
+            0,
+            '',
+            'expected the path of a settings file',
         )
     return pathlib.Path(found)
 
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -48,6 +48,8 @@
         self._forwarder = forwarder.Forwarder(
             settings, codec, self._beliefs, self._mesh
         )
+        self._forwarder.on_waiting = self._retry_soon
+        self._is_retried_soon = False
         self._mesh.on_frame = self._forwarder.on_frame
         self._mesh.on_return = self._forwarder.on_return
         self._is_leaving = False
@@ -102,6 +104,18 @@
         if self._mesh.live_balancers()[0] == self._settings.instance:
             self.add_future(found.async_remove_forgotten(record))
 
+    def _retry_soon(self) -> None:
+        """Try packets that wait again in a moment."""
+        if not self._is_retried_soon:
+            self._is_retried_soon = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(const.RETRY_S, self._retry)
+
+    def _retry(self) -> None:
+        self._is_retried_soon = False
+        if self._forwarder.retry():
+            self._retry_soon()
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -81,6 +81,7 @@
         )
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._is_sure = False
+        self._started_at = clock.now()
         self._was_failing = False
         self._unanswered = unanswered.Unanswered()
 
@@ -285,8 +286,10 @@
                 is_sender_newer=message.version > self._beliefs.routes_version,
                 is_warm=self.backend_server.is_warm,
                 busy=self._flows.busy,
-                slots=self.backend_server.slots,
+                slots=self._slots(),
                 is_doubtful=self._mesh.catching_up.is_doubtful(),
+                opening=self._flows.opening_count(clock.now()),
+                up_s=clock.now() - self._started_at,
             )
         )
         if reason:
@@ -298,6 +301,11 @@
             return 0
         return 0 if self._cold.take(per_s, now) else frame.REASON_COLD
 
+    def _slots(self) -> int:
+        """Return the requests at a time, assumed before the first report."""
+        server = self.backend_server
+        return server.slots if server.report else admission.ASSUMED_SLOTS
+
     def _cold_per_s(self) -> float:
         """Return the new flows a second borne while cold; 0 for no limit."""
         routes = self._beliefs.routes
@@ -397,6 +405,9 @@
     def _is_failing(self) -> bool:
         """Tell whether the backend server leaves requests unanswered."""
         now = clock.now()
+        if not self.backend_server.is_warm:
+            # It turns requests away since it cannot take them.
+            self._flows.outcomes.forget()
         self._flows.note_overdue(now)
         is_failing = self._flows.outcomes.is_failing(now)
         if is_failing != self._was_failing:
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -13,6 +13,10 @@
 # Seconds between two turns by which a process notices that it stood still.
 TURN_S: typing.Final = 0.25
 
+# Seconds after which a balancer tries packets again that wait for the routes or
+# for an agent.
+RETRY_S: typing.Final = 0.02
+
 # Lines a second about peers, and at once after a quiet time. Each of many
 # balancers hears of each of many instances when all start.
 PEER_LINES_PER_S: typing.Final = 20.0
--- a/kumquatport/process/packets/datagrams.py
+++ b/kumquatport/process/packets/datagrams.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from kumquatport.connection.forward import sockets
+from kumquatport.connection.forward import prebound, sockets
 from kumquatport.process.packets import const
 
 _LOGGER = structlog.get_logger(__name__)
@@ -32,12 +32,7 @@
     Raises:
         StartError: The address or port cannot be had.
     """
-    bound = sockets.udp()
-    sockets.bind(
-        endpoint=endpoint,
-        unbound=bound,
-        receive_bytes=const.RECEIVE_BUFFER_BYTES,
-    )
+    bound = prebound.take(endpoint) or _bind(endpoint)
     loop = asyncio.get_running_loop()
 
     def read() -> None:
@@ -60,6 +55,16 @@
     return bound, close
 
 
+def _bind(endpoint: tuple[str, int]) -> socket.socket:
+    made = sockets.udp()
+    sockets.bind(
+        endpoint=endpoint,
+        unbound=made,
+        receive_bytes=const.RECEIVE_BUFFER_BYTES,
+    )
+    return made
+
+
 def send(
     bound: socket.socket, datagram: bytes, endpoint: tuple[str, int]
 ) -> bool:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -7,6 +7,7 @@
 import structlog
 
 from kumquatport.connection.packets import (
+    backlog,
     frame,
     placed,
     placement,
@@ -39,7 +40,11 @@
 
 
 class Forwarder:
-    """Sends each packet to the agent that holds or should open its flow."""
+    """Sends each packet to the agent that holds or should open its flow.
+
+    Attributes:
+        on_waiting: Called when a packet waits, which ``retry`` tries again.
+    """
 
     def __init__(
         self,
@@ -61,6 +66,8 @@
         self._beliefs = held
         self._mesh = peers
         self._flows = placed.PlacedFlows()
+        self._backlog = backlog.Backlog()
+        self.on_waiting: abc.Callable[[], None] = _ignore
         self._flow_costs: dict[str, tuple[float, float]] = {}
         self._log = decisions.Decisions(_LOGGER, codec.describe)
         self._finder = finder.Finder(
@@ -111,7 +118,10 @@
     def on_client(self, datagram: bytes, _sender: tuple[str, int]) -> None:
         """Take a packet of a client."""
         packet = self._codec.from_client(datagram)
-        if packet is None or self._beliefs.routes is None:
+        if packet is None:
+            return
+        if self._beliefs.routes is None:
+            self._keep(packet)
             return
         route = self._route(packet)
         if route is None:
@@ -125,6 +135,20 @@
             flow.acknowledged = packet.acknowledged
             self._carry(packet, route, flow)
 
+    def retry(self) -> bool:
+        """Try again what waits; tell whether something still does."""
+        if self._beliefs.routes is not None:
+            for datagram in self._backlog.take(clock.now()):
+                self.on_client(datagram, ('', 0))
+        return bool(self._backlog)
+
+    def _keep(self, packet: packets.Packet) -> bool:
+        """Have a packet wait; tell whether it has not waited before."""
+        is_new = self._backlog.keep(packet.flow, packet.datagram, clock.now())
+        if is_new:
+            self.on_waiting()
+        return is_new
+
     def _open(
         self,
         packet: packets.Packet,
@@ -172,14 +196,22 @@
         elif flow.agents:
             self._forward(packet, flow.agents[-1], 0)
         elif self._waits(packet, route):
+            self._wait(packet, excluded)
+        else:
+            self._refuse(packet, 'no_agent')
+
+    def _wait(self, packet: packets.Packet, tried: abc.Set[str]) -> None:
+        """Have an opening packet wait for an agent.
+
+        Agents that turned it away are asked again with its next copy.
+        """
+        if tried or self._keep(packet):
             self._log.note(
                 'flow waits for an agent',
                 packet.flow,
                 copy=packet.acknowledged,
-                tried=sorted(excluded),
+                tried=sorted(tried),
             )
-        else:
-            self._refuse(packet, 'no_agent')
 
     def _choose(
         self,
@@ -387,3 +419,7 @@
         table = self._beliefs.routes
         key = (packet.service_address, packet.service_port)
         return table.routes.get(key) if table else None
+
+
+def _ignore() -> None:
+    """Take the word that a packet waits before anybody wants it."""
--- a/tests/unit/connection/packets/test_decisions.py
+++ b/tests/unit/connection/packets/test_decisions.py
@@ -182,6 +182,14 @@
             ({'busy': 10}, 0),
             ({'is_warm': False, 'busy': 9}, 0),
             ({'is_warm': False, 'busy': 10}, frame.REASON_FULL),
+            ({'is_warm': False, 'up_s': 1, 'busy': 3, 'opening': 16}, 0),
+            (
+                {'is_warm': False, 'up_s': 1, 'busy': 3, 'opening': 17},
+                frame.REASON_FULL,
+            ),
+            ({'is_warm': False, 'up_s': 9, 'busy': 3, 'opening': 17}, 0),
+            ({'busy': 3, 'opening': 100}, 0),
+            ({'is_doubtful': True}, frame.REASON_CLOSED),
         )
         for fields, reason in cases:
             with self.subTest(fields=fields):
--- a/tests/unit/process/program/test_omitted.py
+++ b/tests/unit/process/program/test_omitted.py
@@ -9,14 +9,14 @@
 
 _LOADED = """
 import json, sys
-import kumquatport.platform.__main__
+import kumquatport.platform.program
 from kumquatport.process.packets import agent, balancer
 print(json.dumps([name for name, one in sys.modules.items() if one]))
 """
 
 _TIMETABLE = """
 import json
-import kumquatport.platform.__main__
+import kumquatport.platform.program
 from mode.utils import cron
 print(json.dumps(cron.secs_for_next('* * * * *')))
 """
