Read again: one way to bind a socket, nothing counted that nobody asks for

* datagrams and prebound each made and bound a socket: sockets.bound serves both.
* An agent went through all its flows at each opening packet to count those about to ask, though only a wave at a backend server that is not warm is judged by it: it counts in that case alone.
The same decisions.
* kumquatportctl recovery read all lines again for each process: they are grouped by process once.

--- a/kumquatport/connection/forward/prebound.py
+++ b/kumquatport/connection/forward/prebound.py
@@ -21,9 +21,7 @@
     Raises:
         StartError: The address or port cannot be had.
     """
-    made = sockets.udp()
-    sockets.bind(endpoint=endpoint, unbound=made, receive_bytes=receive_bytes)
-    _bound[endpoint] = made
+    _bound[endpoint] = sockets.bound(endpoint, receive_bytes)
 
 
 def take(endpoint: tuple[str, int]) -> socket.socket | None:
--- a/kumquatport/connection/forward/sockets.py
+++ b/kumquatport/connection/forward/sockets.py
@@ -19,6 +19,21 @@
     return made
 
 
+def bound(endpoint: header.Endpoint, receive_bytes: int) -> socket.socket:
+    """Return a UDP socket that never blocks, bound to an endpoint.
+
+    Args:
+        endpoint: IPv4 address and UDP port.
+        receive_bytes: Size of the kernel's receive buffer.
+
+    Raises:
+        StartError: The address or port cannot be had.
+    """
+    made = udp()
+    bind(made, endpoint, receive_bytes=receive_bytes)
+    return made
+
+
 def bind(
     unbound: socket.socket,
     endpoint: header.Endpoint,
--- a/kumquatport/process/ctl/recovery.py
+++ b/kumquatport/process/ctl/recovery.py
@@ -1,5 +1,6 @@
 """The verb that shows how the processes came back after many stopped at once."""
 
+import collections
 import datetime
 import statistics
 import typing
@@ -100,9 +101,7 @@
     if not starts:
         raise NoStartsLoggedError(f'{len(lines)} lines, no start among them')
     begun_at = starts[0].at if given is None else given
-    reached = {
-        start.instance: _reached(start, lines, begun_at) for start in starts
-    }
+    reached = _reached_by_all(starts, lines, begun_at)
     stages = list(_stages(starts, reached))
     answer: RecoveryAnswer = {
         'since': datetime.datetime.fromtimestamp(
@@ -151,16 +150,26 @@
     return largest
 
 
+def _reached_by_all(
+    starts: abc.Iterable[Start],
+    lines: abc.Iterable[log_lines.Line],
+    begun_at: float,
+) -> dict[str, dict[str, float]]:
+    """Return by instance the seconds at which it had come to each stage."""
+    written: dict[str, list[log_lines.Line]] = collections.defaultdict(list)
+    for line in lines:
+        written[line.instance].append(line)
+    return {
+        start.instance: _reached(start, written[start.instance], begun_at)
+        for start in starts
+    }
+
+
 def _reached(
     start: Start, lines: abc.Iterable[log_lines.Line], begun_at: float
 ) -> dict[str, float]:
     """Return the seconds at which one process had come to each stage."""
-    own = [
-        line
-        for line in lines
-        if line.instance == start.instance
-        and start.at <= line.at <= start.at + WINDOW_S
-    ]
+    own = [line for line in lines if start.at <= line.at <= start.at + WINDOW_S]
     found = {_STARTED: start.at}
     for stage, event in _FIRST:
         moments = [line.at for line in own if line.event == event]
--- a/kumquatport/process/packets/carrier.py
+++ b/kumquatport/process/packets/carrier.py
@@ -288,7 +288,7 @@
                 busy=self._flows.busy,
                 slots=self._slots(),
                 is_doubtful=self._mesh.catching_up.is_doubtful(),
-                opening=self._flows.opening_count(clock.now()),
+                opening=self._opening(),
                 up_s=clock.now() - self._started_at,
             )
         )
@@ -301,6 +301,14 @@
             return 0
         return 0 if self._cold.take(per_s, now) else frame.REASON_COLD
 
+    def _opening(self) -> int:
+        """Return how many flows are about to ask; counted only for a wave."""
+        now = clock.now()
+        is_wave = now - self._started_at <= admission.WAVE_S
+        if self.backend_server.is_warm or not is_wave:
+            return 0
+        return self._flows.opening_count(now)
+
     def _slots(self) -> int:
         """Return the requests at a time, assumed before the first report."""
         server = self.backend_server
--- a/kumquatport/process/packets/datagrams.py
+++ b/kumquatport/process/packets/datagrams.py
@@ -32,7 +32,9 @@
     Raises:
         StartError: The address or port cannot be had.
     """
-    bound = prebound.take(endpoint) or _bind(endpoint)
+    bound = prebound.take(endpoint) or sockets.bound(
+        endpoint, const.RECEIVE_BUFFER_BYTES
+    )
     loop = asyncio.get_running_loop()
 
     def read() -> None:
@@ -55,16 +57,6 @@
     return bound, close
 
 
-def _bind(endpoint: tuple[str, int]) -> socket.socket:
-    made = sockets.udp()
-    sockets.bind(
-        endpoint=endpoint,
-        unbound=made,
-        receive_bytes=const.RECEIVE_BUFFER_BYTES,
-    )
-    return made
-
-
 def send(
     bound: socket.socket, datagram: bytes, endpoint: tuple[str, int]
 ) -> bool:
