Log who read a change from the store, who reads it instead of the watchers, and late confirmations

Cause: the logs could not tell a late reader from a slow way to the instances, nor either from an age that is too young: 'routes changed' named only the peer that told, and nothing said when another balancer began to read or when an age ran beyond the time in which changes must be in force. No decision changes. Result: unit tests of the configuration, the store watch, the settings and the page of log events pass; lint passes.

--- a/kumquatport/platform/settings.py
+++ b/kumquatport/platform/settings.py
@@ -25,6 +25,10 @@
     vol.Any(int, float), vol.Range(min=0)
 )
 
+_POSITIVE_NUMBER: typing.Final = vol.All(
+    vol.Any(int, float), vol.Range(min=0, min_included=False)
+)
+
 _SCHEMA: typing.Final = vol.Schema(
     {
         vol.Required('NodeName'): vol.All(str, vol.Length(min=1)),
@@ -54,6 +58,8 @@
                 vol.Optional('FlowTtlS', default=60): _NON_NEGATIVE_NUMBER,
                 vol.Optional('GraceS', default=5): _NON_NEGATIVE_NUMBER,
                 vol.Optional('DrainMs', default=3000): _NON_NEGATIVE_NUMBER,
+                vol.Optional('ConfigApplyMs', default=4000): _POSITIVE_NUMBER,
+                vol.Optional('EvacMs', default=4000): _POSITIVE_NUMBER,
             },
             extra=vol.ALLOW_EXTRA,
         ),
@@ -149,4 +155,6 @@
         flow_ttl_s=section['FlowTtlS'],
         grace_s=section['GraceS'],
         drain_s=section['DrainMs'] / _MS_PER_S,
+        apply_s=section['ConfigApplyMs'] / _MS_PER_S,
+        evacuate_s=section['EvacMs'] / _MS_PER_S,
     )
--- a/kumquatport/process/packets/known_configuration.py
+++ b/kumquatport/process/packets/known_configuration.py
@@ -25,14 +25,21 @@
 
 
 class KnownConfiguration:
-    """Routes and failure domains taken out; versions never go back."""
+    """Routes and failure domains taken out; versions never go back.
 
-    def __init__(self, own: str) -> None:
+    Attributes:
+        late_after_s: Age in seconds at which a confirmation is logged as late.
+    """
+
+    def __init__(self, own: str, late_after_s: float = math.inf) -> None:
         """Start without routes and failure domains.
 
         Args:
             own: Name of this instance.
+            late_after_s: Age in seconds at which a confirmation is logged as
+                late.
         """
+        self.late_after_s = late_after_s
         self._own = own
         self._origin = own
         self._recent_changes: collections.deque[routes.RouteTableDelta] = (
@@ -128,6 +135,7 @@
             'routes changed',
             version=table.version,
             source=source,
+            origin=self._origin,
             age_s=_rounded_or_none(age_s),
         )
         self._listeners.notify()
@@ -166,17 +174,30 @@
             domains=sorted(names),
             revision=revision,
             source=source,
+            origin=self._origin,
+            age_s=_rounded_or_none(self.age_s),
         )
         self._listeners.notify()
         return True
 
-    def confirm(self, age_s: float = 0) -> None:
+    def confirm(self, age_s: float = 0, source: str = SOURCE_STORE) -> None:
         """Record that the store has confirmed the configuration.
 
         Args:
             age_s: Seconds since the confirmation.
+            source: Who told of the confirmation, for the log.
         """
-        self._confirmed_at = max(self._confirmed_at, clock.now() - age_s)
+        known_age_s = self.age_s
+        if age_s >= known_age_s:
+            return
+        self._confirmed_at = clock.now() - age_s
+        if self.late_after_s < known_age_s < math.inf:
+            _LOGGER.info(
+                'configuration confirmed late',
+                after_s=round(known_age_s, 3),
+                age_s=round(age_s, 3),
+                source=source,
+            )
 
     def merge(self, state: messages.ConfigurationState, source: str) -> bool:
         """Merge the configuration state of a peer.
@@ -196,11 +217,15 @@
         )
         self._apply_changes(state, source)
         return self.compare(
-            state.routes_version, state.domains_revision, state.age_s
+            state.routes_version, state.domains_revision, state.age_s, source
         )
 
     def compare(
-        self, routes_version: int, domains_revision: int, age_s: float
+        self,
+        routes_version: int,
+        domains_revision: int,
+        age_s: float,
+        source: str = '',
     ) -> bool:
         """Compare versions with a peer, and take its age if they are equal.
 
@@ -208,6 +233,7 @@
             routes_version: Version of the peer's routes.
             domains_revision: Revision of the peer's failure domains.
             age_s: Seconds since the store confirmed them to the peer.
+            source: Name of the peer, for the log.
 
         Returns:
             Whether the peer holds something newer.
@@ -218,7 +244,7 @@
             return True
         is_same = routes_version == self.routes_version
         if is_same and domains_revision == self._domains_revision:
-            self.confirm(age_s)
+            self.confirm(age_s, source)
         return False
 
     def snapshot(self, *, with_changes: bool) -> messages.ConfigurationState:
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -403,6 +403,7 @@
             heartbeat.routes_version,
             heartbeat.domains_revision,
             heartbeat.age_s,
+            instance,
         )
         if is_newer:
             self.greet((sender,))
--- a/kumquatport/process/packets/models.py
+++ b/kumquatport/process/packets/models.py
@@ -22,6 +22,10 @@
         grace_s: Seconds between SIGTERM and SIGKILL.
         drain_s: Seconds after which a draining backend server gets no more new
             flows.
+        apply_s: Seconds after which a confirmed change of the routes is in
+            force everywhere.
+        evacuate_s: Seconds after which a failure domain that was taken out
+            gets no more new flows.
     """
 
     cold_factor: float
@@ -30,6 +34,13 @@
     flow_ttl_s: float
     grace_s: float
     drain_s: float
+    apply_s: float
+    evacuate_s: float
+
+    @property
+    def configuration_s(self) -> float:
+        """Return the seconds in which any change in the store is in force."""
+        return min(self.apply_s, self.evacuate_s)
 
 
 class StoreSettings(typing.NamedTuple):
--- a/kumquatport/process/packets/store_watch.py
+++ b/kumquatport/process/packets/store_watch.py
@@ -85,12 +85,16 @@
         self.add_future(self._async_run(ROUTES, self._async_watch_routes))
         self.add_future(self._async_run(DOMAINS, self._async_watch_domains))
 
-    def is_watcher(self) -> bool:
-        """Return whether this process should watch the store."""
+    @property
+    def rank(self) -> int:
+        """Return the index of this process among the live balancers."""
         names = self._mesh.live_balancers()
         own = self._mesh.own_record.current.instance
-        rank = names.index(own) if own in names else len(names)
-        return should_watch(rank, self._configuration.age_s)
+        return names.index(own) if own in names else len(names)
+
+    def is_watcher(self) -> bool:
+        """Return whether this process should watch the store."""
+        return should_watch(self.rank, self._configuration.age_s)
 
     async def _async_run(
         self,
@@ -101,10 +105,22 @@
             if part == DOMAINS:
                 await self._routes_available.wait()
             if self.is_watcher():
+                self._log_join(part)
                 await self._async_try(part, watch)
             else:
                 await self.sleep(backoff.jittered(const.WATCH_POLL_S))
 
+    def _log_join(self, part: str) -> None:
+        """Log that this process reads the store in place of the watchers."""
+        age_s = self._configuration.age_s
+        if self.rank >= const.MIN_WATCHERS and part not in self._failed_at:
+            _LOGGER.info(
+                'store read for the watchers',
+                part=part,
+                rank=self.rank,
+                age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+            )
+
     async def _async_try(
         self,
         part: str,
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -81,6 +81,8 @@
             flow_ttl_s=60.0,
             grace_s=6.0,
             drain_s=3.0,
+            apply_s=3.0,
+            evacuate_s=5.0,
         ),
     )
     return defaults._replace(**fields)
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -37,6 +37,8 @@
     flow_ttl_s=60.0,
     grace_s=6.0,
     drain_s=DRAIN_S,
+    apply_s=3.0,
+    evacuate_s=5.0,
 )
 ROUTE_LONG = ('198.18.0.1', 443)
 ROUTE_SHORT = ('198.18.0.1', 80)
