Read the store before the bound of a change runs out, whoever has lost it

Callers saw: flows handled by an older version of the routes more than ConfigApplyMs after a newer one had been acknowledged (CONFIG). Cause: the waits of the store watch were constants. The two watchers waited 3.0 s in a watch; another balancer began to read when the configuration had not been confirmed for 4.0 s, each further pair 0.7 s later, looked at every 0.2 s. A change acknowledged just after the watchers lost the store silently was in force after 4.0 to 4.3 s, of the 3 s promised; with 25 balancers the last pair began at 11.7 s. Both watchers were the first by name, so in one failure domain. A balancer that the store had refused once slept 3 s, whatever became of the others. Change: watch_timing derives all waits from the shorter of ConfigApplyMs and EvacMs: watch 0.4 of it, its answer 0.1, the time over which all other balancers begin to read 0.1 (logarithmic in the rank, so the last one too is in time), a read 0.1, the way to all instances 0.3. An answer confirms the configuration as of the time for which it holds, not of its reading. The watchers tell the next balancers of each confirmation. The first ranks are in different failure domains. In an outage only the first four ranks retry quickly. Why it works: any balancer that can read does so before its configuration is older than the bound less read and way, and no balancer's turn depends on who has lost the store.

--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -50,6 +50,7 @@
         self._forwarder = forwarder.Forwarder(
             settings, codec, self._configuration, self._mesh
         )
+        self._store_watch: store_watch.StoreWatch | None = None
         self._forwarder.on_queued = self._schedule_retry
         self._is_retry_scheduled = False
         self._mesh.on_frame = self._forwarder.on_frame
@@ -74,14 +75,14 @@
         """
         self._mesh.own_record.update(members_const.STATE_READY, None)
         services = await self._async_load(self._forwarder)
-        await self.add_runtime_dependency(
-            store_watch.StoreWatch(
-                self._operator_objects,
-                services.store,
-                self._configuration,
-                self._mesh,
-            )
+        self._store_watch = store_watch.StoreWatch(
+            self._operator_objects,
+            services.store,
+            self._configuration,
+            self._mesh,
+            self._settings.bounds,
         )
+        await self.add_runtime_dependency(self._store_watch)
         peer_discovery = await self._async_discover(services)
         self._mesh.on_peer_expired = functools.partial(
             self._remove_expired, peer_discovery
@@ -104,6 +105,8 @@
         self._configuration.late_after_s = settings.bounds.configuration_s
         self._mesh.apply_settings(settings)
         self._forwarder.apply_settings(settings)
+        if self._store_watch is not None:
+            self._store_watch.apply_bounds(settings.bounds)
 
     def _remove_expired(
         self,
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -77,16 +77,22 @@
 MAX_DATAGRAM_BYTES: typing.Final = 65536
 RECEIVE_BUFFER_BYTES: typing.Final = 1024 * 1024
 
-# Watching the store. Two watchers receive each change. A watch is renewed well
-# within the time limits of configuration and evacuation, since a connection may
-# go silent. Further watchers join when the configuration has not been confirmed
-# for WATCH_JOIN_AGE_S, each group WATCH_JOIN_STEP_S after the one before.
-MIN_WATCHERS: typing.Final = 2
-WATCH_TIMEOUT_S: typing.Final = 3.0
-WATCH_JOIN_AGE_S: typing.Final = 4.0
-WATCH_JOIN_STEP_S: typing.Final = 0.7
+# Retries of the store during an outage. Balancers of a rank below
+# FAST_RETRY_RANKS retry soon; calls have a price, and one that reads serves all.
 STORE_RETRY_FIRST_S: typing.Final = 0.1
 STORE_RETRY_MAX_S: typing.Final = 0.6
+FAST_RETRY_RANKS: typing.Final = 4
+
+# Seconds before a balancer that alone is refused by the store tries again, as
+# long as others confirm the configuration.
+REFUSED_RETRY_S: typing.Final = 3.0
+
+# Balancers that a watcher tells of each confirmation at once. The others learn
+# it from many heartbeats.
+CONFIRMATION_RECEIVERS: typing.Final = 9
+
+# Added to a wait for a moment, so that the moment has passed after it.
+TIMER_SLACK_S: typing.Final = 0.005
 
 # Largest delay in seconds before an agent retries reading the members.
 # Balancers retry more often, and any balancer that has read them greets the
@@ -98,10 +104,6 @@
 # instances need not watch.
 WATCH_START_DELAY_S: typing.Final = 0.1
 
-# Seconds after a change before the next watch, so that one call returns several
-# changes in quick succession; a small part of the time limit of configuration.
-WATCH_BATCH_S: typing.Final = 0.25
-
 # Kind of the store objects that hold the members' records.
 KIND_INSTANCES: typing.Final = 'kumquatport-instances'
 
--- a/kumquatport/process/packets/known_configuration.py
+++ b/kumquatport/process/packets/known_configuration.py
@@ -180,16 +180,19 @@
         self._listeners.notify()
         return True
 
-    def confirm(self, age_s: float = 0, source: str = SOURCE_STORE) -> None:
+    def confirm(self, age_s: float = 0, source: str = SOURCE_STORE) -> bool:
         """Record that the store has confirmed the configuration.
 
         Args:
             age_s: Seconds since the confirmation.
             source: Who told of the confirmation, for the log.
+
+        Returns:
+            Whether it is later than the latest one known.
         """
         known_age_s = self.age_s
         if age_s >= known_age_s:
-            return
+            return False
         self._confirmed_at = clock.now() - age_s
         if self.late_after_s < known_age_s < math.inf:
             _LOGGER.info(
@@ -198,6 +201,7 @@
                 age_s=round(age_s, 3),
                 source=source,
             )
+        return True
 
     def merge(self, state: messages.ConfigurationState, source: str) -> bool:
         """Merge the configuration state of a peer.
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -170,23 +170,38 @@
         return self._liveness.is_unresponsive(instance)
 
     def send_load(self, address: str) -> None:
-        """Send a short heartbeat to the balancer at an address."""
+        """Send a short heartbeat, with the load, to a balancer."""
         record = self.registry.get(self.instance_at(address))
         domain = record.failure_domain if record else ''
         round_s = self._liveness.announced_round_s(domain)
         heartbeat = self._short_heartbeat(members.KIND_BALANCER, round_s)
         self.send(messages.encode_short_heartbeat(heartbeat), address)
 
+    def tell_confirmation(self, balancers: abc.Iterable[str]) -> None:
+        """Tell some balancers at once that the store has just confirmed.
+
+        Args:
+            balancers: Names of the balancers.
+        """
+        for name in balancers:
+            record = self.registry.get(name)
+            if record is not None and name != self._settings.instance:
+                self.send_load(record.address)
+
     def live_balancers(self) -> list[str]:
         """Return the live balancers, including this process if it is one."""
-        names = [
-            record.instance
+        return sorted(self.live_balancer_domains())
+
+    def live_balancer_domains(self) -> dict[str, str]:
+        """Return the failure domain of each live balancer by its name."""
+        domains = {
+            record.instance: record.failure_domain
             for record in self.registry.balancers()
             if not self.is_suspect(record.instance)
-        ]
+        }
         if self._is_balancer:
-            names.append(self._settings.instance)
-        return sorted(set(names))
+            domains[self._settings.instance] = self._settings.failure_domain
+        return domains
 
     def balancer_names(self) -> set[str]:
         """Return the known balancers, including this process if it is one."""
--- a/tests/builders/watch_clusters.py
+++ b/tests/builders/watch_clusters.py
@@ -231,6 +231,7 @@
                 Client(self.store, instance.name),
                 instance.configuration,
                 instance.mesh,
+                instance.settings.bounds,
             )
             self._services.append(watch)
             await watch.start()
