Refuse single unusable entries, and keep the others of a list

Other operators saw: one odd entry among those of the backends, written by another writer (very deeply nested, with a number too large, or with a port out of range), ended the machines that read the list again and again, or they stopped following it. Here: a page or a watch of the store with one deeply nested object raised RecursionError, which no caller catches, so the task that follows the store and with it the process ended; text that is no base64 raised ValueError. Records with impossible ports, addresses or incarnations, ages below zero or not a number, and heartbeats and configurations with numbers and ports out of range were taken; a name as address would have been looked up, and sending to an impossible port raised OverflowError.

--- a/kumquatport/connection/control/frame.py
+++ b/kumquatport/connection/control/frame.py
@@ -13,7 +13,7 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.control import const
-from kumquatport.helpers import keys
+from kumquatport.helpers import decoding, keys
 
 Message = typing.Any
 
@@ -90,7 +90,7 @@
         raise exceptions.FrameKindError(f'unknown kind {encoded[1]}')
     try:
         return decoder.decode(encoded[_MAC_END:])
-    except msgspec.MsgspecError as error:
+    except decoding.MALFORMED as error:
         raise exceptions.FramePayloadError(str(error)) from error
 
 
--- a/kumquatport/platform/calls.py
+++ b/kumquatport/platform/calls.py
@@ -9,6 +9,9 @@
 
 from kumquatport.platform import const
 
+# Largest count of changes that is taken for one.
+_MAX_COUNT: typing.Final = 2**53
+
 
 class StoredSpec(msgspec.Struct, forbid_unknown_fields=True):
     """Content of an object that this project writes.
@@ -18,7 +21,7 @@
     refer to the changes of one object.
     """
 
-    count: int
+    count: typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
     data: str
 
 
--- a/kumquatport/platform/configuration.py
+++ b/kumquatport/platform/configuration.py
@@ -6,12 +6,19 @@
 import msgspec
 
 from kumquatport import exceptions
+from kumquatport.helpers import decoding
 from kumquatport.platform import const
 from kumquatport.version import routes
 
 _MS_PER_S: typing.Final = 1000.0
 _FULL_WEIGHT: typing.Final = 1.0
 
+# Limits of what a configuration can mean.
+_MAX_VERSION: typing.Final = 2**63 - 1
+_MAX_NUMBER: typing.Final = 1e12
+
+_Number = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+
 # Keys of the objects that the operators write.
 KEY_CONFIGURATION: typing.Final = (
     f'{const.KIND_CONFIGURATION}/{const.NAME_CONFIGURATION}'
@@ -21,7 +28,7 @@
 
 class _Split(msgspec.Struct, rename='pascal'):
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Route(msgspec.Struct, rename='pascal'):
@@ -37,18 +44,18 @@
     name: str
     health_path: str = '/'
     # New flows per second during the warm-up of a backend server.
-    warmup_per_s: float = msgspec.field(name='WarmupPerS', default=0)
+    warmup_per_s: _Number = msgspec.field(name='WarmupPerS', default=0)
 
 
 class _Limits(msgspec.Struct, rename='pascal', frozen=True):
     # Applies to flows. The other limits concern HTTP and are not read.
-    idle_timeout_ms: float = msgspec.field(
+    idle_timeout_ms: _Number = msgspec.field(
         name='IdleTimeoutMs', default=15000.0
     )
 
 
 class _Configuration(msgspec.Struct, rename='pascal'):
-    version: int
+    version: typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -63,7 +70,7 @@
     try:
         decoded = msgspec.json.decode(text, type=_Configuration)
         converted_routes = tuple(_to_route(entry) for entry in decoded.routes)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except decoding.MALFORMED as error:
         fault = exceptions.Fault(KEY_CONFIGURATION, str(error))
         raise exceptions.DocumentRejectedError((fault,)) from error
     return routes.RouteTable(
@@ -84,9 +91,10 @@
             routes.WeightedService(entry.service, _FULL_WEIGHT),
         )
     address = ipaddress.IPv4Address(entry.host)
-    return routes.Route(
-        int(address), int(entry.path_prefix.strip('/')), weighted_services
-    )
+    port = int(entry.path_prefix.strip('/'))
+    if not 0 < port <= decoding.MAX_PORT:
+        raise ValueError(f'port {port} of {entry.host} is out of range')
+    return routes.Route(int(address), port, weighted_services)
 
 
 def _to_service_config(entry: _Service) -> routes.ServiceConfig:
--- a/kumquatport/platform/heartbeat.py
+++ b/kumquatport/platform/heartbeat.py
@@ -1,27 +1,39 @@
 """Decode the heartbeats of backend servers."""
 
+import ipaddress
 import typing
 
 import msgspec
 
 from kumquatport import exceptions
+from kumquatport.helpers import decoding
 from kumquatport.process.packets import models
 
 _MS_PER_S: typing.Final = 1000.0
 _DRAINING: typing.Final = 'draining'
 
+# Limits of what a heartbeat can mean: requests at once, a warm-up of a day, and
+# numbers that all fields on the wire can hold.
+_MAX_CONCURRENCY: typing.Final = 65_535
+_MAX_WARMUP_MS: typing.Final = 86_400_000
+_MAX_NUMBER: typing.Final = 2**53
+
+_Number = typing.Annotated[int, msgspec.Meta(le=_MAX_NUMBER)]
+
 
 class _Heartbeat(msgspec.Struct, rename='pascal'):
     service: str
     address: str
     state: typing.Literal['ready', 'draining']
     # Number of concurrent requests, not of flows.
-    concurrency: int
-    sequence: int
+    concurrency: typing.Annotated[int, msgspec.Meta(le=_MAX_CONCURRENCY)]
+    sequence: _Number
     # Remaining warm-up time, not the time since the start.
-    warmup_left_ms: float = msgspec.field(name='WarmupLeftMs', default=0)
+    warmup_left_ms: typing.Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)] = (
+        msgspec.field(name='WarmupLeftMs', default=0)
+    )
     # Start time in Unix milliseconds.
-    born: int = msgspec.field(name='born', default=0)
+    born: _Number = msgspec.field(name='born', default=0)
 
 
 def decode(identifier: str, body: bytes) -> models.BackendServerReport:
@@ -36,9 +48,8 @@
     """
     try:
         heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-        host, _, port = heartbeat.address.rpartition(':')
-        endpoint = models.Endpoint(host, int(port))
-    except (msgspec.MsgspecError, ValueError) as error:
+        endpoint = _parse_endpoint(heartbeat.address)
+    except decoding.MALFORMED as error:
         raise exceptions.HeartbeatRejectedError(
             f'{identifier}: {error}'
         ) from error
@@ -52,3 +63,11 @@
         sequence=heartbeat.sequence,
         born_ms=heartbeat.born,
     )
+
+
+def _parse_endpoint(address: str) -> models.Endpoint:
+    host, _, port_text = address.rpartition(':')
+    port = int(port_text)
+    if not 0 < port <= decoding.MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return models.Endpoint(str(ipaddress.IPv4Address(host)), port)
--- a/kumquatport/platform/responses.py
+++ b/kumquatport/platform/responses.py
@@ -1,15 +1,20 @@
 """Responses of the platform, converted to typed values and errors."""
 
 import base64
-import binascii
 import typing
 
 import aiohttp
 import msgspec
 
 from kumquatport import exceptions, objects
+from kumquatport.helpers import decoding
 from kumquatport.platform import calls, const
 
+# Brackets around the content of an object in each kind of response.
+_OBJECT_DEPTH: typing.Final = 1
+_PAGE_DEPTH: typing.Final = 3
+_EVENTS_DEPTH: typing.Final = 4
+
 
 class Response(typing.NamedTuple):
     """A complete HTTP response.
@@ -109,7 +114,7 @@
     Raises:
         PlatformUnavailableError: The response is malformed.
     """
-    return _to_stored_object(key, _decode(body, _Object))
+    return _to_stored_object(key, _decode(body, _Object, _OBJECT_DEPTH))
 
 
 def decode_page(body: bytes, kind: str) -> objects.Listing:
@@ -118,7 +123,7 @@
     Raises:
         PlatformUnavailableError: The response is malformed.
     """
-    found = _decode(body, _Page)
+    found = _decode(body, _Page, _PAGE_DEPTH)
     return objects.Listing(
         found.revision,
         tuple(_to_named_object(kind, item) for item in found.items),
@@ -132,7 +137,7 @@
     Raises:
         PlatformUnavailableError: The response is malformed.
     """
-    found = _decode(body, _Events)
+    found = _decode(body, _Events, _EVENTS_DEPTH)
     return objects.Listing(
         found.revision,
         tuple(
@@ -147,13 +152,33 @@
 _DecodedT = typing.TypeVar('_DecodedT')
 
 
-def _decode(body: bytes, decoded_type: type[_DecodedT]) -> _DecodedT:
+def _decode(
+    body: bytes, decoded_type: type[_DecodedT], depth: int
+) -> _DecodedT:
+    """Decode a response; deeply nested contents of an object become null.
+
+    Args:
+        body: JSON text.
+        decoded_type: Type of the response.
+        depth: Number of brackets around the content of an object.
+
+    Raises:
+        PlatformUnavailableError: The response is malformed.
+    """
     try:
         return msgspec.json.decode(body, type=decoded_type)
+    except RecursionError:
+        body = decoding.without_deep_values(body, depth)
     except msgspec.MsgspecError as error:
-        raise exceptions.PlatformUnavailableError(
-            f'malformed response: {error}'
-        ) from error
+        raise _malformed(error) from error
+    try:
+        return msgspec.json.decode(body, type=decoded_type)
+    except decoding.MALFORMED as nested_error:
+        raise _malformed(nested_error) from nested_error
+
+
+def _malformed(error: Exception) -> exceptions.PlatformUnavailableError:
+    return exceptions.PlatformUnavailableError(f'malformed response: {error}')
 
 
 def _to_named_object(kind: str, item: _Object) -> objects.StoredObject:
@@ -168,7 +193,7 @@
     try:
         stored_spec = msgspec.json.decode(spec, type=calls.StoredSpec)
         value = base64.b64decode(stored_spec.data, validate=True)
-    except (msgspec.MsgspecError, binascii.Error):
+    except decoding.MALFORMED:
         return objects.StoredObject(key, revision, spec, revision=revision)
     return objects.StoredObject(
         key, stored_spec.count, value, revision=revision
--- a/kumquatport/process/load/statuses.py
+++ b/kumquatport/process/load/statuses.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from kumquatport import exceptions
+from kumquatport.helpers import decoding
 from kumquatport.process.status import const as status_const
 from kumquatport.process.status import models
 
@@ -78,7 +79,7 @@
         raise exceptions.PeerUnavailableError(
             f'{type(error).__name__} {error}'
         ) from error
-    except msgspec.DecodeError as decode_error:
+    except decoding.MALFORMED as decode_error:
         raise exceptions.PeerUnavailableError(
             str(decode_error)
         ) from decode_error
--- a/kumquatport/process/packets/datagrams.py
+++ b/kumquatport/process/packets/datagrams.py
@@ -67,7 +67,8 @@
     """
     try:
         bound.sendto(datagram, endpoint)
-    except OSError as error:
+    except (OSError, OverflowError, TypeError) as error:
+        # An address or port that cannot exist raises the latter two.
         _LOGGER.debug('datagram not sent', error=error, to=endpoint)
         return False
     return True
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -16,7 +16,7 @@
 import structlog
 
 from kumquatport import exceptions, objects
-from kumquatport.helpers import backoff
+from kumquatport.helpers import backoff, decoding
 from kumquatport.process.packets import const, mesh
 from kumquatport.version import members
 
@@ -249,10 +249,16 @@
 
 def _decode(stored: objects.StoredObject) -> members.InstanceRecord | None:
     try:
-        return msgspec.msgpack.decode(stored.value, type=members.InstanceRecord)
-    except msgspec.MsgspecError as error:
+        record = msgspec.msgpack.decode(
+            stored.value, type=members.InstanceRecord
+        )
+    except decoding.MALFORMED as error:
         _LOGGER.warning('record refused', key=stored.key, error=error)
         return None
+    if members.is_valid(record):
+        return record
+    _LOGGER.warning('record refused', key=stored.key, error='invalid field')
+    return None
 
 
 def _has_same_addresses(
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -1,5 +1,6 @@
 """Control messages between instances."""
 
+import math
 import struct
 import typing
 
@@ -7,6 +8,7 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import frame
+from kumquatport.helpers import decoding
 from kumquatport.version import members, routes
 
 
@@ -151,9 +153,13 @@
 _HAS_REPORT: typing.Final = 64
 _IS_FAILING: typing.Final = 128
 _MAX_COUNT: typing.Final = 0xFFFF
+_MAX_VERSION: typing.Final = 2**63 - 1
 _MS_PER_S: typing.Final = 1000
 
 
+# What decoding raises, including for an unknown kind.
+_MALFORMED: typing.Final = (IndexError, *decoding.MALFORMED)
+
 Message = Heartbeat | Records | Digests | ConfirmationRequest | Confirmation
 
 # The index is the number on the wire, so new kinds are appended.
@@ -180,11 +186,45 @@
     """
     try:
         message_type = _KINDS[datagram[1]]
-        return typing.cast(
+        message = typing.cast(
             Message, msgspec.msgpack.decode(datagram[2:], type=message_type)
         )
-    except (IndexError, msgspec.MsgspecError) as error:
+    except _MALFORMED as error:
         raise exceptions.FramePayloadError(str(error)) from error
+    _check_values(message)
+    return message
+
+
+def _check_values(message: Message) -> None:
+    """Check the ranges of values that are used for packing and sending.
+
+    Raises:
+        FramePayloadError: A value is out of range.
+    """
+    records: tuple[members.InstanceRecord, ...] = ()
+    state = None
+    if isinstance(message, Heartbeat):
+        records = (message.record,)
+        state = message.configuration
+    elif isinstance(message, Records):
+        records = message.records
+    elif isinstance(message, Confirmation):
+        state = message.configuration
+    if not all(map(members.is_valid, records)):
+        raise exceptions.FramePayloadError('invalid record')
+    if state is not None and not _is_valid_state(state):
+        raise exceptions.FramePayloadError('invalid configuration state')
+
+
+def _is_valid_state(state: ConfigurationState) -> bool:
+    versions = (state.routes_version, state.domains_revision)
+    return _is_valid_age(state.age_s) and all(
+        0 <= version <= _MAX_VERSION for version in versions
+    )
+
+
+def _is_valid_age(age_s: float) -> bool:
+    return math.isfinite(age_s) and age_s >= 0
 
 
 def encode_short_heartbeat(heartbeat: ShortHeartbeat) -> bytes:
@@ -219,12 +259,14 @@
     """Decode a short heartbeat.
 
     Raises:
-        FramePayloadError: The datagram is too short.
+        FramePayloadError: The datagram is too short, or its age invalid.
     """
     try:
         fields = _SHORT_HEARTBEAT.unpack_from(datagram, 1)
     except struct.error as error:
         raise exceptions.FramePayloadError(str(error)) from error
+    if not _is_valid_age(fields[5]):
+        raise exceptions.FramePayloadError(f'invalid age {fields[5]}')
     flags, slots, busy, flows, service_ms = fields[7:]
     load = None
     if flags & _IS_AGENT:
--- a/kumquatport/process/packets/store_watch.py
+++ b/kumquatport/process/packets/store_watch.py
@@ -166,6 +166,11 @@
             if part == ROUTES:
                 self._routes_available.clear()
             await self._async_wait_for_retry(part)
+        except Exception:
+            # One answer that cannot be handled does not end the watch.
+            _LOGGER.exception('store answer not handled', part=part)
+            self._failed_at.setdefault(part, clock.now())
+            await self.sleep(self._retry_delay_s(part))
 
     async def _async_wait_for_retry(self, part: str) -> None:
         """Wait until a failed part is due to be tried again.
--- a/kumquatport/request/idempotency/roster.py
+++ b/kumquatport/request/idempotency/roster.py
@@ -12,6 +12,7 @@
 import msgspec
 import xxhash
 
+from kumquatport.helpers import decoding
 from kumquatport.request.idempotency import const
 
 
@@ -80,7 +81,7 @@
     """Decode a roster; return ``NO_ROSTER`` if it is malformed."""
     try:
         return _DECODER.decode(encoded)
-    except msgspec.MsgspecError:
+    except decoding.MALFORMED:
         return NO_ROSTER
 
 
--- a/kumquatport/version/acceptance/audit.py
+++ b/kumquatport/version/acceptance/audit.py
@@ -9,6 +9,7 @@
 import structlog
 
 from kumquatport import exceptions, objects
+from kumquatport.helpers import decoding
 from kumquatport.version import document
 from kumquatport.version.acceptance import const, model, retries
 from kumquatport.version.document import const as document_const
@@ -93,7 +94,7 @@
         return None
     try:
         return msgspec.json.decode(stored.value, type=model.AuditEntry)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         _LOGGER.warning('malformed audit entry', key=stored.key, error=error)
     return None
 
--- a/kumquatport/version/members/__init__.py
+++ b/kumquatport/version/members/__init__.py
@@ -5,6 +5,7 @@
     InstanceRecord,
     fingerprint,
     is_departed,
+    is_valid,
     precedence,
 )
 from kumquatport.version.members.registry import Registry
@@ -16,5 +17,6 @@
     'Registry',
     'fingerprint',
     'is_departed',
+    'is_valid',
     'precedence',
 )
--- a/kumquatport/version/members/const.py
+++ b/kumquatport/version/members/const.py
@@ -4,6 +4,12 @@
 
 KIND_AGENT: typing.Final = 'agent'
 KIND_BALANCER: typing.Final = 'balancer'
+KINDS: typing.Final = frozenset((KIND_AGENT, KIND_BALANCER))
+
+# Largest values of a record, below the limits of the fields on the wire by more
+# than an owner adds to outrank another record.
+MAX_INCARNATION: typing.Final = 2**62
+MAX_SEQUENCE: typing.Final = 2**31
 
 STATE_STARTING: typing.Final = 'starting'
 STATE_READY: typing.Final = 'ready'
--- a/kumquatport/version/members/record.py
+++ b/kumquatport/version/members/record.py
@@ -1,11 +1,13 @@
 """Record by which an instance describes itself to the others."""
 
+import ipaddress
 import math
 import typing
 
 import msgspec
 import xxhash
 
+from kumquatport.helpers import decoding
 from kumquatport.version.members import const
 
 
@@ -55,9 +57,26 @@
     """Return whether a received record can be stored."""
     if not record.instance or record.state not in const.STATES:
         return False
+    if record.kind not in const.KINDS or not _is_address(record.address):
+        return False
+    ports = (record.control_port, record.data_port)
+    if any(not 0 <= port <= decoding.MAX_PORT for port in ports):
+        return False
+    if not 0 <= record.incarnation <= const.MAX_INCARNATION:
+        return False
+    if not 0 <= record.sequence <= const.MAX_SEQUENCE:
+        return False
     return math.isfinite(record.weight) and 0 <= record.weight <= 1
 
 
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def precedence(record: InstanceRecord) -> tuple[typing.Any, ...]:
     """Return the sort key by which one record outranks another.
 
--- a/kumquatport/version/replication/platform_lease.py
+++ b/kumquatport/version/replication/platform_lease.py
@@ -6,7 +6,7 @@
 import structlog
 
 from kumquatport import exceptions, objects
-from kumquatport.helpers import clock
+from kumquatport.helpers import clock, decoding
 from kumquatport.version.replication import const
 
 _LOGGER = structlog.get_logger(__name__)
@@ -142,5 +142,5 @@
         return typing.cast(
             LeaseState, msgspec.json.decode(stored.value, type=LeaseState)
         )
-    except msgspec.MsgspecError:
+    except decoding.MALFORMED:
         return None
--- a/kumquatport/version/replication/snapshots.py
+++ b/kumquatport/version/replication/snapshots.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from kumquatport import exceptions, objects
-from kumquatport.helpers import clock
+from kumquatport.helpers import clock, decoding
 from kumquatport.version import members
 from kumquatport.version.replication import (
     const,
@@ -194,7 +194,7 @@
 def _balancer_endpoints(value: bytes) -> list[str]:
     try:
         snapshot = msgspec.json.decode(value, type=Snapshot)
-    except msgspec.MsgspecError as error:
+    except decoding.MALFORMED as error:
         _LOGGER.error('invalid members snapshot', error=str(error))
         return []
     return [
--- a/kumquatport/version/routes.py
+++ b/kumquatport/version/routes.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from kumquatport import exceptions
+from kumquatport.helpers import decoding
 
 
 class WeightedService(typing.NamedTuple):
@@ -122,7 +123,7 @@
     """
     try:
         decoded = msgspec.msgpack.decode(encoded, type=_EncodedTable)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except decoding.MALFORMED as error:
         fault = exceptions.Fault('routes', str(error))
         raise exceptions.DocumentRejectedError((fault,)) from error
     return RouteTable(
--- a/tests/unit/process/packets/test_liveness.py
+++ b/tests/unit/process/packets/test_liveness.py
@@ -55,7 +55,7 @@
                 f'front-{number}',
                 kind=members.KIND_BALANCER,
                 service='',
-                address=f'10.{number % DOMAINS}.1.{number}',
+                address=f'10.{number % DOMAINS}.{number // 250}.{number % 250}',
                 failure_domain=f'accra-{number % DOMAINS}',
             )
             state = messages.ConfigurationState(0, 0, (), 0.0, '')
