--- a/kumquatport/connection/packets/pause_detection.py
+++ b/kumquatport/connection/packets/pause_detection.py
@@ -19,6 +19,11 @@
 MAX_UNCONFIRMED_S: typing.Final = 2.0
 
 
+# Seconds without a check after which datagrams may have waited to be read; the
+# checks are at half of this interval.
+MAX_CHECK_GAP_S: typing.Final = 0.5
+
+
 class PauseDetector:
     """Detects pauses of this process and tracks their confirmation.
 
@@ -52,6 +57,17 @@
             self._unconfirmed_until = now + MAX_UNCONFIRMED_S
         return has_paused
 
+    def may_have_paused(self, now: float) -> bool:
+        """Return whether datagrams read now may have waited for long.
+
+        Args:
+            now: Monotonic time in seconds that advances during suspension.
+        """
+        return (
+            now - self._last_check_at > MAX_CHECK_GAP_S
+            or self.is_unconfirmed(now)
+        )
+
     def is_unconfirmed(self, now: float) -> bool:
         """Return whether no peer has confirmed the configuration yet.
 
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -417,7 +417,7 @@
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
             heartbeat.domains_revision,
-            heartbeat.age_s,
+            self.pause_recovery.received_age_s(heartbeat.age_s),
             instance,
         )
         if is_newer:
@@ -453,11 +453,13 @@
         if record != self.registry.get(record.instance):
             self._membership.merge(record)
         self._liveness.note_heartbeat(peer, record)
-        self._merge_configuration(message.configuration, record)
+        state = message.configuration
+        age_s = self.pause_recovery.received_age_s(state.age_s)
+        self._merge_configuration(state._replace(age_s=age_s), record)
         if message.receiver_was_draining:
             self.on_draining_reported()
         if message.wants_reply or is_new:
-            self._send_reply(peer, record, message.configuration.routes_version)
+            self._send_reply(peer, record, state.routes_version)
         self._liveness.update_load(peer, message.load)
         if is_new:
             self._on_peer_started(peer, record)
--- a/kumquatport/process/packets/pause_recovery.py
+++ b/kumquatport/process/packets/pause_recovery.py
@@ -1,5 +1,6 @@
 """Confirmation of the configuration after this process was paused."""
 
+import math
 from collections import abc
 
 import structlog
@@ -49,6 +50,20 @@
             self.request_confirmation()
         return self._pauses.is_unconfirmed(now)
 
+    def received_age_s(self, age_s: float) -> float:
+        """Return the age that a heartbeat read now proves; infinity for none.
+
+        A heartbeat that waited while this process was paused carries an age
+        from before the pause. Taken for a present one and passed on, it would
+        keep all balancers from reading the store.
+
+        Args:
+            age_s: Age that the heartbeat carries, in seconds.
+        """
+        if self._pauses.may_have_paused(clock.now()):
+            return math.inf
+        return age_s
+
     def request_confirmation(self) -> None:
         """Request a confirmation from all balancers; the first one counts."""
         request = messages.encode(
--- a/tests/builders/watch_clusters.py
+++ b/tests/builders/watch_clusters.py
@@ -147,7 +147,7 @@
         address: Its IPv4 address.
         configuration: Configuration known to it.
         mesh: Its mesh.
-        is_frozen: Whether it stands still; datagrams wait meanwhile.
+        frozen_until: Time until which it is paused; datagrams wait meanwhile.
         applied: Time at which each version of the routes was in force.
     """
 
@@ -163,6 +163,7 @@
         self.configuration = known_configuration.KnownConfiguration(name)
         self.mesh = mesh.Mesh(self.settings, kind, self.configuration)
         self.mesh.own_record.update(members_const.STATE_READY, None)
+        self.frozen_until = 0.0
         self.applied: dict[int, float] = {}
         self.domains_applied_at: dict[frozenset[str], float] = {}
 
@@ -266,8 +267,29 @@
         )
         phase_s = self.random.uniform(0, const.HEARTBEAT_S)
         self._loop.call_later(phase_s, self._send_heartbeats, instance, 0)
+        self._loop.call_later(phase_s, self._detect_pauses, instance)
+
+    def _detect_pauses(self, instance: Instance) -> None:
+        frozen_s = instance.frozen_until - self._loop.time()
+        if frozen_s <= 0:
+            if instance.mesh.pause_recovery.is_unconfirmed():
+                instance.mesh.pause_recovery.request_confirmation()
+            frozen_s = 0
+        self._loop.call_later(
+            frozen_s + const.PAUSE_CHECK_S, self._detect_pauses, instance
+        )
 
     def _send_heartbeats(self, instance: Instance, round_number: int) -> None:
+        frozen_s = instance.frozen_until - self._loop.time()
+        if frozen_s > 0:
+            # After the datagrams that have waited.
+            self._loop.call_later(
+                frozen_s + NETWORK_DELAY_S,
+                self._send_heartbeats,
+                instance,
+                round_number,
+            )
+            return
         instance.mesh.send_heartbeats(round_number)
         self._loop.call_later(
             instance.mesh.round_s * self.random.uniform(0.9, 1.1),
@@ -283,12 +305,23 @@
         if receiver is not None and self.random.random() >= self.loss:
             self._loop.call_later(
                 NETWORK_DELAY_S,
-                receiver.mesh.on_datagram,
+                self._receive,
+                receiver,
                 datagram,
                 (sender.address, PEER_PORT),
             )
         return True
 
+    def _receive(
+        self, receiver: Instance, datagram: bytes, sender: tuple[str, int]
+    ) -> None:
+        if receiver.frozen_until > self._loop.time():
+            self._loop.call_at(
+                receiver.frozen_until, self._receive, receiver, datagram, sender
+            )
+        else:
+            receiver.mesh.on_datagram(datagram, sender)
+
     def _fetch(
         self,
         record: members.InstanceRecord,
--- a/tests/unit/process/packets/test_configuration_delay.py
+++ b/tests/unit/process/packets/test_configuration_delay.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from kumquatport.process.packets import watch_timing
 from tests import clocks
 from tests.builders import watch_clusters
 
@@ -50,6 +51,10 @@
     async def assert_in_force(self, cluster, version, started_at):
         bounds = cluster.instances[0].settings.bounds
         await asyncio.sleep(2 * bounds.apply_s)
+        self.assert_delays(cluster, version, started_at, cluster.instances)
+
+    def assert_delays(self, cluster, version, started_at, instances):
+        bounds = cluster.instances[0].settings.bounds
         delays = {
             instance.name: min(
                 (
@@ -59,7 +64,7 @@
                 ),
                 default=float('inf'),
             )
-            for instance in cluster.instances
+            for instance in instances
         }
         self.assertLessEqual(max(delays.values()), bounds.apply_s, delays)
 
@@ -75,6 +80,89 @@
 
         self.run_cluster(lose_and_change)
 
+    def test_heartbeats_that_waited_do_not_delay_the_substitutes(self):
+        """Agents that were paused tell of confirmations of before."""
+
+        async def lose_and_change(cluster):
+            agents = list(cluster.agents.values())
+            await self.lose_store(cluster, 3)
+            started_at = self.loop.time()
+            for index, agent in enumerate(agents):
+                agent.frozen_until = started_at + 1.2 + 0.1 * index
+            version = cluster.store.write_routes()
+            await asyncio.sleep(6)
+            self.assert_delays(
+                cluster, version, started_at, cluster.balancers.values()
+            )
+
+        for seed in range(1, 6):
+            self.run_cluster(lose_and_change, seed=seed)
+
+    def test_any_number_of_balancers_may_have_lost_the_store(self):
+        async def lose_and_change(cluster):
+            for count in (1, 3, 4):
+                await self.lose_store(cluster, count)
+                started_at = self.loop.time()
+                version = cluster.store.write_routes()
+                await self.assert_in_force(cluster, version, started_at)
+                cluster.store.silent.clear()
+                await asyncio.sleep(SETTLED_S)
+
+        self.run_cluster(lose_and_change)
+
+    def test_change_is_in_force_in_time_whenever_it_comes_in_a_cut(self):
+        async def lose_and_change(cluster):
+            await self.lose_store(cluster, 2)
+            for step in range(8):
+                await asyncio.sleep(0.23 * step)
+                started_at = self.loop.time()
+                version = cluster.store.write_routes()
+                await self.assert_in_force(cluster, version, started_at)
+
+        self.run_cluster(lose_and_change)
+
+    def test_failure_domain_is_out_in_time_after_a_cut(self):
+        async def lose_and_take_out(cluster):
+            await self.lose_store(cluster, 4)
+            started_at = self.loop.time()
+            cluster.store.take_out('b')
+            bounds = cluster.instances[0].settings.bounds
+            await asyncio.sleep(2 * bounds.evacuate_s)
+            for instance in cluster.instances:
+                applied_at = instance.domains_applied_at[frozenset('b')]
+                self.assertLessEqual(
+                    applied_at - started_at, bounds.configuration_s
+                )
+
+        self.run_cluster(lose_and_take_out)
+
+    def test_change_is_in_force_in_time_when_messages_are_lost(self):
+        async def lose_and_change(cluster):
+            cluster.loss = 0.1
+            for _ in range(3):
+                await self.lose_store(cluster, 2)
+                started_at = self.loop.time()
+                version = cluster.store.write_routes()
+                await self.assert_in_force(cluster, version, started_at)
+                cluster.store.silent.clear()
+                await asyncio.sleep(SETTLED_S)
+
+        for seed in range(1, 9):
+            self.run_cluster(lose_and_change, seed=seed)
+
+    def test_watchers_alone_read_while_they_have_the_store(self):
+        async def count_calls(cluster):
+            calls = cluster.store.calls
+            await asyncio.sleep(60)
+            timing = watch_timing.from_bound(
+                cluster.instances[0].settings.bounds.configuration_s
+            )
+            parts = 2
+            expected = 60 / timing.watch_s * parts * watch_timing.MIN_WATCHERS
+            self.assertLessEqual(cluster.store.calls - calls, 1.05 * expected)
+
+        self.run_cluster(count_calls)
+
 
 if __name__ == '__main__':
     unittest.main()
