Read the store over a connection of its own, unless it is a watch

Cause, of the class of the incident: a read reused a connection that had been idle. Connections may go silent for good while they are idle; the read then lasted until its timeout of 0.9 s, which the sum of the waits of a change has no time for. Change: lists and reads of single objects open a connection each; watches, which follow each other at once, keep theirs.

--- a/kumquatport/platform/client.py
+++ b/kumquatport/platform/client.py
@@ -51,8 +51,8 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self._url = url.rstrip('/')
         self._timeout = timeout
-        self._read_session: aiohttp.ClientSession | None = None
-        self._write_session: aiohttp.ClientSession | None = None
+        self._watch_session: aiohttp.ClientSession | None = None
+        self._single_session: aiohttp.ClientSession | None = None
         self._unavailable = False
         self._known_objects: dict[str, objects.StoredObject] = {}
 
@@ -65,19 +65,24 @@
         await self.async_stop()
 
     async def async_setup(self) -> None:
-        """Open the connection pools, for use without starting the service."""
-        if self._read_session is not None:
+        """Open the connection pools, for use without starting the service.
+
+        Only watches, which follow each other at once, use a connection again.
+        One that has been idle may have gone silent meanwhile, and a call on it
+        would wait for its timeout.
+        """
+        if self._watch_session is not None:
             return
-        self._read_session = aiohttp.ClientSession()
-        self._write_session = aiohttp.ClientSession(
+        self._watch_session = aiohttp.ClientSession()
+        self._single_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True),
         )
 
     async def async_stop(self) -> None:
         """Close the connection pools."""
-        sessions = (self._read_session, self._write_session)
-        self._read_session = None
-        self._write_session = None
+        sessions = (self._watch_session, self._single_session)
+        self._watch_session = None
+        self._single_session = None
         for session in sessions:
             if session is not None:
                 await session.close()
@@ -229,7 +234,11 @@
         """Send a read; any failure but a missing object means unavailable."""
         self.calls[kind] += 1
         timeout = aiohttp.ClientTimeout(total=self._timeout + extra_s)
-        session = _require_session(self._read_session)
+        session = _require_session(
+            self._watch_session
+            if kind == const.CALL_WATCH
+            else self._single_session
+        )
         try:
             async with session.get(url, timeout=timeout) as http_response:
                 response = await responses.async_read(http_response)
@@ -246,7 +255,7 @@
         """Send a write; its outcome is unknown if it fails after connecting."""
         self.calls[call.kind] += 1
         timeout = aiohttp.ClientTimeout(total=self._timeout)
-        session = _require_session(self._write_session)
+        session = _require_session(self._single_session)
         request = session.request(
             call.kind.upper(),
             call.url,
