Relay a change once more, and fetch routes from another peer at once

A relay that was lost, or whose receiver had just failed, was repaired by heartbeats only: after 0.9 s in a small deployment, and the later the more instances there are. A fetch of large routes from a peer that did not accept the connection took 1.0 s and was then not tried until a heartbeat. Change: all who hold a change relay it once more after a tenth of the bound, in a tree with other parents, unless a later change has been relayed; a connection for routes is given up after 0.25 s, and the next peer that told of newer routes is asked at once.

--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -66,9 +66,11 @@
 # Records in one datagram, which keep it below 8 KB.
 RECORDS_PER_MESSAGE: typing.Final = 40
 
-# Size limit of encoded routes, time limit of their transfer over TCP, and delay
-# after a failed transfer.
+# Size limit of encoded routes, time limits of a connection and of their transfer
+# over TCP, and delay after a failed transfer. A peer that does not accept the
+# connection soon is passed over for another one.
 MAX_ROUTES_BYTES: typing.Final = 16 * 1024 * 1024
+FETCH_CONNECT_TIMEOUT_S: typing.Final = 0.25
 FETCH_TIMEOUT_S: typing.Final = 1.0
 FETCH_RETRY_S: typing.Final = 0.1
 
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -1,5 +1,6 @@
 """Exchange of liveness, load and configuration between instances."""
 
+import functools
 from collections import abc
 
 import structlog
@@ -16,6 +17,7 @@
     pause_recovery,
     peers,
     relay,
+    watch_timing,
 )
 from kumquatport.version import members
 from kumquatport.version.replication import own_record
@@ -97,7 +99,9 @@
         self._transport: peers.Transport | None = None
         self._is_heartbeat_scheduled = False
         self._is_relay_scheduled = False
+        self._relay_count = 0
         self._is_fetching = False
+        self._newer_peers: dict[str, str] = {}
         self.registry.subscribe(self._on_record)
         self.own_record.changes.subscribe(self.schedule_heartbeats)
         configuration.subscribe(self._schedule_relay)
@@ -263,8 +267,22 @@
 
     def _relay(self) -> None:
         self._is_relay_scheduled = False
-        if not self._is_balancer:
+        if not self._is_balancer or self._transport is None:
             return
+        self._send_relays(is_repeat=False)
+        self._relay_count += 1
+        timing = watch_timing.from_bound(self._settings.bounds.configuration_s)
+        self._transport.call_later(
+            timing.repeat_s,
+            functools.partial(self._repeat_relay, self._relay_count),
+        )
+
+    def _repeat_relay(self, relay_count: int) -> None:
+        """Relay once more, unless a later change has been relayed since."""
+        if relay_count == self._relay_count:
+            self._send_relays(is_repeat=True)
+
+    def _send_relays(self, *, is_repeat: bool) -> None:
         own_name = self._settings.instance
         agents = [
             record.instance
@@ -276,6 +294,7 @@
             self._configuration.origin,
             sorted(self.balancer_names()),
             sorted(agents),
+            is_repeat=is_repeat,
         )
         message = messages.encode(
             self._full_heartbeat(wants_reply=False, with_changes=True)
@@ -579,14 +598,28 @@
 
     def _fetch_from(self, record: members.InstanceRecord, origin: str) -> None:
         """Start to fetch the routes of a peer that has newer ones."""
-        if self._is_fetching or self._transport is None:
+        self._newer_peers[record.instance] = origin
+        if not self._is_fetching:
+            self._fetch_next()
+
+    def _fetch_next(self) -> None:
+        """Fetch from the peer that has told last of newer routes."""
+        if self._transport is None or not self._newer_peers:
+            return
+        instance, origin = self._newer_peers.popitem()
+        record = self.registry.get(instance)
+        if record is None:
+            self._fetch_next()
             return
         self._is_fetching = True
 
         def finish(encoded: bytes | None) -> None:
             self._is_fetching = False
-            if encoded is not None:
-                self._update_routes(encoded, record.instance, origin)
+            if encoded is None:
+                self._fetch_next()
+                return
+            self._newer_peers.clear()
+            self._update_routes(encoded, instance, origin)
 
         self._transport.fetch_routes(record, finish)
 
--- a/kumquatport/process/packets/peer_link.py
+++ b/kumquatport/process/packets/peer_link.py
@@ -54,11 +54,13 @@
         """
         bound, close = datagrams.listen(self._address, self._mesh.on_datagram)
         self._close_callbacks.append(close)
+        loop = asyncio.get_running_loop()
         self._mesh.connect(
             peers.Transport(
                 functools.partial(datagrams.send, bound),
-                asyncio.get_running_loop().call_soon,
+                loop.call_soon,
                 self._start_fetch,
+                loop.call_later,
             )
         )
         server = await routes_fetch.async_serve(
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -18,6 +18,7 @@
         call_soon: Calls a function in the next iteration of the event loop.
         fetch_routes: Fetches the routes of an instance and passes them to a
             function, or None if the fetch failed.
+        call_later: Calls a function after some seconds.
     """
 
     send: abc.Callable[[bytes, tuple[str, int]], bool]
@@ -25,6 +26,7 @@
     fetch_routes: abc.Callable[
         [members.InstanceRecord, abc.Callable[[bytes | None], None]], None
     ]
+    call_later: abc.Callable[[float, abc.Callable[[], None]], object]
 
 
 class Peer:
--- a/kumquatport/process/packets/relay.py
+++ b/kumquatport/process/packets/relay.py
@@ -20,24 +20,30 @@
     origin: str,
     balancers: abc.Sequence[str],
     agents: abc.Sequence[str],
+    *,
+    is_repeat: bool = False,
 ) -> list[str]:
     """Return the instances to which a balancer relays a change.
 
     The balancers form a tree whose root is the one that read the change from
     the store; the agents are divided among them. Two balancers watch the store,
     so each change has two trees, and an agent has a different balancer in each.
-    Instances that are missed, because views differ or a balancer on the path is
-    gone, learn the change from heartbeats.
+    All who hold the change relay it once more, in another tree. Instances that
+    are missed even so learn the change from heartbeats.
 
     Args:
         own: Balancer that relays the change.
         origin: Balancer that read the change from the store.
         balancers: Names of all balancers, sorted.
         agents: Names of all agents, sorted.
+        is_repeat: Whether to take the other tree. Balancers next to each other
+            by name often fail together, so its root is half of them away.
     """
     if own not in balancers:
         return []
     start = balancers.index(origin) if origin in balancers else 0
+    if is_repeat:
+        start = (start + max(len(balancers) // 2, 1)) % len(balancers)
     tree = [*balancers[start:], *balancers[:start]]
     index = tree.index(own)
     children = ranking.children(tree, index, FAN_OUT)
--- a/kumquatport/process/packets/routes_fetch.py
+++ b/kumquatport/process/packets/routes_fetch.py
@@ -61,7 +61,8 @@
 
 
 async def _async_read(endpoint: tuple[str, int]) -> bytes:
-    reader, writer = await asyncio.open_connection(*endpoint)
+    async with asyncio.timeout(const.FETCH_CONNECT_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*endpoint)
     try:
         header = await reader.readexactly(_LENGTH.size)
         size = int.from_bytes(header)
--- a/kumquatport/process/packets/watch_timing.py
+++ b/kumquatport/process/packets/watch_timing.py
@@ -27,6 +27,10 @@
 READ_SHARE: typing.Final = 0.1
 WAY_SHARE: typing.Final = 0.3
 
+# Part of the bound after which a change is relayed once more. The way has time
+# for it and for all hops.
+REPEAT_SHARE: typing.Final = WAY_SHARE / 3
+
 # Part of the bound for which a watcher collects changes in quick succession
 # after the first of them; less than the share of an answer, so that nobody else
 # starts to read meanwhile.
@@ -44,12 +48,14 @@
         answer_s: Further seconds for its answer.
         substitutes_s: Seconds over which further balancers start to read.
         batch_s: Pause after a change, in which further changes are collected.
+        repeat_s: Seconds after which a change is relayed once more.
     """
 
     watch_s: float
     answer_s: float
     substitutes_s: float
     batch_s: float
+    repeat_s: float
 
     def join_age_s(self, rank: int, count: int) -> float:
         """Return the age of the configuration at which a balancer reads.
@@ -90,6 +96,7 @@
         answer_s=ANSWER_SHARE * bound_s,
         substitutes_s=SUBSTITUTES_SHARE * bound_s,
         batch_s=BATCH_SHARE * bound_s,
+        repeat_s=REPEAT_SHARE * bound_s,
     )
 
 
--- a/tests/builders/balancers.py
+++ b/tests/builders/balancers.py
@@ -36,7 +36,11 @@
     )
     configuration = known_configuration.KnownConfiguration(settings.instance)
     peer_mesh = mesh.Mesh(settings, members.KIND_BALANCER, configuration)
-    peer_mesh.connect(peers.Transport(send, lambda call: None, lambda *_: None))
+    peer_mesh.connect(
+        peers.Transport(
+            send, lambda call: None, lambda *_: None, lambda *_: None
+        )
+    )
     built_forwarder = forwarder.Forwarder(
         settings, packets.CODEC, configuration, peer_mesh
     )
--- a/tests/builders/watch_clusters.py
+++ b/tests/builders/watch_clusters.py
@@ -263,6 +263,7 @@
                 lambda datagram, target: self._send(instance, datagram, target),
                 self._loop.call_soon,
                 self._fetch,
+                self._loop.call_later,
             )
         )
         phase_s = self.random.uniform(0, const.HEARTBEAT_S)
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -442,6 +442,9 @@
             fetch_routes=lambda record, take: self._fetch_routes(
                 address, record, take
             ),
+            call_later=lambda delay_s, call: self.sim.call_later_on(
+                node, delay_s, call
+            ),
         )
 
     def _fetch_routes(
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -47,7 +47,9 @@
         settings = builders.settings()
         self.mesh = mesh.Mesh(settings, members.KIND_AGENT, self.configuration)
         self.mesh.connect(
-            peers.Transport(self._send, lambda call: None, lambda *_: None)
+            peers.Transport(
+                self._send, lambda call: None, lambda *_: None, lambda *_: None
+            )
         )
         self.datapath = agent_datapath.AgentDatapath(
             settings,
--- a/tests/unit/process/packets/test_configuration_delay.py
+++ b/tests/unit/process/packets/test_configuration_delay.py
@@ -150,6 +150,24 @@
         for seed in range(1, 9):
             self.run_cluster(lose_and_change, seed=seed)
 
+    def test_lost_relay_is_repaired_without_heartbeats(self):
+        """With thousands of instances heartbeats are too rare for that."""
+
+        async def lose_relay(cluster):
+            bounds = cluster.instances[0].settings.bounds
+            with mock.patch(
+                'kumquatport.process.packets.peers.round_s', lambda count: 60.0
+            ):
+                await asyncio.sleep(1)
+                started_at = self.loop.time()
+                cluster.loss = 1.0
+                version = cluster.store.write_routes()
+                await asyncio.sleep(bounds.apply_s / 30)
+                cluster.loss = 0.0
+                await self.assert_in_force(cluster, version, started_at)
+
+        self.run_cluster(lose_relay)
+
     def test_watchers_alone_read_while_they_have_the_store(self):
         async def count_calls(cluster):
             calls = cluster.store.calls
--- a/tests/unit/process/packets/test_dissemination.py
+++ b/tests/unit/process/packets/test_dissemination.py
@@ -6,7 +6,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from kumquatport.process.packets import known_configuration, membership, relay
+from kumquatport.process.packets import (
+    known_configuration,
+    membership,
+    mesh,
+    messages,
+    peers,
+    relay,
+)
 from kumquatport.version import members, routes
 from tests.builders import packets as builders
 from tests.emulator import deployment, simulation
@@ -56,6 +63,30 @@
             }
             self.assertEqual(len(assigned), 2)
 
+    def test_repeat_reaches_each_instance_by_another_way(self):
+        for count in (2, 5, 73):
+            balancers = [f'front-{number:03}' for number in range(count)]
+            agents = [f'side-{number:03}' for number in range(3 * count)]
+            ways = []
+            for is_repeat in (False, True):
+                senders = {
+                    receiver: own
+                    for own in balancers
+                    for receiver in relay.receivers(
+                        own,
+                        balancers[1],
+                        balancers,
+                        agents,
+                        is_repeat=is_repeat,
+                    )
+                }
+                self.assertLessEqual(set(agents), set(senders))
+                self.assertGreaterEqual(len(senders), 4 * count - 1)
+                ways.append(senders)
+            first, second = ways
+            for agent in agents:
+                self.assertNotEqual(first[agent], second[agent])
+
     def test_agent_relays_nothing(self):
         receivers = relay.receivers(
             'side-1', 'front-1', ['front-1'], ['side-1']
@@ -114,6 +145,46 @@
         self.assertEqual(first.snapshot(with_changes=True).changes, ())
 
 
+class FetchTest(unittest.TestCase):
+    """Routes that are too large for a message are fetched from a peer."""
+
+    def test_peer_that_does_not_answer_is_passed_over(self):
+        configuration = known_configuration.KnownConfiguration('side-1')
+        agent = mesh.Mesh(
+            builders.settings(), members.KIND_AGENT, configuration
+        )
+        fetches = []
+        agent.connect(
+            peers.Transport(
+                lambda *_: True,
+                lambda call: None,
+                lambda record, finish: fetches.append((record, finish)),
+                lambda *_: None,
+            )
+        )
+        newer = routes.encode(builders.table(9))
+        for number in (1, 2):
+            record = builders.record(
+                f'front-{number}',
+                kind=members.KIND_BALANCER,
+                service='',
+                address=f'10.0.0.{number}',
+            )
+            state = messages.ConfigurationState(9, 1, (), 0.1, 'front-1')
+            heartbeat = messages.Heartbeat(
+                record, None, state, wants_reply=False
+            )
+            agent.on_datagram(messages.encode(heartbeat), (record.address, 1))
+        self.assertEqual(
+            [record.instance for record, _ in fetches], ['front-1']
+        )
+        fetches[0][1](None)
+        self.assertEqual(fetches[1][0].instance, 'front-2')
+        fetches[1][1](newer)
+        self.assertEqual(configuration.routes_version, 9)
+        self.assertEqual(len(fetches), 2)
+
+
 class MembershipTest(unittest.TestCase):
     """An agent keeps balancers only; a balancer shares these with it."""
 
--- a/tests/unit/process/packets/test_known_configuration.py
+++ b/tests/unit/process/packets/test_known_configuration.py
@@ -121,6 +121,7 @@
                 lambda datagram, target: self._send(datagram, address, target),
                 lambda call: self.queue.append(call),
                 lambda *_: None,
+                lambda *_: None,
             )
         )
         return peer_mesh
--- a/tests/unit/process/packets/test_liveness.py
+++ b/tests/unit/process/packets/test_liveness.py
@@ -38,7 +38,9 @@
             known_configuration.KnownConfiguration('side-1'),
         )
         self.mesh.connect(
-            peers.Transport(self._send, lambda call: None, lambda *_: None)
+            peers.Transport(
+                self._send, lambda call: None, lambda *_: None, lambda *_: None
+            )
         )
 
     def _send(self, datagram, endpoint):
--- a/tests/unit/process/packets/test_pause_recovery.py
+++ b/tests/unit/process/packets/test_pause_recovery.py
@@ -51,7 +51,10 @@
         )
         self.mesh.connect(
             peers.Transport(
-                self._keep_for_balancer, lambda call: None, lambda *_: None
+                self._keep_for_balancer,
+                lambda call: None,
+                lambda *_: None,
+                lambda *_: None,
             )
         )
         self.mesh.greet([BALANCER])
