End the drain of a stop before the grace of the settings

With a shorter grace the platform kills the process in the middle of its drain. Change: both end their drain SHUTDOWN_RESERVE_S before the grace runs out. Result: with a grace of 1.4 s test_drain_of_a_balancer_ends_within_a_short_grace and test_drain_with_requests_in_progress_ends_within_a_short_grace failed on the code before and pass.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -118,7 +118,7 @@
             await self._async_check_presence()
         is_gone = self._datapath.backend_server.is_gone
         await asyncio.sleep(const.AGENT_DRAIN_MIN_S)
-        drain_until = clock.now() + const.AGENT_DRAIN_MAX_S
+        drain_until = min(clock.now() + const.AGENT_DRAIN_MAX_S, deadline)
         while self._datapath.busy and clock.now() < drain_until and not is_gone:
             await asyncio.sleep(const.AGENT_DRAIN_POLL_S)
         self._datapath.register_flows(is_last=True)
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -97,7 +97,8 @@
         """Report not ready, and forward until the platform has noticed."""
         self._is_leaving = True
         self._mesh.own_record.update(members_const.STATE_LEAVING, None)
-        await asyncio.sleep(const.BALANCER_DRAIN_S)
+        until_kill_s = self._settings.bounds.grace_s - const.SHUTDOWN_RESERVE_S
+        await asyncio.sleep(min(const.BALANCER_DRAIN_S, max(until_kill_s, 0)))
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -124,8 +124,8 @@
 AGENT_DRAIN_MIN_S: typing.Final = 0.15
 AGENT_DRAIN_POLL_S: typing.Final = 0.01
 
-# Seconds of the platform's grace period that an agent reserves for closing its
-# sockets and exiting.
+# Seconds of the platform's grace period that a stopping process reserves for
+# closing its sockets and exiting.
 SHUTDOWN_RESERVE_S: typing.Final = 1.0
 
 # Seconds between two registrations of flows with their registrars. A flow that
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -3,9 +3,11 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from kumquatport.process.packets import (
     agent,
+    balancer,
     const,
     http_services,
     metrics,
@@ -18,6 +20,8 @@
 KEY = f'{const.KIND_INSTANCES}/b-side-1'
 TIMEOUT_S = 5.0
 GRACE_S = 3.0
+# Shorter than the usual drain of either program.
+SHORT_GRACE_S = 1.4
 POLL_S = 0.01
 
 
@@ -120,6 +124,39 @@
             await self.agent.async_drain()
         self.assertIn(KEY, self.store.objects)
 
+    async def test_drain_with_requests_in_progress_ends_within_a_short_grace(
+        self,
+    ):
+        settings = self.agent._settings
+        bounds = settings.bounds._replace(grace_s=SHORT_GRACE_S)
+        self.agent.apply_settings(settings._replace(bounds=bounds))
+        packages = 'kumquatport.process.packets'
+        with (
+            mock.patch(f'{packages}.agent_datapath.AgentDatapath.busy', 1),
+            mock.patch(
+                f'{packages}.presence.async_is_absent',
+                mock.AsyncMock(return_value=False),
+            ),
+        ):
+            self.report(builders.report())
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await self.agent.async_drain()
+
+
+class BalancerDrainTest(unittest.IsolatedAsyncioTestCase):
+    """A balancer stops before the platform kills it."""
+
+    async def test_drain_of_a_balancer_ends_within_a_short_grace(self):
+        settings = builders.settings(
+            entry=models.Endpoint(ADDRESS, 7425), outbound=None
+        )
+        bounds = settings.bounds._replace(grace_s=SHORT_GRACE_S)
+        leaving = balancer.Balancer(
+            settings._replace(bounds=bounds), builders.CODEC, None, None
+        )
+        async with asyncio.timeout(SHORT_GRACE_S):
+            await leaving.async_drain()
+
 
 if __name__ == '__main__':
     unittest.main()
