--- a/tests/unit/platform/test_reading.py
+++ b/tests/unit/platform/test_reading.py
@@ -185,6 +185,21 @@
         self.assertEqual(found.bounds.cold_slack, 5)
         self.assertEqual(found.store.url, 'http://10.200.1.7:8169')
 
+    def test_bounds_of_changes_come_from_the_settings(self):
+        bounds = 'DrainMs = 3000\nConfigApplyMs = 2500\nEvacMs = 1500'
+        self.path.write_text(SETTINGS.replace('DrainMs = 3000', bounds))
+        found = settings.load(self.path).bounds
+        self.assertEqual((found.apply_s, found.evacuate_s), (2.5, 1.5))
+        self.assertEqual(found.configuration_s, 1.5)
+
+    def test_bound_that_is_no_time_is_refused(self):
+        for value in ('0', '-1', '"soon"'):
+            text = f'DrainMs = 3000\nConfigApplyMs = {value}'
+            self.path.write_text(SETTINGS.replace('DrainMs = 3000', text))
+            with self.assertRaises(exceptions.SettingsError) as caught:
+                settings.load(self.path)
+            self.assertEqual(caught.exception.key, 'Bounds.ConfigApplyMs')
+
     def test_errors_name_the_key(self):
         for line, key in (
             ('NodeName = "side-1"', 'NodeName'),
--- a/tests/unit/version/replication/test_links.py
+++ b/tests/unit/version/replication/test_links.py
@@ -8,6 +8,10 @@
 from tests.unit.version.replication import cluster
 
 
+# Seconds in which a document that was accepted is in force everywhere.
+APPLY_S = 4
+
+
 class LinksTest(cluster.ClusterCase):
     """Effects of cut links on records, documents and freshness."""
 
@@ -105,6 +109,20 @@
             [name for name in lapsed if name.startswith('agent')], []
         )
 
+    async def test_document_is_in_force_in_time_when_watchers_lost_the_platform(
+        self,
+    ):
+        """Nobody hands the document over, as after a change by the shell."""
+        unavailable = memberships.MemoryPlatform()
+        unavailable.down = True
+        for member in self.balancers:
+            if member._document_watcher.is_watcher:
+                member._document_watcher._platform = unavailable
+        # Their current watch requests end.
+        await asyncio.sleep(const.WATCH_TIMEOUT_S)
+        await self.async_put_document(2)
+        await self.async_until(lambda: self.is_everywhere(2), APPLY_S)
+
     async def test_more_balancers_watch_when_watchers_lose_the_platform(self):
         """The first watchers by rank lose the platform; others watch too."""
         watchers = [
