--- a/tests/builders/watch_clusters.py
+++ b/tests/builders/watch_clusters.py
@@ -10,6 +10,7 @@
     const,
     known_configuration,
     mesh,
+    models,
     peers,
     store_watch,
 )
@@ -20,6 +21,7 @@
 KEY = 'config/main'
 DOMAINS = 'evacuations'
 OPERATORS = store_watch.OperatorObjects(KEY, DOMAINS, routes.decode)
+BOUNDS = packets.settings().bounds
 PEER_PORT = 7000
 NETWORK_DELAY_S = 0.002
 STORE_DELAY_S = 0.004
@@ -151,7 +153,14 @@
         applied: Time at which each version of the routes was in force.
     """
 
-    def __init__(self, name: str, address: str, kind: str, domain: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        kind: str,
+        domain: str,
+        bounds: models.Bounds,
+    ) -> None:
         self.name = name
         self.address = address
         self.settings = packets.settings(
@@ -159,6 +168,7 @@
             address=address,
             failure_domain=domain,
             service='store' if kind == members.KIND_AGENT else '',
+            bounds=bounds,
         )
         self.configuration = known_configuration.KnownConfiguration(name)
         self.mesh = mesh.Mesh(self.settings, kind, self.configuration)
@@ -184,6 +194,7 @@
         domains: typing.Sequence[str],
         agents: int,
         seed: int = 1,
+        bounds: models.Bounds = BOUNDS,
     ) -> None:
         """Create the instances; nothing runs yet.
 
@@ -192,9 +203,11 @@
             domains: Failure domain of each balancer.
             agents: Number of agents.
             seed: Seed of losses and phases.
+            bounds: Bounds of all instances.
         """
         self.loss = 0.0
         self.store = Store(loop)
+        self.bounds = bounds
         self.random = random.Random(seed)
         self._loop = loop
         self._services: list[store_watch.StoreWatch] = []
@@ -245,7 +258,7 @@
             instance.mesh.disconnect()
 
     def _add(self, name: str, address: str, kind: str, domain: str) -> Instance:
-        instance = Instance(name, address, kind, domain)
+        instance = Instance(name, address, kind, domain, self.bounds)
         self._by_address[address] = instance
         instance.configuration.subscribe(lambda: self._note_applied(instance))
         return instance
--- a/tests/unit/process/packets/test_configuration_delay.py
+++ b/tests/unit/process/packets/test_configuration_delay.py
@@ -1,6 +1,9 @@
 """Tests of the time from a change in the store to its being in force."""
 
 import asyncio
+import functools
+import os
+import random
 import unittest
 from unittest import mock
 
@@ -11,10 +14,13 @@
 DOMAINS = ('a', 'a', 'b', 'b', 'c')
 SETTLED_S = 8.0
 STEP_S = 0.02
+LOSS = 0.0005
+# Share of the changes that come at once after a cut.
+SOON_SHARE = 0.7
 
 
-class ConfigurationDelayTest(unittest.TestCase):
-    """Each change is in force everywhere within the bounds of the settings."""
+class ClusterCase(unittest.TestCase):
+    """Clusters in simulated time."""
 
     def setUp(self):
         self.loop = clocks.SimulatedLoop(packet_wait_s=0)
@@ -27,10 +33,16 @@
             patch.start()
             self.addCleanup(patch.stop)
 
-    def run_cluster(self, scenario, domains=DOMAINS, seed=1):
+    def run_cluster(
+        self, scenario, domains=DOMAINS, seed=1, bounds=watch_clusters.BOUNDS
+    ):
         async def run():
             cluster = watch_clusters.Cluster(
-                self.loop, domains, agents=2 * len(domains), seed=seed
+                self.loop,
+                domains,
+                agents=2 * len(domains),
+                seed=seed,
+                bounds=bounds,
             )
             await cluster.async_start()
             await asyncio.sleep(SETTLED_S)
@@ -68,6 +80,10 @@
         }
         self.assertLessEqual(max(delays.values()), bounds.apply_s, delays)
 
+
+class ConfigurationDelayTest(ClusterCase):
+    """Each change is in force everywhere within the bounds of the settings."""
+
     def test_change_after_the_watchers_lost_the_store_is_in_force_in_time(self):
         async def lose_and_change(cluster):
             for _ in range(3):
@@ -182,5 +198,49 @@
         self.run_cluster(count_calls)
 
 
+class HistoryTest(ClusterCase):
+    """Random cuts, pauses and changes, in deployments of random sizes."""
+
+    SEEDS = range(1, 5)
+    CHANGES = 4
+
+    def test_changes_are_in_force_in_time_in_random_histories(self):
+        seeds = os.environ.get('KUMQUATPORT_SEEDS')
+        last = int(seeds) + 1 if seeds else self.SEEDS.stop
+        for seed in range(self.SEEDS.start, last):
+            rng = random.Random(seed)
+            domains = [
+                rng.choice('abcd') for _ in range(rng.choice((2, 3, 5, 9, 16)))
+            ]
+            apply_s = rng.choice((2.0, 3.0, 4.0, 6.0))
+            bounds = watch_clusters.BOUNDS._replace(apply_s=apply_s)
+            with self.subTest(seed=seed):
+                self.run_cluster(
+                    functools.partial(self.play, rng), domains, seed, bounds
+                )
+
+    async def play(self, rng, cluster):
+        cluster.loss = LOSS
+        names = list(cluster.balancers)
+        for _ in range(self.CHANGES):
+            await asyncio.sleep(rng.uniform(0, 2 * cluster.bounds.apply_s))
+            count = rng.choice((len(names) - 1, rng.randrange(len(names))))
+            cluster.store.silent = set(rng.sample(names, count))
+            paused = rng.sample(cluster.instances, rng.randrange(3))
+            for instance in paused:
+                instance.frozen_until = self.loop.time() + rng.uniform(0.2, 3)
+            if rng.random() > SOON_SHARE:
+                await asyncio.sleep(rng.uniform(0, cluster.bounds.apply_s))
+            started_at = self.loop.time()
+            version = cluster.store.write_routes()
+            await asyncio.sleep(2 * cluster.bounds.apply_s)
+            self.assert_delays(
+                cluster,
+                version,
+                started_at,
+                [one for one in cluster.instances if one not in paused],
+            )
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/unit/version/replication/test_links.py
+++ b/tests/unit/version/replication/test_links.py
@@ -7,7 +7,6 @@
 from tests.builders import memberships
 from tests.unit.version.replication import cluster
 
-
 # Seconds in which a document that was accepted is in force everywhere.
 APPLY_S = 4
 
