Say which port, age or field was expected when an entry is refused

Cause: the port was checked in two places with two texts, and two refusals named no expectation. Found when reading the change. Change: one function parses a port; the texts say what was expected. No decision changes.

--- a/kumquatport/helpers/decoding.py
+++ b/kumquatport/helpers/decoding.py
@@ -25,6 +25,18 @@
 )
 
 
+def parse_port(text: str) -> int:
+    """Parse the number of a port.
+
+    Raises:
+        ValueError: The text is no number from 1 to ``MAX_PORT``.
+    """
+    port = int(text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f'expected a port from 1 to {MAX_PORT}, got {port}')
+    return port
+
+
 def without_deep_values(text: bytes, depth: int) -> bytes:
     """Return JSON text with the deeply nested values replaced by null.
 
--- a/kumquatport/platform/configuration.py
+++ b/kumquatport/platform/configuration.py
@@ -90,9 +90,7 @@
             routes.WeightedService(entry.service, _FULL_WEIGHT),
         )
     address = ipaddress.IPv4Address(entry.host)
-    port = int(entry.path_prefix.strip('/'))
-    if not 0 < port <= decoding.MAX_PORT:
-        raise ValueError(f'port {port} of {entry.host} is out of range')
+    port = decoding.parse_port(entry.path_prefix.strip('/'))
     return routes.Route(int(address), port, weighted_services)
 
 
--- a/kumquatport/platform/heartbeat.py
+++ b/kumquatport/platform/heartbeat.py
@@ -66,8 +66,7 @@
 
 
 def _parse_endpoint(address: str) -> models.Endpoint:
-    host, _, port_text = address.rpartition(':')
-    port = int(port_text)
-    if not 0 < port <= decoding.MAX_PORT:
-        raise ValueError(f'port {port} is out of range')
-    return models.Endpoint(str(ipaddress.IPv4Address(host)), port)
+    host, _, port = address.rpartition(':')
+    return models.Endpoint(
+        str(ipaddress.IPv4Address(host)), decoding.parse_port(port)
+    )
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -257,7 +257,9 @@
         return None
     if members.is_valid(record):
         return record
-    _LOGGER.warning('record refused', key=stored.key, error='invalid field')
+    _LOGGER.warning(
+        'record refused', key=stored.key, error='a field is out of range'
+    )
     return None
 
 
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -209,9 +209,13 @@
     elif isinstance(message, Confirmation):
         state = message.configuration
     if not all(map(members.is_valid, records)):
-        raise exceptions.FramePayloadError('invalid record')
+        raise exceptions.FramePayloadError(
+            'a field of a record is out of range'
+        )
     if state is not None and not _is_valid_state(state):
-        raise exceptions.FramePayloadError('invalid configuration state')
+        raise exceptions.FramePayloadError(
+            'age or version of the configuration is out of range'
+        )
 
 
 def _is_valid_state(state: ConfigurationState) -> bool:
@@ -264,7 +268,9 @@
     except struct.error as error:
         raise exceptions.FramePayloadError(str(error)) from error
     if not _is_valid_age(fields[5]):
-        raise exceptions.FramePayloadError(f'invalid age {fields[5]}')
+        raise exceptions.FramePayloadError(
+            f'expected an age of 0 s or more, got {fields[5]}'
+        )
     flags, slots, busy, flows, service_ms = fields[7:]
     load = None
     if flags & _IS_AGENT:
