Let the origin of a change repeat all that it has relayed

If all first relays of the balancers that read a change are lost, nobody else holds it; in the other tree they reached only their own share of the agents, and two readers that are both an origin could leave a share to each other. Change: the origin repeats both trees.

--- a/kumquatport/process/packets/relay.py
+++ b/kumquatport/process/packets/relay.py
@@ -28,8 +28,8 @@
     The balancers form a tree whose root is the one that read the change from
     the store; the agents are divided among them. Two balancers watch the store,
     so each change has two trees, and an agent has a different balancer in each.
-    All who hold the change relay it once more, in another tree. Instances that
-    are missed even so learn the change from heartbeats.
+    All who hold the change relay it once more, in another tree, and its origin in
+    both. Instances that are missed even so learn the change from heartbeats.
 
     Args:
         own: Balancer that relays the change.
@@ -42,8 +42,21 @@
     if own not in balancers:
         return []
     start = balancers.index(origin) if origin in balancers else 0
-    if is_repeat:
-        start = (start + max(len(balancers) // 2, 1)) % len(balancers)
+    first = _receivers_in_tree(own, start, balancers, agents)
+    if not is_repeat:
+        return first
+    start = (start + max(len(balancers) // 2, 1)) % len(balancers)
+    other = _receivers_in_tree(own, start, balancers, agents)
+    # All that the origin has sent may be lost, so that nobody else relays.
+    return list({*first, *other}) if own == origin else other
+
+
+def _receivers_in_tree(
+    own: str,
+    start: int,
+    balancers: abc.Sequence[str],
+    agents: abc.Sequence[str],
+) -> list[str]:
     tree = [*balancers[start:], *balancers[:start]]
     index = tree.index(own)
     children = ranking.children(tree, index, FAN_OUT)
