Review: a late heartbeat ends flows of a live backend server

Cause: an agent that has just started takes a late heartbeat of a former incarnation for that of the current one, the next true heartbeat for a new incarnation, and then all flows for known. Flows that it has not seen yet are returned as not held, and balancers reset them.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -96,6 +96,7 @@
         self.loop = asyncio.get_running_loop()
         self.flows = {}
         self.resets = []
+        self.outcomes = {}
         self._router = router
         self._port = random.randrange(2000, 20000)
         self._bound = net.udp(address, port, self._on_datagram)
@@ -188,6 +189,7 @@
                 outcome = 'foreign'
         elif flow.is_over:
             outcome = 'reset'
+        self.outcomes[identifier] = outcome
         self.log('answered', request=identifier, outcome=outcome)
         return identifier, outcome
 
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -321,6 +321,15 @@
     def is_in_rotation(self, machine):
         return self.rotation.get(machine.name, 9) < 2
 
+    def cut_off(self, outcomes=('reset',)):
+        """Return the number of requests that ran and ended like that."""
+        ran = {row[2] for one in self.backends for row in one.runs}
+        return sum(
+            outcome in outcomes and identifier in ran
+            for one in self.clients
+            for identifier, outcome in one.outcomes.items()
+        )
+
     def ended_programs(self):
         """Return names of programs that ended without being told to."""
         return [
