Review: more load in the case of a heartbeat of another writer

Cause: the first version reset idle flows only; whether work is lost was not seen. Change: requests of 0.3 s, more clients, and a count of the requests that ran and were cut off.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,7 +24,7 @@
             if flow is None:
                 continue
         await one.request(flow, 1.5)
-        await asyncio.sleep(random.uniform(1.0, 3.0))
+        await asyncio.sleep(random.uniform(0.3, 1.5))
 
 
 async def play(fleet, has_trouble):
@@ -37,10 +37,10 @@
     ]
     fleet.configure({service: 'shop'})
     for number, machine in enumerate(sides):
-        fleet.add_backend(machine, f'i-{number}')
+        fleet.add_backend(machine, f'i-{number}', work_s=0.3)
     await fleet.start()
     await asyncio.sleep(2)
-    for number in range(24):
+    for number in range(32):
         fleet.tasks.append(
             asyncio.create_task(
                 _follow(
@@ -96,6 +96,7 @@
         if at > server.acknowledged_draining_at + fleets.DRAIN_S
     ]
     fleet.log('open flows that the system reset', count=len(resets))
+    fleet.log('requests run and cut off by a reset', count=fleet.cut_off())
     fleet.log('requests after DrainMs', count=len(late))
     return len(resets)
 
