--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -16,8 +16,9 @@
     """One flow of a client.
 
     Attributes:
-        opened_by_syn_at: Time at which the opening packet was first sent.
-        resets: Resets of the system that the client accepted: time, was open.
+        sent_at: Time at which its opening packet was first sent.
+        last_ack: Last number acknowledged; resets must be near it.
+        answers: Header and body of each answer.
     """
 
     def __init__(self, client, key):
@@ -87,7 +88,12 @@
 
 
 class Client:
-    """A client with one address."""
+    """A client with one address.
+
+    Attributes:
+        resets: Resets that it took: time, flow, whether that was open, sum.
+        outcomes: Outcome of each request by its id.
+    """
 
     def __init__(self, log, address, port, zone, router):
         self.log = log
