--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import fleet as fleets  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
 
 PORT = 443
 # Bound of the settings; the other machines of the service come as in kinds.
@@ -86,4 +86,4 @@
 
 
 if __name__ == '__main__':
-    fleets.main(__file__, play)
+    fleets.main(__file__, play, 'record.txt')
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import fleet as fleets  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
 
 SHOP = 443
 REQUESTS_PER_S = 40
@@ -56,11 +56,13 @@
     await asyncio.sleep(2)
 
     if has_trouble:
+        fleet.note_disruption()
         await fleet.store.go_down()
         fleet.log('store away', revision=fleet.store.revision)
         await asyncio.sleep(0.5)
         fleet.store.restore(copy)
         await fleet.store.start()
+        fleet.note_disruption()
         fleet.log(
             'store back', revision=fleet.store.revision, era=fleet.store.era
         )
@@ -81,7 +83,7 @@
         for one in fleet.backends
         if one.zone == 'b'
         for arrived, _ in one.openings
-        if arrived > evacuated_at + fleets.EVAC_S
+        if arrived > evacuated_at + fleets.EVAC_S and fleet.in_touch(arrived)
     ]
     stretched = sum(
         delay > fleets.EVAC_S + fleets.MAX_STRETCH_S for delay in late
@@ -96,4 +98,4 @@
 
 
 if __name__ == '__main__':
-    fleets.main(__file__, play)
+    fleets.main(__file__, play, 'record.txt')
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,8 +8,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standins import fleet as fleets  # noqa: E402
-from standins import net  # noqa: E402
+import standin_fleet as fleets  # noqa: E402
+import standin_net as net  # noqa: E402
 
 SHOP = 443
 
@@ -84,16 +84,12 @@
     ended = fleet.ended_programs()
     if ended:
         raise fleets.CannotRunError(f'programs ended: {ended}')
-    resets = [
-        row
-        for one in fleet.clients
-        for row in one.resets
-        if row[2] and row[3] == 0
-    ]
+    resets = [row for row in fleet.resets if row[2]]
     late = [
         at
         for at, _ in server.openings
         if at > server.acknowledged_draining_at + fleets.DRAIN_S
+        and fleet.in_touch(at)
     ]
     fleet.log('open flows that the system reset', count=len(resets))
     fleet.log('requests run and cut off by a reset', count=fleet.cut_off())
@@ -102,4 +98,4 @@
 
 
 if __name__ == '__main__':
-    fleets.main(__file__, play)
+    fleets.main(__file__, play, 'record.txt')
--- a/review/standins/backend.py
+++ b/review/standin_backend.py
@@ -6,7 +6,8 @@
 import socket
 import time
 
-from standins import net, packets
+import standin_net as net
+import standin_packets as packets
 
 RETRANSMIT_S = 0.2
 MAX_RETRANSMIT_S = 1.6
@@ -25,6 +26,7 @@
         self.unacked = []
         self.buffer = b''
         self.opening = None
+        self.last_at = None
 
 
 class Backend:
@@ -65,7 +67,8 @@
         self._queue = []
         self._tasks = []
         self._loop = asyncio.get_running_loop()
-        self._cold_until = self._loop.time() + warmup_s
+        self.started_at = self._loop.time()
+        self._cold_until = self.started_at + warmup_s
 
     def start(self, heartbeat_s):
         """Open the port at ``app`` and start the heartbeats."""
@@ -129,7 +132,8 @@
         }
 
     def become_cold(self, warmup_s):
-        self._cold_until = self._loop.time() + warmup_s
+        self.started_at = self._loop.time()
+        self._cold_until = self.started_at + warmup_s
         self.log('backend became cold', id=self.identifier, for_s=warmup_s)
 
     def warmup_left_ms(self):
@@ -210,6 +214,7 @@
         self._on_packet(flow, packet)
 
     def _on_packet(self, flow, packet):
+        flow.last_at = self._loop.time()
         back = packets.reverse(flow.key)
         if flow.state == HALF_OPEN:
             if packet.ack != (flow.iss + 1) % packets.MOD:
