Review: the drill beside added nodes, and an end of all programs on a signal

Change: case 2 adds the spare machine of each zone (add_nodes); SIGTERM and SIGINT end a script like an error, with all its programs, and it exits with 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,11 +46,9 @@
 
     copy = fleet.store.take_copy()
     fleet.log('copy of the store', revision=fleet.store.revision)
-    # Two machines with a backend each are added; then zone a is evacuated.
-    for number, zone in ((6, 'b'), (7, 'c')):
-        machine = fleet.add_side(number, zone, 'shop')
-        fleet.add_backend(machine, f'i-{number}')
-        machine.start()
+    # The spare machine of each zone is added; then zone a is evacuated.
+    for number, zone in enumerate(('a', 'b', 'c'), 3):
+        fleet.add_balancer(number, zone).start()
     await asyncio.sleep(3)
     fleet.evacuate('a')
     await asyncio.sleep(2)
--- a/review/standin_fleet.py
+++ b/review/standin_fleet.py
@@ -492,6 +492,10 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
+        # A script that is told to stop ends its programs as well.
+        own = asyncio.current_task()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(signum, own.cancel)
         with tempfile.TemporaryDirectory(
             prefix='kumquatport-review-'
         ) as folder:
@@ -515,7 +519,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:
         print(f'cannot run: {error!r}', file=sys.stderr)
         code = NOT_RUN
     print(json.dumps({'broken': code == BROKEN, 'exit': code}))
