Open no flow that is meant for the former owner of an address

Cause: an agent let any opening packet through whose sender had newer routes. A newer version says nothing of the service that the sender takes the receiver for; a frame went to an address and named nobody.

An opening packet now names its service, by the sender's latest routes. The agent returns one that names another service, and lets newer routes overrule its own only with its own service named. Without a name (an earlier build) its own routes decide. Offers log the sender's version, and refusals have a reason of their own, other_service.

The assertion that any newer sender overrules the routes was the fault itself: it is replaced by three, for no name, the own name and another one.

--- a/kumquatport/connection/packets/admission.py
+++ b/kumquatport/connection/packets/admission.py
@@ -46,8 +46,8 @@
         is_leaving: Whether the agent itself is shutting down.
         is_route_allowed: Whether the routes send flows for this address to the
             agent's service.
-        is_sender_newer: Whether the balancer that offers the flow holds a newer
-            version of the routes, by which it chose this agent.
+        is_allowed_by_newer: Whether the balancer that offers the flow holds a
+            newer version of the routes and names the agent's service by it.
         is_warm: Whether the backend server has reported that it can take full
             load.
         busy: Requests in progress at the backend server.
@@ -56,6 +56,8 @@
             its configuration since.
         opening_flows: Recently opened flows without a request yet.
         uptime_s: Seconds since the agent started.
+        is_for_other_service: Whether the balancer names another service: it
+            knows an instance that had the agent's address earlier.
     """
 
     is_draining: bool
@@ -63,24 +65,27 @@
     is_domain_out: bool
     is_leaving: bool
     is_route_allowed: bool
-    is_sender_newer: bool
+    is_allowed_by_newer: bool
     is_warm: bool
     busy: int
     slots: int
     is_unconfirmed: bool = False
     opening_flows: int = 0
     uptime_s: float = math.inf
+    is_for_other_service: bool = False
 
 
 def refusal_reason(inputs: AdmissionInputs) -> int:
     """Return the ``frame.REASON_*`` for refusing a new flow, 0 to accept it."""
+    if inputs.is_for_other_service:
+        return frame.REASON_OTHER_SERVICE
     is_agent_closed = (
         inputs.is_domain_out or inputs.is_leaving or inputs.is_unconfirmed
     )
     is_server_closed = inputs.is_draining or not inputs.is_responsive
     if is_agent_closed or is_server_closed:
         return frame.REASON_NOT_ACCEPTING
-    if not inputs.is_route_allowed and not inputs.is_sender_newer:
+    if not inputs.is_route_allowed and not inputs.is_allowed_by_newer:
         return frame.REASON_ROUTE_UNKNOWN
     if not inputs.is_warm and _is_full(inputs):
         return frame.REASON_FULL
--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -32,6 +32,7 @@
 REASON_COLD: typing.Final = 4
 REASON_ROUTE_UNKNOWN: typing.Final = 5
 REASON_FULL: typing.Final = 6
+REASON_OTHER_SERVICE: typing.Final = 7
 
 REASON_NAMES: typing.Final = types.MappingProxyType(
     {
@@ -41,6 +42,7 @@
         REASON_COLD: 'cold',
         REASON_ROUTE_UNKNOWN: 'route_unknown',
         REASON_FULL: 'full',
+        REASON_OTHER_SERVICE: 'other_service',
     }
 )
 
--- a/kumquatport/connection/packets/packet.py
+++ b/kumquatport/connection/packets/packet.py
@@ -5,13 +5,19 @@
 import typing
 from collections import abc
 
+import xxhash
+
 FLAG_SYN: typing.Final = 1
 FLAG_ACK: typing.Final = 2
 FLAG_FIN: typing.Final = 4
 FLAG_RST: typing.Final = 8
 FLAG_BOUNCED: typing.Final = 16
 
+# Tag of a packet whose sender names no service.
+NO_SERVICE_TAG: typing.Final = 0
+
 _SEQUENCE_MASK: typing.Final = 0xFFFFFFFF
+_SERVICE_TAG_MASK: typing.Final = 0xFFFFFFFFFF
 
 
 class Packet(typing.NamedTuple):
@@ -29,6 +35,9 @@
         length: Data length in bytes.
         mark: Mark that the forwarding instance set for a bounce to return to
             it.
+        service_tag: ``service_tag`` of the service that the forwarding
+            instance takes the receiver for; ``NO_SERVICE_TAG`` if it names
+            none.
         datagram: The whole datagram.
     """
 
@@ -41,6 +50,7 @@
     acknowledged: int
     length: int
     mark: int
+    service_tag: int
     datagram: bytes
 
     @property
@@ -69,7 +79,10 @@
             or bounced; returns None if it is malformed.
         client_address: Returns the client address of a flow, as text.
         format_flow: Returns both ends of a flow as text, for logs.
-        with_mark: Returns a datagram with a mark that a bounce preserves.
+        with_mark: Returns a datagram as its receiver gets it, with a mark that
+            a bounce preserves and without a service tag.
+        with_service_tag: Returns a datagram with a service tag, for another
+            instance.
         build_reset: Builds a reset for the client of a flow, from the flow and
             the last number that the client acknowledged.
     """
@@ -79,6 +92,7 @@
     client_address: abc.Callable[[bytes], str]
     format_flow: abc.Callable[[bytes], str]
     with_mark: abc.Callable[[bytes, int], bytes]
+    with_service_tag: abc.Callable[[bytes, int], bytes]
     build_reset: abc.Callable[[bytes, int], bytes]
 
 
@@ -87,6 +101,13 @@
     return (later - earlier) & _SEQUENCE_MASK
 
 
+@functools.lru_cache(maxsize=4096)
+def service_tag(service: str) -> int:
+    """Return the 40-bit tag that names a service between instances."""
+    digest = xxhash.xxh64_intdigest(service.encode()) & _SERVICE_TAG_MASK
+    return max(digest, NO_SERVICE_TAG + 1)
+
+
 @functools.lru_cache(maxsize=4096)
 def mark_from_address(address: str) -> int:
     """Return the mark that identifies an instance by its IPv4 address."""
--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -7,14 +7,18 @@
 from kumquatport.connection.packets import packet as packets
 
 # src, dst, sport, dport, sum, seq, ack, flags, pad, len, echo
-_HEADER: typing.Final = struct.Struct('<IIHHIIIB5xHI')
+_HEADER: typing.Final = struct.Struct('<IIHHIIIB5sHI')
 # src, dst, sport, dport: a flow in the direction from the client
 _FLOW: typing.Final = struct.Struct('<IIHH')
 _MARK: typing.Final = struct.Struct('<I')
 _FLAGS_OFFSET: typing.Final = 24
+_PAD_OFFSET: typing.Final = 25
+_LENGTH_OFFSET: typing.Final = 30
 _ECHO_OFFSET: typing.Final = 32
 _FLOW_BYTES: typing.Final = 12
 _ADDRESS_BYTES: typing.Final = 4
+_PAD_BYTES: typing.Final = _LENGTH_OFFSET - _PAD_OFFSET
+_EMPTY_PAD: typing.Final = bytes(_PAD_BYTES)
 
 _BIT_SYN: typing.Final = 1
 _BIT_ACK: typing.Final = 16
@@ -51,7 +55,8 @@
     if len(datagram) < _HEADER.size:
         return None
     header = _HEADER.unpack_from(datagram)
-    if header[8] > _MAX_DATA_BYTES or header[8] != len(datagram) - _HEADER.size:
+    length = header[9]
+    if length > _MAX_DATA_BYTES or length != len(datagram) - _HEADER.size:
         return None
     return packets.Packet(
         flow=datagram[:_FLOW_BYTES],
@@ -61,8 +66,9 @@
         flags=_FLAGS[header[7]],
         sequence=header[5],
         acknowledged=header[6],
-        length=header[8],
-        mark=header[9],
+        length=length,
+        mark=header[10],
+        service_tag=int.from_bytes(header[8], 'little'),
         datagram=datagram,
     )
 
@@ -94,20 +100,37 @@
 def with_mark(datagram: bytes, mark: int) -> bytes:
     """Return the datagram with a mark in the field that bounces preserve.
 
-    The checksum covers neither that field nor the bounced bit.
+    The padding, in which instances name a service to each other, is empty in
+    what both ends of a flow write. The checksum covers neither field, nor the
+    bounced bit.
     """
     bits = datagram[_FLAGS_OFFSET] & ~_BIT_BOUNCED
     return b''.join(
         (
             datagram[:_FLAGS_OFFSET],
             bytes((bits,)),
-            datagram[_FLAGS_OFFSET + 1 : _ECHO_OFFSET],
+            _EMPTY_PAD,
+            datagram[_LENGTH_OFFSET:_ECHO_OFFSET],
             _MARK.pack(mark),
             datagram[_HEADER.size :],
         )
     )
 
 
+def with_service_tag(datagram: bytes, tag: int) -> bytes:
+    """Return the datagram with a service tag in its padding.
+
+    The length stays the same, so builds that know no tags read it as before.
+    """
+    return b''.join(
+        (
+            datagram[:_PAD_OFFSET],
+            tag.to_bytes(_PAD_BYTES, 'little'),
+            datagram[_LENGTH_OFFSET:],
+        )
+    )
+
+
 def build_reset(flow: bytes, acknowledged: int) -> bytes:
     """Build a reset from the service's address to the client.
 
@@ -118,7 +141,9 @@
     """
     client, service, client_port, service_port = _FLOW.unpack(flow)
     endpoints = (service, client, service_port, client_port)
-    return _HEADER.pack(*endpoints, 0, acknowledged, 0, _BIT_RST, 0, 0)
+    return _HEADER.pack(
+        *endpoints, 0, acknowledged, 0, _BIT_RST, _EMPTY_PAD, 0, 0
+    )
 
 
 def client_address(flow: bytes) -> str:
@@ -153,5 +178,6 @@
     client_address=client_address,
     format_flow=format_flow,
     with_mark=with_mark,
+    with_service_tag=with_service_tag,
     build_reset=build_reset,
 )
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -279,6 +279,8 @@
                     sender_version=message.routes_version,
                 )
                 self._return_packet(packet, reason, sender)
+                if reason == frame.REASON_OTHER_SERVICE:
+                    self._introduce(sender)
                 return
             self._log.note(
                 'flow offered',
@@ -288,6 +290,7 @@
                 flows=len(self._flows),
                 cold=self.backend_server.is_cold,
                 routes_version=self._configuration.routes_version,
+                sender_version=message.routes_version,
             )
             self._flows.add(packet.flow, clock.now())
             self.backend_server.note_opening(packet.flow)
@@ -297,6 +300,7 @@
         self, packet: packets.Packet, message: frame.Frame
     ) -> int:
         table = self._configuration.routes
+        own_tag = packets.service_tag(self._settings.service)
         reason = admission.refusal_reason(
             admission.AdmissionInputs(
                 is_draining=self.backend_server.is_draining,
@@ -310,14 +314,16 @@
                     packet.service_port,
                     self._settings.service,
                 ),
-                is_sender_newer=message.routes_version
-                > self._configuration.routes_version,
+                is_allowed_by_newer=packet.service_tag == own_tag
+                and message.routes_version > self._configuration.routes_version,
                 is_warm=self.backend_server.is_warm,
                 busy=self._flows.busy,
                 slots=self._slots(),
                 is_unconfirmed=self._mesh.pause_recovery.is_unconfirmed(),
                 opening_flows=self._count_opening(),
                 uptime_s=clock.now() - self._started_at,
+                is_for_other_service=packet.service_tag
+                not in {own_tag, packets.NO_SERVICE_TAG},
             )
         )
         if reason:
@@ -333,6 +339,15 @@
             else frame.REASON_COLD
         )
 
+    def _introduce(self, balancer: str) -> None:
+        """Greet a balancer that still knows the former owner of the address.
+
+        Args:
+            balancer: Address of the balancer.
+        """
+        if not self._mesh.instance_at(balancer):
+            self._mesh.greet((balancer,))
+
     def _count_opening(self) -> int:
         """Return the number of flows that have not sent a request yet.
 
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -373,10 +373,26 @@
             frame.KIND_FORWARD,
             detail,
             self._configuration.routes_version,
-            packet.datagram,
+            self._with_service(packet)
+            if packet.is_opening
+            else packet.datagram,
         )
         self._mesh.send(message, record.address)
 
+    def _with_service(self, packet: packets.Packet) -> bytes:
+        """Return an opening packet that names the service of its flow.
+
+        An address may be used again by an agent of another service, which is
+        not known yet. An agent without routes cannot tell from its own.
+        """
+        route = self._route(packet)
+        tag = packets.NO_SERVICE_TAG
+        if route is not None:
+            tag = packets.service_tag(
+                flow_lookup.service_of(route, packet.flow)
+            )
+        return self._codec.with_service_tag(packet.datagram, tag)
+
     def on_frame(self, datagram: bytes, sender: str) -> None:
         """Handle a frame from another instance.
 
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -4,6 +4,7 @@
 import struct
 import typing
 
+from kumquatport.connection.packets import packet as packets
 from kumquatport.platform import packet as codec
 from kumquatport.process.packets import messages, models
 from kumquatport.version import members, routes
@@ -34,15 +35,28 @@
     acknowledged: int = 0,
     data: bytes = b'',
     mark: int = 0,
+    named_service: str = '',
 ) -> bytes:
-    """Return a packet in the wire format of the platform."""
+    """Return a packet in the wire format of the platform.
+
+    Args:
+        ends: Key of the flow.
+        flags: Flags of the header.
+        sequence: Sequence number.
+        acknowledged: Acknowledgement number.
+        data: Body.
+        mark: Mark that a bounce preserves.
+        named_service: Service that the forwarding instance names; none if
+            empty.
+    """
+    tag = packets.service_tag(named_service) if named_service else 0
     head = HEAD.pack(
         *struct.unpack('<IIHH', ends),
         0xA1B2C3D5,
         sequence,
         acknowledged,
         flags,
-        bytes(5),
+        tag.to_bytes(5, 'little'),
         len(data),
         mark,
     )
--- a/tests/unit/connection/packets/test_placement_and_admission.py
+++ b/tests/unit/connection/packets/test_placement_and_admission.py
@@ -169,7 +169,7 @@
         is_domain_out=False,
         is_leaving=False,
         is_route_allowed=True,
-        is_sender_newer=False,
+        is_allowed_by_newer=False,
         is_warm=True,
         busy=0,
         slots=5,
@@ -183,9 +183,9 @@
             ({'is_leaving': True}, frame.REASON_NOT_ACCEPTING),
             ({'is_responsive': False}, frame.REASON_NOT_ACCEPTING),
             ({'is_route_allowed': False}, frame.REASON_ROUTE_UNKNOWN),
-            ({'is_route_allowed': False, 'is_sender_newer': True}, 0),
+            ({'is_route_allowed': False, 'is_allowed_by_newer': True}, 0),
             (
-                {'is_domain_out': True, 'is_sender_newer': True},
+                {'is_domain_out': True, 'is_allowed_by_newer': True},
                 frame.REASON_NOT_ACCEPTING,
             ),
             ({'busy': 10}, 0),
@@ -220,6 +220,11 @@
             ),
             ({'busy': 3, 'opening_flows': 100}, 0),
             ({'is_unconfirmed': True}, frame.REASON_NOT_ACCEPTING),
+            ({'is_for_other_service': True}, frame.REASON_OTHER_SERVICE),
+            (
+                {'is_for_other_service': True, 'is_allowed_by_newer': True},
+                frame.REASON_OTHER_SERVICE,
+            ),
         )
         for fields, reason in cases:
             with self.subTest(fields=fields):
--- a/tests/unit/platform/test_packet.py
+++ b/tests/unit/platform/test_packet.py
@@ -49,6 +49,20 @@
         self.assertEqual(packets.address_from_mark(found.mark), '10.1.2.3')
         self.assertEqual(packet.with_mark(found.datagram, 0), sent)
 
+    def test_service_tag_is_for_instances_alone(self):
+        sent = builders.datagram(builders.flow(), builders.SYN, data=b'abc')
+        tag = packets.service_tag('store')
+        tagged = packet.with_service_tag(sent, tag)
+        found = packet.parse_client_packet(tagged)
+        self.assertEqual(found.service_tag, tag)
+        self.assertEqual(
+            found._replace(service_tag=0, datagram=sent),
+            (packet.parse_client_packet(sent)),
+        )
+        self.assertEqual(packet.with_mark(tagged, 0), sent)
+        self.assertNotEqual(tag, packets.service_tag('manuals'))
+        self.assertNotEqual(packets.service_tag(''), packets.NO_SERVICE_TAG)
+
     def test_reset_has_the_acknowledged_sequence_number(self):
         found = packet.parse_backend_server_packet(
             packet.build_reset(builders.flow(), 0xFFFFFFFF)
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from kumquatport.connection.packets import frame, pending_queries
+from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
     agent_datapath,
     known_configuration,
@@ -43,6 +44,15 @@
             self.addCleanup(patch.stop)
         self.sent = []
         self.delivered = []
+        self.make_datapath(1)
+        self.flow = builders.flow()
+
+    def make_datapath(self, routes_version):
+        """Build an agent.
+
+        Args:
+            routes_version: Version of its routes; None for none.
+        """
         self.configuration = known_configuration.KnownConfiguration('side-1')
         settings = builders.settings()
         self.mesh = mesh.Mesh(settings, members.KIND_AGENT, self.configuration)
@@ -58,10 +68,10 @@
             self.mesh,
             self.delivered.append,
         )
-        self.configuration.update_routes(
-            routes.encode(builders.table()), 'test'
-        )
-        self.flow = builders.flow()
+        if routes_version is not None:
+            self.configuration.update_routes(
+                routes.encode(builders.table(routes_version)), 'test'
+            )
 
     def _send(self, datagram, endpoint):
         self.sent.append((datagram, endpoint))
@@ -252,17 +262,64 @@
             self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
         )
 
-    def test_routes_decide_unless_the_sender_has_newer_ones(self):
+    def opening(self, named_service=''):
+        return builders.datagram(
+            self.flow, builders.SYN, named_service=named_service
+        )
+
+    def test_routes_decide_unless_newer_ones_name_the_own_service(self):
         table = routes.encode(builders.table(2, 'manuals'))
         self.configuration.update_routes(table, 'test')
-        packet = builders.datagram(self.flow, builders.SYN)
-        self.forward(packet, version=1)
+        self.forward(self.opening('store'), version=1)
+        self.assertEqual(
+            self.returned(), [(frame.REASON_ROUTE_UNKNOWN, BALANCER)]
+        )
+        self.forward(self.opening(), version=3)
         self.assertEqual(
             self.returned(), [(frame.REASON_ROUTE_UNKNOWN, BALANCER)]
         )
-        self.forward(packet, version=3)
+        self.forward(self.opening('store'), version=3)
+        self.assertEqual(self.delivered, [self.marked(self.opening())])
+
+    def marked(self, packet):
+        """Return a packet as the backend server gets it."""
+        return builders.CODEC.with_mark(
+            packet, packets.mark_from_address(BALANCER)
+        )
+
+    def test_reused_address_opens_no_flow_of_the_former_service(self):
+        """ROUTE: the balancer still knows the former owner of the address."""
+        for known in (None, 1, 2, 3, 4):
+            for sender in (1, 3, 4):
+                with self.subTest(known=known, sender=sender):
+                    self.make_datapath(known)
+                    self.forward(self.opening('manuals'), version=sender)
+                    self.assertEqual(self.delivered, [])
+                    self.assertEqual(
+                        self.returned(),
+                        [(frame.REASON_OTHER_SERVICE, BALANCER)],
+                    )
+
+    def test_agent_without_routes_takes_only_flows_that_name_its_service(self):
+        """ROUTE: a balancer of an earlier build names no service."""
+        self.make_datapath(None)
+        self.forward(self.opening(), version=3)
+        self.assertEqual(self.delivered, [])
+        self.forward(self.opening('store'), version=3)
         self.assertEqual(len(self.delivered), 1)
 
+    def test_balancer_that_knows_the_former_owner_is_greeted(self):
+        """It must not take a read of the store to tell it of this agent."""
+        self.make_datapath(None)
+        self.forward(self.opening('manuals'), version=3)
+        (greeting,) = (
+            messages.decode(datagram)
+            for datagram, endpoint in self.sent
+            if datagram[0] == frame.KIND_CONTROL and endpoint[0] == BALANCER
+        )
+        self.assertEqual(greeting.record.service, 'store')
+        self.assertTrue(greeting.wants_reply)
+
     def test_draining_reported_by_peers_after_a_restart(self):
         self.datapath.backend_server.note_reported_draining()
         self.forward(builders.datagram(self.flow, builders.SYN))
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -3,11 +3,13 @@
 import itertools
 
 from kumquatport.connection.packets import frame
+from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
     const,
     flow_lookup,
     messages,
 )
+from kumquatport.version import routes
 from kumquatport.version.members import const as members_const
 from tests.builders import balancers
 from tests.builders import packets as builders
@@ -79,6 +81,51 @@
         self.client(builders.datagram(self.flow, acknowledged=5))
         self.assertEqual(self.forwards(), [(chosen, 0)])
 
+    def named_services(self):
+        """Return the service tag of each forwarded packet."""
+        return [
+            builders.CODEC.parse_client_packet(
+                frame.unpack(datagram).datagram
+            ).service_tag
+            for datagram, _ in self.sent
+            if datagram[0] == frame.KIND_FORWARD
+        ]
+
+    def test_opening_packets_name_the_service_by_the_latest_routes(self):
+        """ROUTE: an address may be used again by an agent of another service.
+
+        This agent cannot tell by its own routes while it has none.
+        """
+        self.learn_agents('side-1')
+        opening = builders.datagram(self.flow, builders.SYN)
+        self.client(opening)
+        store = packets.service_tag('store')
+        self.assertEqual(self.named_services(), [store])
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assertEqual(self.named_services(), [packets.NO_SERVICE_TAG])
+        self.configuration.update_routes(
+            routes.encode(builders.table(2, 'manuals')), 'test'
+        )
+        for copy in (0, 1):
+            self.client(
+                builders.datagram(self.flow, builders.SYN, acknowledged=copy)
+            )
+            self.assertEqual(
+                self.named_services(), [packets.service_tag('manuals')]
+            )
+
+    def test_refusal_of_another_service_offers_to_the_next_agent(self):
+        self.learn_agents()
+        opening = builders.datagram(
+            self.flow, builders.SYN, named_service='store'
+        )
+        self.client(opening)
+        ((first, _),) = self.forwards()
+        self.return_packet(first, opening, frame.REASON_OTHER_SERVICE)
+        ((second, _),) = self.forwards()
+        self.assertNotEqual(first, second)
+        self.assertEqual(self.named_services(), [packets.service_tag('store')])
+
     def open_many(self, count, answering=(), **load):
         """Open flows at intervals of 0.01 s.
 
