Follow evacuations after the store was restored from a copy

Cause: sets of failure domains were ordered by the store's revision alone. A restored store assigns revisions again; correct reads were refused as older, here and at peers. The logs show that both watchers had the store again after 0.7 s, and no line about the new sets.

The client reads Store-Era. Sets are ordered by era, then revision; an answer of another era begins the watch anew, since revisions in between may have been given out again; cached revisions for conditional writes are dropped with each era. Failure domains that the copy lacks stay out for EvacMs, until their operators have written them again. Peers that know an earlier era than the store has stated confirm nothing. The era travels where builds without it read nothing or a failure domain without instances.

--- a/kumquatport/objects.py
+++ b/kumquatport/objects.py
@@ -35,16 +35,22 @@
         revision: Revision of the store at the time of the response.
         objects: The objects in the order of the response.
         has_more: Whether the response is followed by further pages.
+        era: Incremented each time the store is restored from an older copy,
+            after which it assigns revisions again; 0 if it does not say.
     """
 
     revision: int
     objects: tuple[StoredObject, ...]
     has_more: bool = False
+    era: int = 0
 
 
 class ObjectStore(typing.Protocol):
     """Persistent store of versioned objects.
 
+    A restored store has lost the latest writes. Whoever compares revisions
+    compares the eras first.
+
     Nothing is retried: callers know which calls may be repeated and how long
     they can wait. Reads raise ``PlatformUnavailableError``, and
     ``ObjectMissingError`` if there is no such object. Writes raise
@@ -64,7 +70,10 @@
         """Delete an object."""
 
     async def async_list(self, prefix: str) -> Listing:
-        """Read all objects whose keys start with the prefix."""
+        """Read all objects whose keys start with the prefix.
+
+        Raises ``HistoryGoneError`` if the store was restored meanwhile.
+        """
 
     async def async_page(self, kind: str, after: str) -> Listing:
         """Read one page of the objects of a kind, ordered by name."""
--- a/kumquatport/platform/client.py
+++ b/kumquatport/platform/client.py
@@ -34,6 +34,8 @@
     silently resends a PUT whose connection was closed, even if it was new,
     and a resent conditional update would conflict with itself.
 
+    A response without an era is of the latest era known.
+
     Attributes:
         calls: Number of calls of each kind (get, put, delete, list, watch).
     """
@@ -54,6 +56,7 @@
         self._watch_session: aiohttp.ClientSession | None = None
         self._single_session: aiohttp.ClientSession | None = None
         self._unavailable = False
+        self._era: int | None = None
         self._known_objects: dict[str, objects.StoredObject] = {}
 
     async def on_start(self) -> None:
@@ -164,17 +167,22 @@
             also shows the changes made while later pages were read.
 
         Raises:
+            HistoryGoneError: The store was restored between two pages.
             PlatformUnavailableError: The platform did not answer.
         """
         kind, _, name_prefix = prefix.partition('/')
-        page = await self.async_page(kind, '')
-        revision = page.revision
+        first_page = await self.async_page(kind, '')
+        page = first_page
         stored_objects = list(page.objects)
         while page.has_more and page.objects:
             page = await self.async_page(kind, page.objects[-1].name)
+            if page.era != first_page.era:
+                raise exceptions.HistoryGoneError(prefix)
             stored_objects.extend(page.objects)
         return objects.Listing(
-            revision, _filter_by_prefix(stored_objects, name_prefix)
+            first_page.revision,
+            _filter_by_prefix(stored_objects, name_prefix),
+            era=first_page.era,
         )
 
     async def async_page(self, kind: str, after: str) -> objects.Listing:
@@ -191,7 +199,9 @@
         response = await self._async_read(
             const.CALL_LIST, calls.kind_url(self._url, kind, query)
         )
-        return self._remember_all(responses.decode_page(response.body, kind))
+        return self._remember_all(
+            responses.decode_page(response.body, kind), response
+        )
 
     async def async_watch(
         self, prefix: str, since: int, timeout: float
@@ -222,7 +232,7 @@
             timeout,
         )
         listing = self._remember_all(
-            responses.decode_events(response.body, kind)
+            responses.decode_events(response.body, kind), response
         )
         return listing._replace(
             objects=_filter_by_prefix(listing.objects, name_prefix)
@@ -247,6 +257,7 @@
             raise exceptions.PlatformUnavailableError(
                 f'{kind}: {type(error).__name__} {error}'
             ) from error
+        self._note_era(response)
         responses.check_read(response, str(url))
         self._log_available()
         return response
@@ -277,6 +288,7 @@
             raise exceptions.OutcomeUnknownError(
                 f'{call.kind}: {type(error).__name__} {error}'
             ) from error
+        self._note_era(response)
         self._log_available()
         return response
 
@@ -325,10 +337,29 @@
             raise exceptions.VersionConflictError(key)
         return known
 
-    def _remember_all(self, listing: objects.Listing) -> objects.Listing:
+    def _note_era(self, response: responses.Response) -> None:
+        """Forget all revisions when the store was restored from a copy.
+
+        The store assigns them again, so a conditional write with an earlier
+        one could replace a value that this process has never read.
+        """
+        if response.era is None or response.era <= (self._era or 0):
+            return
+        if self._era is not None:
+            _LOGGER.warning(
+                'store restored from a copy', era=response.era, former=self._era
+            )
+        self._era = response.era
+        self._known_objects.clear()
+
+    def _remember_all(
+        self, listing: objects.Listing, response: responses.Response
+    ) -> objects.Listing:
+        """Cache the revisions of the objects, and add the era."""
         for stored in listing.objects:
             self._remember(stored)
-        return listing
+        era = self._era if response.era is None else response.era
+        return listing._replace(era=era or 0)
 
     def _remember(self, stored: objects.StoredObject) -> objects.StoredObject:
         """Cache the revision of an object, without its value."""
--- a/kumquatport/platform/const.py
+++ b/kumquatport/platform/const.py
@@ -19,6 +19,9 @@
 QUERY_WATCH: typing.Final = 'Watch'
 QUERY_WAIT_MS: typing.Final = 'WaitMs'
 
+# Response header that counts how often the store was restored from a copy.
+HEADER_ERA: typing.Final = 'Store-Era'
+
 CALL_GET: typing.Final = 'get'
 CALL_PUT: typing.Final = 'put'
 CALL_POST: typing.Final = 'post'
--- a/kumquatport/platform/responses.py
+++ b/kumquatport/platform/responses.py
@@ -9,6 +9,7 @@
 from kumquatport import exceptions, objects
 from kumquatport.helpers import decoding
 from kumquatport.platform import calls, const
+from kumquatport.version import routes
 
 # Brackets around the content of an object in each kind of response.
 _OBJECT_DEPTH: typing.Final = 1
@@ -22,10 +23,12 @@
     Attributes:
         status: HTTP status code.
         body: Response body.
+        era: Era of the store; None if the response does not say.
     """
 
     status: int
     body: bytes
+    era: int | None = None
 
 
 class _Meta(msgspec.Struct):
@@ -58,7 +61,22 @@
 
 async def async_read(response: aiohttp.ClientResponse) -> Response:
     """Read the whole response."""
-    return Response(response.status, await response.read())
+    body = await response.read()
+    return Response(
+        response.status,
+        body,
+        _parse_era(response.headers.get(const.HEADER_ERA)),
+    )
+
+
+def _parse_era(text: str | None) -> int | None:
+    """Parse the era header; a value that cannot be used is none."""
+    if text is None or not text.isascii() or not text.isdecimal():
+        return None
+    if len(text) > len(str(routes.MAX_VERSION)):
+        return None
+    era = int(text)
+    return era if era <= routes.MAX_VERSION else None
 
 
 def check_read(response: Response, subject: str) -> None:
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -146,7 +146,7 @@
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
         self._settings = settings
-        self._configuration.late_after_s = settings.bounds.configuration_s
+        self._configuration.apply_bounds(settings.bounds)
         self._mesh.apply_settings(settings)
         self._datapath.apply_settings(settings)
 
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -118,6 +118,7 @@
             'cold': load.is_cold,
             'beliefs_age_s': self._configuration.reported_age_s,
             'routes_version': self._configuration.routes_version,
+            'store_era': self._configuration.store_era,
             'members': len(self._mesh.registry),
         }
 
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -103,7 +103,7 @@
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
         self._settings = settings
-        self._configuration.late_after_s = settings.bounds.configuration_s
+        self._configuration.apply_bounds(settings.bounds)
         self._mesh.apply_settings(settings)
         self._forwarder.apply_settings(settings)
         if self._store_watch is not None:
--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -141,6 +141,7 @@
                 _LOGGER.warning('members not read', error=error)
                 await self.sleep(const.STORE_RETRY_MAX_S)
                 continue
+            self._mesh.note_store_era(page.era)
             names.update(self._learn(page.objects))
             has_more = page.has_more and bool(page.objects)
             if has_more:
@@ -179,6 +180,7 @@
             Whether this instance is among them.
         """
         page = await self._store.async_page(const.KIND_INSTANCES, '')
+        self._mesh.note_store_era(page.era)
         stored_objects = list(page.objects)
         self._has_listed_all = not page.has_more
         if not self._has_listed_all:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -102,6 +102,7 @@
             'registered': len(self._lookup.registrar),
             'members': len(self._mesh.registry),
             'routes_version': self._configuration.routes_version,
+            'store_era': self._configuration.store_era,
             'domains_out': len(self._configuration.domains_out),
             'beliefs_age_s': self._configuration.reported_age_s,
         }
--- a/kumquatport/process/packets/known_configuration.py
+++ b/kumquatport/process/packets/known_configuration.py
@@ -9,7 +9,7 @@
 import structlog
 
 from kumquatport.helpers import clock, listeners
-from kumquatport.process.packets import messages
+from kumquatport.process.packets import messages, models
 from kumquatport.version import current, routes
 
 _LOGGER = structlog.get_logger(__name__)
@@ -24,22 +24,45 @@
 MAX_CHANGES_BYTES: typing.Final = 400
 
 
+class DomainsVersion(typing.NamedTuple):
+    """Version of the set of failure domains, in the order of comparison.
+
+    Attributes:
+        era: Era of the store; 0 if it has none.
+        revision: Revision of the store in that era; 0 before the first set.
+    """
+
+    era: int
+    revision: int
+
+
 class KnownConfiguration:
     """Routes and failure domains taken out; versions never go back.
 
+    A store that is restored from a copy assigns lower revisions in a higher
+    era. The copy may lack the latest failure domains that operators have taken
+    out, until the operators write them again, so these stay out for a while.
+
     Attributes:
         late_after_s: Age in seconds at which a confirmation is logged as late.
+        rewrite_s: Seconds for which a failure domain that a restored store
+            lacks stays out.
     """
 
-    def __init__(self, own: str, late_after_s: float = math.inf) -> None:
+    def __init__(
+        self, own: str, late_after_s: float = math.inf, rewrite_s: float = 0
+    ) -> None:
         """Start without routes and failure domains.
 
         Args:
             own: Name of this instance.
             late_after_s: Age in seconds at which a confirmation is logged as
                 late.
+            rewrite_s: Seconds for which a failure domain that a restored store
+                lacks stays out.
         """
         self.late_after_s = late_after_s
+        self.rewrite_s = rewrite_s
         self._own = own
         self._origin = own
         self._recent_changes: collections.deque[routes.RouteTableDelta] = (
@@ -47,8 +70,11 @@
         )
         self._versioned_routes = current.CurrentDocument(routes.decode)
         self._routes_digest = 0
-        self._domains_revision = 0
-        self._domains_out: frozenset[str] = frozenset()
+        self._domains_version = DomainsVersion(0, 0)
+        self._stored_domains_out: frozenset[str] = frozenset()
+        self._unwritten_domains: frozenset[str] = frozenset()
+        self._unwritten_until = -math.inf
+        self._latest_era = 0
         self._confirmed_at = -math.inf
         self._listeners: listeners.Listeners[_Listener] = listeners.Listeners()
 
@@ -72,17 +98,29 @@
     @property
     def domains_out(self) -> frozenset[str]:
         """Return the failure domains that get no new flows."""
-        return self._domains_out
+        if clock.now() < self._unwritten_until:
+            return self._stored_domains_out | self._unwritten_domains
+        return self._stored_domains_out
+
+    @property
+    def stored_domains_out(self) -> frozenset[str]:
+        """Return the failure domains that are taken out in the store."""
+        return self._stored_domains_out
 
     @property
     def domains_revision(self) -> int:
         """Return the store revision of the set of failure domains."""
-        return self._domains_revision
+        return self._domains_version.revision
+
+    @property
+    def store_era(self) -> int:
+        """Return the era of the store in which the set was read."""
+        return self._domains_version.era
 
     @property
     def has_domains(self) -> bool:
         """Return whether the set of failure domains is known."""
-        return self._domains_revision > 0
+        return self._domains_version.revision > 0
 
     @property
     def age_s(self) -> float:
@@ -99,6 +137,11 @@
         """Return the instance that read the latest change from the store."""
         return self._origin
 
+    def apply_bounds(self, bounds: models.Bounds) -> None:
+        """Apply bounds that changed at run time."""
+        self.late_after_s = bounds.configuration_s
+        self.rewrite_s = bounds.evacuate_s
+
     def subscribe(self, callback: _Listener) -> abc.Callable[[], None]:
         """Call back after each change.
 
@@ -147,6 +190,7 @@
         out: abc.Iterable[str],
         source: str,
         origin: str = '',
+        era: int = 0,
     ) -> bool:
         """Apply a set of failure domains taken out, if it is newer.
 
@@ -156,23 +200,31 @@
             out: Names of the failure domains.
             source: Where they came from, for the log.
             origin: Instance that read them from the store; empty for this one.
+            era: Era of the revision; 0 if the store has none.
 
         Returns:
             Whether the set changed.
         """
-        if revision <= self._domains_revision:
+        version = DomainsVersion(era, revision)
+        if version <= self._domains_version:
             return False
         names = frozenset(out)
-        is_unchanged = names == self._domains_out and self.has_domains
-        self._domains_revision = revision
-        if is_unchanged:
+        is_known = self.has_domains
+        if is_known and era > self._domains_version.era:
+            self._hold_domains()
+        self._unwritten_domains -= names
+        self._domains_version = version
+        self.note_era(era)
+        if is_known and names == self._stored_domains_out:
             return False
-        self._domains_out = names
+        self._stored_domains_out = names
         self._origin = origin or self._own
         _LOGGER.info(
             'failure domains out',
             domains=sorted(names),
+            held=sorted(self.domains_out - names),
             revision=revision,
+            era=era,
             source=source,
             origin=self._origin,
             age_s=_rounded_or_none(self.age_s),
@@ -180,6 +232,14 @@
         self._listeners.notify()
         return True
 
+    def note_era(self, era: int) -> None:
+        """Record an era that the store has stated to this process.
+
+        Peers that know an earlier one only then confirm nothing: they have not
+        noticed that the store was restored.
+        """
+        self._latest_era = max(self._latest_era, era)
+
     def confirm(self, age_s: float = 0, source: str = SOURCE_STORE) -> bool:
         """Record that the store has confirmed the configuration.
 
@@ -216,12 +276,21 @@
         Raises:
             DocumentRejectedError: The changes are malformed.
         """
+        version = DomainsVersion(state.store_era, state.domains_revision)
         self.update_domains(
-            state.domains_revision, state.domains_out, source, state.origin
+            version.revision,
+            state.failure_domains,
+            source,
+            state.origin,
+            version.era,
         )
         self._apply_changes(state, source)
         return self.compare(
-            state.routes_version, state.domains_revision, state.age_s, source
+            state.routes_version,
+            version.revision,
+            state.age_s,
+            source,
+            version.era,
         )
 
     def compare(
@@ -230,6 +299,7 @@
         domains_revision: int,
         age_s: float,
         source: str = '',
+        era: int = 0,
     ) -> bool:
         """Compare versions with a peer, and take its age if they are equal.
 
@@ -238,16 +308,22 @@
             domains_revision: Revision of the peer's failure domains.
             age_s: Seconds since the store confirmed them to the peer.
             source: Name of the peer, for the log.
+            era: Era of the revision; 0 if the store has none.
 
         Returns:
             Whether the peer holds something newer.
         """
+        version = DomainsVersion(era, domains_revision)
         if routes_version > self.routes_version:
             return True
-        if domains_revision > self._domains_revision:
+        if version > self._domains_version:
             return True
         is_same = routes_version == self.routes_version
-        if is_same and domains_revision == self._domains_revision:
+        if (
+            is_same
+            and version == self._domains_version
+            and era >= self._latest_era
+        ):
             self.confirm(age_s, source)
         return False
 
@@ -259,8 +335,10 @@
         """
         return messages.ConfigurationState(
             self.routes_version,
-            self._domains_revision,
-            tuple(sorted(self._domains_out)),
+            self._domains_version.revision,
+            messages.encode_domains(
+                self._stored_domains_out, self._domains_version.era
+            ),
             self.reported_age_s,
             self._origin,
             tuple(self._recent_changes) if with_changes else (),
@@ -278,6 +356,11 @@
                 table = routes.apply_delta(table, change)
                 self.update_routes(routes.encode(table), source, state.origin)
 
+    def _hold_domains(self) -> None:
+        """Keep the failure domains out that a restored store may lack."""
+        self._unwritten_domains = self.domains_out
+        self._unwritten_until = clock.now() + self.rewrite_s
+
     def _record_change(self, before: current.VersionedDocument) -> None:
         """Store the latest change of the routes to send it to peers.
 
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -214,6 +214,10 @@
             names.add(self._settings.instance)
         return names
 
+    def note_store_era(self, era: int) -> None:
+        """Record the era that the store has stated to this process."""
+        self._configuration.note_era(era)
+
     def note_members_listed(self, names: abc.Iterable[str]) -> None:
         """Record that all members in the store have been read.
 
@@ -380,6 +384,7 @@
             ).total_digest(),
             routes_version=self._configuration.routes_version,
             domains_revision=self._configuration.domains_revision,
+            store_era=self._configuration.store_era,
             age_s=self._configuration.reported_age_s,
             round_s=round_s,
             load=self.load(),
@@ -438,6 +443,7 @@
             heartbeat.domains_revision,
             self.pause_recovery.received_age_s(heartbeat.age_s),
             instance,
+            heartbeat.store_era,
         )
         if is_newer:
             self.greet((sender,))
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -3,6 +3,7 @@
 import math
 import struct
 import typing
+from collections import abc
 
 import msgspec
 
@@ -41,6 +42,12 @@
     is_failing: bool = False
 
 
+# Entry among the failure domains that carries the era of the store. Builds that
+# know no eras take it for a failure domain without instances, while they would
+# refuse a message with a further field.
+_ERA_PREFIX: typing.Final = '\0era='
+
+
 class ConfigurationState(typing.NamedTuple):
     """Configuration that an instance uses.
 
@@ -48,7 +55,8 @@
         routes_version: Version of the routes.
         domains_revision: Store revision of the last change of
             ``domains_out``.
-        domains_out: Failure domains that get no new flows.
+        domains_out: Failure domains that get no new flows, as encoded by
+            ``encode_domains``.
         age_s: Seconds since the store confirmed both.
         origin: Instance that read the latest change from the store.
         changes: Latest changes of the routes, the newest last; few or none if
@@ -62,6 +70,37 @@
     origin: str
     changes: tuple[routes.RouteTableDelta, ...] = ()
 
+    @property
+    def failure_domains(self) -> tuple[str, ...]:
+        """Return the failure domains that get no new flows."""
+        return tuple(
+            name for name in self.domains_out if not _is_era_entry(name)
+        )
+
+    @property
+    def store_era(self) -> int:
+        """Return the era of ``domains_revision``; 0 if it is not stated.
+
+        Raises:
+            ValueError: It is not a number.
+        """
+        for name in self.domains_out:
+            if _is_era_entry(name):
+                return int(name.removeprefix(_ERA_PREFIX))
+        return 0
+
+
+def encode_domains(
+    failure_domains: abc.Iterable[str], era: int
+) -> tuple[str, ...]:
+    """Return failure domains and the era of their revision as one tuple."""
+    names = sorted(name for name in failure_domains if not _is_era_entry(name))
+    return (*names, f'{_ERA_PREFIX}{era}') if era else tuple(names)
+
+
+def _is_era_entry(name: str) -> bool:
+    return name.startswith(_ERA_PREFIX)
+
 
 class Heartbeat(typing.NamedTuple):
     """Full heartbeat, with the complete state of an instance.
@@ -132,6 +171,8 @@
         age_s: Seconds since the store confirmed both.
         round_s: Seconds between two heartbeat rounds of the sender.
         load: Load of an agent; None from a balancer.
+        store_era: Era of the store in which ``domains_revision`` was read; 0
+            if the store has none or the sender's build knows none.
     """
 
     incarnation: int
@@ -142,9 +183,13 @@
     age_s: float
     round_s: float
     load: Load | None
+    store_era: int = 0
 
 
 _SHORT_HEARTBEAT: typing.Final = struct.Struct('!QIQQQfHBHHHf')
+# Follows a short heartbeat if the store has eras; other builds ignore it.
+_STORE_ERA: typing.Final = struct.Struct('!Q')
+_STORE_ERA_OFFSET: typing.Final = 1 + _SHORT_HEARTBEAT.size
 _IS_AGENT: typing.Final = 2
 _ACCEPTS: typing.Final = 4
 _IS_COLD: typing.Final = 8
@@ -219,7 +264,11 @@
 
 
 def _is_valid_state(state: ConfigurationState) -> bool:
-    versions = (state.routes_version, state.domains_revision)
+    try:
+        era = state.store_era
+    except ValueError:
+        return False
+    versions = (state.routes_version, state.domains_revision, era)
     return _is_valid_age(state.age_s) and all(
         0 <= version <= routes.MAX_VERSION for version in versions
     )
@@ -241,7 +290,9 @@
         + load.has_report * _HAS_REPORT
         + load.is_failing * _IS_FAILING
     )
-    return bytes((frame.KIND_HEARTBEAT,)) + _SHORT_HEARTBEAT.pack(
+    era = heartbeat.store_era
+    suffix = _STORE_ERA.pack(era) if era else b''
+    body = _SHORT_HEARTBEAT.pack(
         heartbeat.incarnation,
         heartbeat.sequence,
         heartbeat.members_digest,
@@ -255,6 +306,7 @@
         min(load.flows, _MAX_COUNT),
         load.service_ms,
     )
+    return bytes((frame.KIND_HEARTBEAT,)) + body + suffix
 
 
 def decode_short_heartbeat(datagram: bytes) -> ShortHeartbeat:
@@ -295,9 +347,26 @@
         age_s=fields[5],
         round_s=fields[6] / _MS_PER_S,
         load=load,
+        store_era=_decode_store_era(datagram),
     )
 
 
+def _decode_store_era(datagram: bytes) -> int:
+    """Return the era that follows a short heartbeat; 0 if none follows.
+
+    Raises:
+        FramePayloadError: It is out of range.
+    """
+    if len(datagram) < _STORE_ERA_OFFSET + _STORE_ERA.size:
+        return 0
+    era = _STORE_ERA.unpack_from(datagram, _STORE_ERA_OFFSET)[0]
+    if era > routes.MAX_VERSION:
+        raise exceptions.FramePayloadError(
+            f'expected an era of at most {routes.MAX_VERSION}, got {era}'
+        )
+    return int(era)
+
+
 _NO_LOAD: typing.Final = Load(
     slots=0,
     busy=0,
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -44,7 +44,9 @@
         super().__init__()
         self._settings = settings
         self._configuration = known_configuration.KnownConfiguration(
-            settings.instance, settings.bounds.configuration_s
+            settings.instance,
+            settings.bounds.configuration_s,
+            settings.bounds.evacuate_s,
         )
         self._mesh = mesh.Mesh(settings, kind, self._configuration)
         self._link = peer_link.PeerLink(
--- a/kumquatport/process/packets/store_watch.py
+++ b/kumquatport/process/packets/store_watch.py
@@ -210,9 +210,7 @@
         self._update_routes(listing)
         await self.sleep(const.WATCH_START_DELAY_S)
         while self.is_watcher():
-            listing = await self._async_wait(
-                ROUTES, f'{kind}/', listing.revision
-            )
+            listing = await self._async_wait(ROUTES, f'{kind}/', listing)
             self._update_routes(listing)
             if listing.objects:
                 await self.sleep(self._timing.batch_s)
@@ -222,16 +220,16 @@
         prefix = f'{self._operator_objects.domains_kind}/'
         listing = await self._async_list(DOMAINS, prefix)
         self._domains_out = {stored.name for stored in listing.objects}
-        self._update_domains(listing.revision)
+        self._update_domains(listing)
         await self.sleep(const.WATCH_START_DELAY_S)
         while self.is_watcher():
-            listing = await self._async_wait(DOMAINS, prefix, listing.revision)
+            listing = await self._async_wait(DOMAINS, prefix, listing)
             for stored in listing.objects:
                 if stored.deleted:
                     self._domains_out.discard(stored.name)
                 else:
                     self._domains_out.add(stored.name)
-            self._update_domains(listing.revision)
+            self._update_domains(listing)
 
     async def _async_list(self, part: str, prefix: str) -> objects.Listing:
         """Read a part, which confirms it as of the start of the call."""
@@ -241,7 +239,7 @@
         return listing
 
     async def _async_wait(
-        self, part: str, prefix: str, revision: int
+        self, part: str, prefix: str, previous: objects.Listing
     ) -> objects.Listing:
         """Wait for changes of a part.
 
@@ -251,6 +249,8 @@
         only as of its start: it may have been on its way for long.
 
         Raises:
+            HistoryGoneError: The store does not have the history since the
+                previous answer, or was restored from a copy since.
             PlatformUnavailableError: The store did not answer in time.
         """
         started_at = clock.now()
@@ -259,21 +259,31 @@
         try:
             async with asyncio.timeout(wait_s + self._timing.answer_s):
                 listing = await self._store.async_watch(
-                    prefix, revision, wait_s
+                    prefix, previous.revision, wait_s
                 )
         except TimeoutError as error:
             raise exceptions.PlatformUnavailableError(
                 f'watch of {prefix}: no answer'
             ) from error
+        if listing.era != previous.era:
+            # Revisions up to the previous one may have been assigned again.
+            raise exceptions.HistoryGoneError(prefix)
         confirmed_at = started_at if listing.objects else started_at + wait_s
         self._answered_at[part] = min(confirmed_at, clock.now())
         return listing
 
-    def _update_domains(self, revision: int) -> None:
-        is_known = self._configuration.has_domains
-        if not is_known or self._domains_out != self._configuration.domains_out:
-            self._configuration.update_domains(
-                revision, self._domains_out, known_configuration.SOURCE_STORE
+    def _update_domains(self, listing: objects.Listing) -> None:
+        known = self._configuration
+        if (
+            not known.has_domains
+            or listing.era != known.store_era
+            or self._domains_out != known.stored_domains_out
+        ):
+            known.update_domains(
+                listing.revision,
+                self._domains_out,
+                known_configuration.SOURCE_STORE,
+                era=listing.era,
             )
         self._confirm(DOMAINS)
 
--- a/tests/builders/watch_clusters.py
+++ b/tests/builders/watch_clusters.py
@@ -34,6 +34,7 @@
         revision: Revision of the last change.
         versions: Version of the routes by revision.
         domains_out: Failure domains out by revision.
+        era: Number of times that the store was restored from a copy.
         silent: Instances whose calls get no answer.
         calls: Number of calls of all instances.
         answered_at: Time of the last answer.
@@ -43,6 +44,7 @@
         self.revision = 1
         self.versions = {1: 1}
         self.domains_out: dict[int, tuple[str, ...]] = {}
+        self.era = 1
         self.silent: set[str] = set()
         self.calls = 0
         self.answered_at = 0.0
@@ -62,8 +64,25 @@
         self.domains_out[self.revision] = domains
         self._notify()
 
+    def take_copy(self) -> typing.Any:
+        """Return a copy for ``restore``."""
+        return self.revision, dict(self.versions), dict(self.domains_out)
+
+    def restore(self, saved: typing.Any) -> None:
+        """Lose what was written since a copy, and begin the next era."""
+        self.revision, versions, domains_out = saved
+        self.versions, self.domains_out = dict(versions), dict(domains_out)
+        self.era += 1
+        self._notify()
+
     def read(self, prefix: str, since: int) -> objects.Listing:
         """Return what was written under a prefix after a revision."""
+        listing = self._read(prefix, since)
+        return listing._replace(era=self.era)
+
+    def _read(self, prefix: str, since: int) -> objects.Listing:
+        if since > self.revision:
+            raise exceptions.HistoryGoneError(prefix)
         found = []
         if prefix == 'config/':
             revision = max(self.versions)
@@ -79,10 +98,26 @@
                 objects.StoredObject(f'{DOMAINS}/{name}', revision, b'{}')
                 for name in self.domains_out[revision]
             )
+            if since:
+                found.extend(self._deletions(revision))
         if not found or revision <= since:
             return objects.Listing(self.revision, ())
         return objects.Listing(self.revision, tuple(found))
 
+    def _deletions(
+        self, revision: int
+    ) -> typing.Iterator[objects.StoredObject]:
+        """Yield the failure domains that were out before a revision only."""
+        former = {name for names in self.domains_out.values() for name in names}
+        for name in sorted(former.difference(self.domains_out[revision])):
+            yield objects.StoredObject(
+                f'{DOMAINS}/{name}',
+                revision,
+                b'',
+                deleted=True,
+                revision=revision,
+            )
+
     async def async_changed(self, timeout: float) -> None:
         """Wait for the next change, at most for some seconds."""
         changed = self._changed
@@ -170,7 +205,9 @@
             service='store' if kind == members.KIND_AGENT else '',
             bounds=bounds,
         )
-        self.configuration = known_configuration.KnownConfiguration(name)
+        self.configuration = known_configuration.KnownConfiguration(
+            name, bounds.configuration_s, bounds.evacuate_s
+        )
         self.mesh = mesh.Mesh(self.settings, kind, self.configuration)
         self.mesh.own_record.update(members_const.STATE_READY, None)
         self.frozen_until = 0.0
@@ -240,15 +277,31 @@
         for instance in self.instances:
             instance.mesh.greet(self._by_address)
         for instance in self.balancers.values():
-            watch = store_watch.StoreWatch(
-                OPERATORS,
-                Client(self.store, instance.name),
-                instance.configuration,
-                instance.mesh,
-                instance.settings.bounds,
-            )
-            self._services.append(watch)
-            await watch.start()
+            await self._async_watch(instance)
+
+    async def async_join(self, domain: str) -> Instance:
+        """Start another balancer, which greets all others."""
+        number = len(self.balancers)
+        name = f'front-{number:02}'
+        instance = self._add(
+            name, f'10.0.0.{number + 1}', members.KIND_BALANCER, domain
+        )
+        self.balancers[name] = instance
+        self._connect(instance)
+        instance.mesh.greet(self._by_address)
+        await self._async_watch(instance)
+        return instance
+
+    async def _async_watch(self, instance: Instance) -> None:
+        watch = store_watch.StoreWatch(
+            OPERATORS,
+            Client(self.store, instance.name),
+            instance.configuration,
+            instance.mesh,
+            instance.settings.bounds,
+        )
+        self._services.append(watch)
+        await watch.start()
 
     async def async_stop(self) -> None:
         """Stop to watch the store."""
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -133,10 +133,17 @@
 
 
 class Platform:
-    """Object API with faults that tests can switch on and off."""
+    """Object API with faults that tests can switch on and off.
+
+    Attributes:
+        era: Value of the header ``Store-Era``; None leaves it out.
+        era_after_list: Era from the end of the next list on; None for none.
+    """
 
     def __init__(self) -> None:
         self.store = Store()
+        self.era: str | None = '1'
+        self.era_after_list: str | None = None
         self.mode = 'up'
         self.delay_s = 0.0
         self.lose_answers = 0
@@ -206,7 +213,12 @@
             if self.mode == 'down':
                 self.counts['dropped'] += 1
                 return _abort_connection(request)
-            return await handler(request)
+            response = await handler(request)
+            if self.era is not None:
+                response.headers['Store-Era'] = self.era
+            if request.method == 'GET' and self.era_after_list is not None:
+                self.era, self.era_after_list = self.era_after_list, None
+            return response
         finally:
             self._open.pop(id(request), None)
 
--- a/tests/unit/platform/test_client.py
+++ b/tests/unit/platform/test_client.py
@@ -48,6 +48,61 @@
         self.assertEqual(self.platform.counts['delete'], 1)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """A store that is restored from a copy assigns revisions again."""
+
+    async def asyncSetUp(self):
+        self.platform = platform.Platform()
+        app = self.platform.application()
+        await self.enterAsyncContext(
+            runner.async_serve(app, ENDPOINT, handler_cancellation=True)
+        )
+        self.client = client.PlatformClient(
+            'http://{}:{}'.format(*ENDPOINT), 2.0
+        )
+        await self.client.async_setup()
+        self.addAsyncCleanup(self.client.async_stop)
+
+    async def test_every_read_tells_the_era(self):
+        self.platform.era = None
+        self.assertEqual((await self.client.async_list('a/')).era, 0)
+        for era in ('4', '5'):
+            self.platform.era = era
+            self.assertEqual((await self.client.async_list('a/')).era, int(era))
+            listing = await self.client.async_watch('a/', 99, 0)
+            self.assertEqual(listing.era, int(era))
+        for unusable in (None, '', 'x', '-1', '6.0', '9' * 40, '\u0663'):
+            self.platform.era = unusable
+            self.assertEqual((await self.client.async_list('a/')).era, 5)
+
+    async def test_conditional_write_does_not_use_a_revision_of_before(self):
+        """Another instance's value may have got the same revision."""
+        await self.client.async_put('a/b', b'own', 0)
+        entry = self.platform.store.entries['a', 'b']
+        other = client.PlatformClient('http://{}:{}'.format(*ENDPOINT), 2.0)
+        await other.async_setup()
+        self.addAsyncCleanup(other.async_stop)
+        await other.async_put('a/b', b'other', 1)
+        stored = self.platform.store.entries['a', 'b']
+        self.platform.store.entries['a', 'b'] = stored._replace(
+            revision=entry.revision
+        )
+        self.platform.era = '2'
+        await self.client.async_list('x/')
+        with self.assertRaises(exceptions.VersionConflictError):
+            await self.client.async_put('a/b', b'later', 1)
+        self.assertEqual((await other.async_get('a/b')).value, b'other')
+
+    async def test_restoration_between_two_pages_ends_the_list(self):
+        for number in range(platform.PAGE_ENTRIES + 1):
+            self.platform.store.write('a', f'{number:04}', {})
+        self.platform.era_after_list = '3'
+        with self.assertRaises(exceptions.HistoryGoneError):
+            await self.client.async_list('a/')
+        listing = await self.client.async_list('a/')
+        self.assertEqual((len(listing.objects), listing.era), (501, 3))
+
+
 class ConnectionsTest(unittest.IsolatedAsyncioTestCase):
     """A connection that went silent while it was idle delays no read."""
 
--- a/tests/unit/process/packets/test_known_configuration.py
+++ b/tests/unit/process/packets/test_known_configuration.py
@@ -19,7 +19,7 @@
     peers,
 )
 from kumquatport.version import members, routes
-from tests.builders import memberships
+from tests.builders import former_builds, memberships
 from tests.builders import packets as builders
 
 
@@ -55,6 +55,46 @@
         self.assertFalse(self.configuration.update_domains(9, ('a',), 'test'))
         self.assertEqual(self.configuration.domains_revision, 9)
 
+    def test_domains_of_a_restored_store_replace_those_of_higher_revisions(
+        self,
+    ):
+        """EVAC: a store that is restored from a copy counts back."""
+        self.configuration.update_domains(500, ('a',), 'test', era=1)
+        self.assertTrue(
+            self.configuration.update_domains(90, ('b',), 'test', era=2)
+        )
+        self.assertEqual(self.configuration.domains_out, {'b'})
+        for era, revision in ((1, 501), (0, 900), (2, 90), (2, 89)):
+            self.assertFalse(
+                self.configuration.update_domains(revision, (), 'test', era=era)
+            )
+        self.assertTrue(
+            self.configuration.update_domains(91, (), 'test', era=2)
+        )
+
+    def test_peer_that_missed_a_restoration_confirms_nothing(self):
+        self.configuration.update_domains(500, (), 'test', era=1)
+        self.assertFalse(self.configuration.compare(0, 500, 0.1, era=1))
+        self.assertLess(self.configuration.age_s, 1)
+        self.configuration = known_configuration.KnownConfiguration('front-9')
+        self.configuration.update_domains(500, (), 'test', era=1)
+        self.configuration.note_era(2)
+        for era in (0, 1):
+            self.assertFalse(self.configuration.compare(0, 500, 0.1, era=era))
+        self.assertGreater(self.configuration.age_s, 1000)
+        self.assertTrue(self.configuration.compare(0, 90, 0.1, era=2))
+
+    def test_era_reaches_peers_in_the_state(self):
+        self.configuration.update_domains(90, ('b', 'a'), 'test', era=2)
+        peer = known_configuration.KnownConfiguration('front-8')
+        peer.update_domains(500, ('c',), 'test', era=1)
+        self.assertTrue(peer.compare(0, 90, 0.1, era=2))
+        state = self.configuration.snapshot(with_changes=False)
+        peer.merge(state, 'front-9')
+        self.assertEqual(peer.domains_out, {'a', 'b'})
+        self.assertEqual((peer.store_era, peer.domains_revision), (2, 90))
+        self.assertFalse(self.configuration.compare(0, 500, 0.1, era=1))
+
     def test_only_a_peer_with_equal_versions_confirms(self):
         self.configuration.update_routes(
             routes.encode(builders.table(3)), 'test'
@@ -84,6 +124,64 @@
             const.HEARTBEAT_BYTES + 8,
         )
 
+    def test_era_follows_a_short_heartbeat_of_the_former_size(self):
+        """Builds without eras read the heartbeat as before."""
+        plain = messages.ShortHeartbeat(1, 2, 3, 4, 5, 0.5, 0.25, None)
+        encoded = messages.encode_short_heartbeat(plain._replace(store_era=7))
+        self.assertTrue(
+            encoded.startswith(messages.encode_short_heartbeat(plain))
+        )
+        fields = former_builds.SHORT_HEARTBEAT.unpack_from(encoded, 1)
+        self.assertEqual(fields[:5], plain[:5])
+        self.assertEqual(messages.decode_short_heartbeat(encoded).store_era, 7)
+        with self.assertRaises(exceptions.FramePayloadError):
+            messages.decode_short_heartbeat(encoded[:-8] + b'\xff' * 8)
+
+    def test_builds_without_eras_read_the_state_and_state_none(self):
+        state = messages.ConfigurationState(
+            3, 90, messages.encode_domains(('b', 'a'), 7), 0.5, 'front-1'
+        )
+        record = builders.record('front-1', kind=members.KIND_BALANCER)
+        for sent, former_type in (
+            (
+                messages.Heartbeat(record, None, state, wants_reply=True),
+                former_builds.Heartbeat,
+            ),
+            (
+                messages.Confirmation(5, state, receiver_was_draining=False),
+                former_builds.Confirmation,
+            ),
+        ):
+            encoded = messages.encode(sent)
+            former = msgspec.msgpack.decode(encoded[2:], type=former_type)
+            self.assertEqual(former.configuration.domains_revision, 90)
+            self.assertEqual(former.configuration.domains_out[:2], ('a', 'b'))
+            known = messages.decode(encoded).configuration
+            self.assertEqual(known.failure_domains, ('a', 'b'))
+            self.assertEqual(known.store_era, 7)
+            former_state = former_builds.ConfigurationState(
+                3, 90, ('a', 'b'), 0.5, 'front-1'
+            )
+            answered = messages.decode(
+                encoded[:2]
+                + msgspec.msgpack.encode(
+                    former._replace(configuration=former_state)
+                )
+            ).configuration
+            self.assertEqual(answered.failure_domains, ('a', 'b'))
+            self.assertEqual(answered.store_era, 0)
+
+    def test_failure_domain_named_like_an_era_is_not_sent(self):
+        """Any name may be written to the store by another writer."""
+        (forged,) = messages.encode_domains((), 9)
+        self.assertEqual(messages.encode_domains((forged, 'a'), 0), ('a',))
+        state = messages.ConfigurationState(3, 90, ('\0era=x',), 0.5, 'front-1')
+        confirmation = messages.Confirmation(
+            5, state, receiver_was_draining=False
+        )
+        with self.assertRaises(exceptions.FramePayloadError):
+            messages.decode(messages.encode(confirmation))
+
     @hypothesis.given(strategies.binary(max_size=80))
     def test_decoders_reject_any_malformed_bytes(self, datagram):
         for decode in (messages.decode, messages.decode_short_heartbeat):
