Refuse heartbeats that are not of the agent's backend server

Cause: an agent took whatever it could decode for a heartbeat of its backend server; this one counted as a new incarnation. The log shows the foreign identifier, then five times flow lost, backend_server_restarted.

Service, endpoint and failure domain are compared with the settings, all fields but the start time are required, and a start time may not vanish. Such a heartbeat is answered with 400, changes nothing, is logged once for each identifier and counted.

Test heartbeats named another address than the agent's; they name its own now.

--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -137,7 +137,7 @@
 
 
 class HeartbeatRejectedError(KumquatportError):
-    """A backend server's heartbeat is malformed."""
+    """A heartbeat is malformed, or of another backend server."""
 
     code = 'KQ-4006'
 
--- a/kumquatport/platform/heartbeat.py
+++ b/kumquatport/platform/heartbeat.py
@@ -24,14 +24,15 @@
 class _Heartbeat(msgspec.Struct, rename='pascal'):
     service: str
     address: str
+    zone: str
+    # Version of the backend server's software, not of a protocol.
+    version: str
     state: typing.Literal['ready', 'draining']
     # Number of concurrent requests, not of flows.
     concurrency: typing.Annotated[int, msgspec.Meta(le=_MAX_CONCURRENCY)]
     sequence: _Number
     # Remaining warm-up time, not the time since the start.
-    warmup_left_ms: typing.Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)] = (
-        msgspec.field(name='WarmupLeftMs', default=0)
-    )
+    warmup_left_ms: typing.Annotated[float, msgspec.Meta(le=_MAX_WARMUP_MS)]
     # Start time in Unix milliseconds.
     born: _Number = msgspec.field(name='born', default=0)
 
@@ -44,7 +45,7 @@
         body: JSON text.
 
     Raises:
-        HeartbeatRejectedError: It is malformed or has an unknown state.
+        HeartbeatRejectedError: A field is missing, malformed or unknown.
     """
     try:
         heartbeat = msgspec.json.decode(body, type=_Heartbeat)
@@ -57,6 +58,7 @@
         identifier=identifier,
         service=heartbeat.service,
         endpoint=endpoint,
+        failure_domain=heartbeat.zone,
         slots=max(heartbeat.concurrency, 1),
         is_draining=heartbeat.state == _DRAINING,
         cold_left_s=max(heartbeat.warmup_left_ms, 0) / _MS_PER_S,
--- a/kumquatport/platform/inbound.py
+++ b/kumquatport/platform/inbound.py
@@ -7,6 +7,7 @@
 
 from kumquatport import exceptions
 from kumquatport.platform import heartbeat
+from kumquatport.process.logs import faults
 from kumquatport.process.packets import models
 
 _LOGGER = structlog.get_logger(__name__)
@@ -34,20 +35,24 @@
     """Return the application that receives heartbeats of backend servers.
 
     Args:
-        on_heartbeat: Called with each heartbeat.
+        on_heartbeat: Called with each heartbeat; raises
+            ``HeartbeatRejectedError`` if it is of another writer.
         on_exit: Called with the identifier of a backend server that announces
             its exit.
     """
     app = web.Application()
+    report_refusal = faults.reporter(
+        _LOGGER, 'heartbeat refused', 'heartbeat accepted again'
+    )
 
     async def put_heartbeat(request: web.Request) -> web.Response:
         identifier = request.match_info['identifier']
         try:
-            report = heartbeat.decode(identifier, await request.read())
+            on_heartbeat(heartbeat.decode(identifier, await request.read()))
         except exceptions.HeartbeatRejectedError as error:
-            _LOGGER.warning('heartbeat refused', error=error)
+            report_refusal(error, identifier)
             return web.json_response({}, status=_BAD_REQUEST)
-        on_heartbeat(report)
+        report_refusal(None, identifier)
         return web.json_response({})
 
     async def delete_instance(request: web.Request) -> web.Response:
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -154,6 +154,11 @@
         datagrams.send(self._socket, datagram, self._target)
 
     def _handle_report(self, report: models.BackendServerReport) -> None:
+        """Handle a heartbeat.
+
+        Raises:
+            HeartbeatRejectedError: It is not of the backend server.
+        """
         if not self._datapath.handle_report(report):
             return
         self._announce_state()
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from kumquatport import exceptions
 from kumquatport.connection.packets import (
     admission,
     cold_start,
@@ -149,8 +150,16 @@
 
         Returns:
             Whether it changed anything that must be announced at once.
+
+        Raises:
+            HeartbeatRejectedError: It is of another writer; nothing changed.
         """
         server = self.backend_server
+        try:
+            backend_server.check_writer(report, server.report, self._settings)
+        except exceptions.HeartbeatRejectedError:
+            self._log.counts['heartbeat refused'] += 1
+            raise
         before = (server.is_draining, server.is_gone)
         incarnation = server.update(report)
         if incarnation is not None:
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from kumquatport import exceptions
 from kumquatport.helpers import clock
 from kumquatport.process.packets import models
 
@@ -315,6 +316,42 @@
             )
 
 
+def check_writer(
+    report: models.BackendServerReport,
+    current: models.BackendServerReport | None,
+    settings: models.Settings,
+) -> None:
+    """Check that a heartbeat is of the backend server beside the agent.
+
+    Others may write heartbeats too. One that was taken for a new incarnation
+    would end the flows of the backend server and silence it.
+
+    Args:
+        report: The heartbeat.
+        current: Latest heartbeat of the backend server; None before the first.
+        settings: Settings of the agent.
+
+    Raises:
+        HeartbeatRejectedError: It is of another writer.
+    """
+    expected = {
+        'service': settings.service or report.service,
+        'endpoint': settings.backend_server,
+        'failure_domain': settings.failure_domain,
+    }
+    for field, expected_value in expected.items():
+        found = getattr(report, field)
+        if found != expected_value:
+            raise exceptions.HeartbeatRejectedError(
+                f'{report.identifier}: expected {field} {expected_value},'
+                f' got {found}'
+            )
+    if current is not None and current.born_ms and not report.born_ms:
+        raise exceptions.HeartbeatRejectedError(
+            f'{report.identifier}: expected a start time'
+        )
+
+
 def _is_same_incarnation(
     current: models.BackendServerReport, report: models.BackendServerReport
 ) -> bool:
--- a/kumquatport/process/packets/models.py
+++ b/kumquatport/process/packets/models.py
@@ -109,6 +109,7 @@
             incarnations share it.
         service: Service that it provides.
         endpoint: Endpoint on which it receives packets.
+        failure_domain: Failure domain of its host.
         slots: Requests that it processes concurrently.
         is_draining: Whether it is draining.
         cold_left_s: Seconds for which it is still cold after its start.
@@ -119,6 +120,7 @@
     identifier: str
     service: str
     endpoint: Endpoint
+    failure_domain: str
     slots: int
     is_draining: bool
     cold_left_s: float
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -108,6 +108,7 @@
         identifier='i-1',
         service='store',
         endpoint=models.Endpoint('10.0.0.2', 4),
+        failure_domain='a',
         slots=5,
         is_draining=False,
         cold_left_s=0.0,
--- a/tests/unit/platform/test_odd_entries.py
+++ b/tests/unit/platform/test_odd_entries.py
@@ -11,6 +11,8 @@
 HEARTBEAT = {
     'Service': 'one',
     'Address': '10.0.0.2:8165',
+    'Zone': 'a',
+    'Version': 'v1',
     'Concurrency': 5,
     'State': 'ready',
     'WarmupLeftMs': 0,
@@ -47,6 +49,9 @@
         with self.assertRaises(exceptions.HeartbeatRejectedError):
             heartbeat.decode('i-1', body)
 
+    def test_the_heartbeat_itself_is_accepted(self):
+        heartbeat.decode('i-1', json.dumps(HEARTBEAT).encode())
+
     def test_deeply_nested_value_is_rejected(self):
         body = json.dumps({**HEARTBEAT, 'x': 0}).encode()
         self.assert_rejected(body.replace(b'0}', odd_entries.DEEP_JSON + b'}'))
--- a/tests/unit/platform/test_reading.py
+++ b/tests/unit/platform/test_reading.py
@@ -137,6 +137,7 @@
                 identifier='i-1',
                 service='one',
                 endpoint=models.Endpoint('10.0.0.2', 8165),
+                failure_domain='a',
                 slots=5,
                 is_draining=True,
                 cold_left_s=1.5,
@@ -151,6 +152,13 @@
             {**HEARTBEAT, 'Sequence': '4'},
             {**HEARTBEAT, 'Address': 'here'},
             {key: HEARTBEAT[key] for key in ('Service', 'State')},
+            *(
+                {key: HEARTBEAT[key] for key in HEARTBEAT if key != missing}
+                for missing in HEARTBEAT
+                if missing != 'born'
+            ),
+            *({**HEARTBEAT, key: None} for key in HEARTBEAT),
+            *({**HEARTBEAT, key: [1]} for key in HEARTBEAT),
         )
         for body in broken:
             with (
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -17,6 +17,7 @@
 from tests.builders import packets as builders
 
 ADDRESS = '127.0.66.3'
+BACKEND_SERVER = models.Endpoint(ADDRESS, 7424)
 KEY = f'{const.KIND_INSTANCES}/b-side-1'
 TIMEOUT_S = 5.0
 GRACE_S = 3.0
@@ -25,6 +26,11 @@
 POLL_S = 0.01
 
 
+def report(**fields):
+    """Return a heartbeat of the backend server beside the agent."""
+    return builders.report(endpoint=BACKEND_SERVER, **fields)
+
+
 class Store(memberships.MemoryPlatform):
     """In-memory store without connections that can stop answering."""
 
@@ -53,7 +59,7 @@
             ready=models.Endpoint(ADDRESS, 7421),
             heartbeats=models.Endpoint(ADDRESS, 7422),
             outbound=models.Endpoint(ADDRESS, 7423),
-            backend_server=models.Endpoint(ADDRESS, 7424),
+            backend_server=BACKEND_SERVER,
             is_first_start=True,
         )
         bounds = settings.bounds._replace(grace_s=GRACE_S)
@@ -89,7 +95,7 @@
         The host may lose power before the agent is stopped; a record that
         remained then delayed lookups of lost flows.
         """
-        self.report(builders.report())
+        self.report(report())
         self.leave('i-1')
         await self._async_until(lambda: KEY not in self.store.objects)
         calls_before = self.store.call_count
@@ -97,17 +103,17 @@
         self.assertEqual(self.store.call_count, calls_before)
 
     async def test_record_is_restored_with_the_next_backend_server(self):
-        self.report(builders.report())
+        self.report(report())
         self.leave('i-1')
         await self._async_until(lambda: KEY not in self.store.objects)
         self.store.down = True
-        self.report(builders.report(identifier='i-2'))
+        self.report(report(identifier='i-2'))
         await asyncio.sleep(0)
         self.store.down = False
         await self._async_until(lambda: KEY in self.store.objects)
 
     async def test_record_is_deleted_at_stop_after_an_outage_at_the_exit(self):
-        self.report(builders.report())
+        self.report(report())
         self.store.down = True
         self.leave('i-1')
         await asyncio.sleep(POLL_S)
@@ -117,7 +123,7 @@
         self.assertNotIn(KEY, self.store.objects)
 
     async def test_drain_with_a_silent_store_ends_within_the_grace_period(self):
-        self.report(builders.report())
+        self.report(report())
         self.store.is_silent = True
         self.leave('i-1')
         async with asyncio.timeout(GRACE_S):
@@ -138,7 +144,7 @@
                 mock.AsyncMock(return_value=False),
             ),
         ):
-            self.report(builders.report())
+            self.report(report())
             async with asyncio.timeout(SHORT_GRACE_S):
                 await self.agent.async_drain()
 
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from kumquatport import exceptions
 from kumquatport.connection.packets import frame, pending_queries
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
@@ -358,6 +359,64 @@
         )
         self.assertEqual(self.resets(), [])
 
+    def foreign_reports(self):
+        """Return heartbeats of other writers, as of an incarnation started now.
+
+        The first ones come in any order, the last one lacks its start time.
+        """
+        report = builders.report(
+            identifier='i-other', born_ms=self.clock.unix_ms()
+        )
+        endpoint = report.endpoint
+        return (
+            report._replace(service='not-named-here'),
+            report._replace(service=''),
+            report._replace(service='manuals'),
+            report._replace(endpoint=endpoint._replace(address='10.0.0.3')),
+            report._replace(endpoint=endpoint._replace(port=5)),
+            report._replace(failure_domain='b'),
+            report._replace(identifier='i-1', service='not-named-here'),
+            report._replace(
+                identifier='i-1', sequence=99, is_draining=True, service='x'
+            ),
+            report._replace(born_ms=0),
+            report._replace(identifier='i-1', born_ms=0, is_draining=True),
+        )
+
+    def test_heartbeat_of_another_writer_changes_nothing(self):
+        """FLOW: it must not end the flows of a live backend server.
+
+        DRAIN: the backend server is heard afterwards too.
+        """
+        own = builders.report(born_ms=self.clock.unix_ms())
+        self.datapath.handle_report(own)
+        self.open()
+        for sequence, foreign in enumerate(self.foreign_reports(), 2):
+            with self.subTest(foreign=foreign):
+                self.clock.now += 1
+                self.datapath.handle_report(own._replace(sequence=sequence))
+                before = self.datapath.load()
+                self.sent.clear()
+                for _ in range(3):
+                    with self.assertRaises(exceptions.HeartbeatRejectedError):
+                        self.datapath.handle_report(foreign)
+                self.assertEqual(self.sent, [])
+                self.assertEqual(self.datapath.load(), before)
+        self.assertEqual(
+            self.datapath.counts['heartbeat refused'],
+            3 * len(self.foreign_reports()),
+        )
+        self.datapath.handle_report(own._replace(sequence=99, is_draining=True))
+        self.assertTrue(self.datapath.load().is_draining)
+
+    def test_heartbeat_of_another_writer_after_a_restart(self):
+        """The agent knows no other heartbeat that it could compare with."""
+        for foreign in self.foreign_reports()[:-2]:
+            with self.assertRaises(exceptions.HeartbeatRejectedError):
+                self.datapath.handle_report(foreign)
+        self.assertIsNone(self.datapath.backend_server.report)
+        self.assertFalse(self.datapath.load().knows_all_flows)
+
     def test_new_incarnation_after_the_clock_was_set_back(self):
         self.datapath.handle_report(builders.report(born_ms=9000))
         server = self.datapath.backend_server
