Take no late heartbeat for the life of a backend server

Cause: an agent that knew no other incarnation took the late heartbeat for the current one, the next true one for a new incarnation, and concluded from the arrivals that all flows of before had ended and that it knew all others.

How long an incarnation can have run follows from its start time and the number of its heartbeats. Flows are reset only if their last packet is older than that, and the agent is sure of its flows only if the incarnation started after it. An exit notice before the first heartbeat is confirmed by a look for the process.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -177,18 +177,22 @@
     def _on_started(self, incarnation: backend_server.NewIncarnation) -> None:
         """Reset the flows that ended with an earlier incarnation.
 
-        Packets sent before the earlier incarnation's last heartbeat were its
-        own. Flows with later packets may belong to either incarnation and are
-        kept: the new one bounces their packets if it does not hold them.
+        Packets sent before the new one started, and before the earlier one's
+        last heartbeat, were the earlier one's. The heartbeat alone does not
+        tell: it may have arrived late. Flows with later packets may belong to
+        either incarnation and are kept: the new one bounces their packets if
+        it does not hold them.
         """
         self._flows.outcomes.clear()
-        has_earlier = math.isfinite(incarnation.previous_heartbeat_at)
-        if incarnation.is_first_heartbeat or has_earlier:
+        if incarnation.started_after >= self._started_at:
             # All flows of this incarnation have passed through this process.
             self._mark_all_flows_known()
-        if has_earlier:
+        if math.isfinite(incarnation.previous_heartbeat_at):
             self._reset_flows_until(
-                incarnation.previous_heartbeat_at, 'backend_server_restarted'
+                min(
+                    incarnation.previous_heartbeat_at, incarnation.started_after
+                ),
+                'backend_server_restarted',
             )
 
     def _reset_flows_until(self, moment: float, reason: str) -> None:
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -30,10 +30,16 @@
 # Sequence number of the first heartbeat of an incarnation.
 FIRST_SEQUENCE: typing.Final = 1
 
+# Heartbeat periods per heartbeat that a backend server has sent at most, since
+# the periods vary.
+MAX_PERIODS_PER_HEARTBEAT: typing.Final = 1.5
+
 # Heartbeat periods of silence of the current incarnation after which one with
 # an earlier start time replaces it.
 TAKEOVER_HEARTBEATS: typing.Final = 1.5
 
+_MS_PER_S: typing.Final = 1000
+
 # Maximum number of former incarnations stored to recognize late heartbeats.
 MAX_FORMER: typing.Final = 64
 
@@ -42,15 +48,15 @@
     """A new incarnation of the backend server.
 
     Attributes:
+        started_after: Monotonic seconds after which it has certainly started;
+            minus infinity if nothing tells.
         previous_heartbeat_at: Monotonic seconds of the last heartbeat of the
-            previous incarnation; minus infinity if there was none. Wall-clock
-            times cannot be used: they differ between hosts and may be set.
-        is_first_heartbeat: Whether this is its first heartbeat, so that it
-            has just started.
+            previous incarnation, which may have been late; minus infinity if
+            there was none.
     """
 
+    started_after: float
     previous_heartbeat_at: float
-    is_first_heartbeat: bool
 
 
 class BackendServer:
@@ -145,7 +151,8 @@
         if current is not None and current.identifier != report.identifier:
             self._former_identifiers.append(current.identifier)
         return NewIncarnation(
-            previous_heartbeat_at, report.sequence <= FIRST_SEQUENCE
+            now - self._max_uptime_s(report, previous_heartbeat_at),
+            previous_heartbeat_at,
         )
 
     def note_reported_draining(self) -> None:
@@ -165,9 +172,12 @@
             identifier: Identifier of the incarnation.
 
         Returns:
-            Whether it is the current incarnation.
+            Whether it is the current incarnation. Before the first heartbeat
+            the notice may be a late one of an earlier incarnation.
         """
-        if self.report is not None and identifier != self.report.identifier:
+        if self.report is None:
+            return False
+        if identifier != self.report.identifier:
             self._former_identifiers.append(identifier)
             return False
         self.is_gone = True
@@ -260,6 +270,26 @@
         self._probed_at = now
         return True
 
+    def _max_uptime_s(
+        self, report: models.BackendServerReport, previous_heartbeat_at: float
+    ) -> float:
+        """Return the longest time for which an incarnation can have run.
+
+        The number of its heartbeats tells, unless it stood still or the
+        heartbeat is late. Its start time tells, unless the clock was set
+        meanwhile. The larger one is on the safe side.
+        """
+        later_heartbeats = max(report.sequence - FIRST_SEQUENCE, 0)
+        counted_s = (
+            later_heartbeats * MAX_PERIODS_PER_HEARTBEAT * self.heartbeat_s
+        )
+        if report.born_ms:
+            age_s = (clock.unix_ms() - report.born_ms) / _MS_PER_S
+            return max(counted_s, age_s)
+        if later_heartbeats and math.isinf(previous_heartbeat_at):
+            return math.inf
+        return counted_s
+
     def _revoke_absence(self, now: float) -> None:
         """Mark it as present again if its heartbeats continue.
 
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -7,6 +7,7 @@
 
 from kumquatport.process.packets import (
     agent,
+    agent_datapath,
     balancer,
     const,
     http_services,
@@ -102,6 +103,19 @@
         await self.agent.async_drain()
         self.assertEqual(self.store.call_count, calls_before)
 
+    async def test_exit_notice_before_the_first_heartbeat_is_confirmed(self):
+        """It may be a late one; only an absent backend server has exited."""
+        presence = 'kumquatport.process.packets.presence.async_is_absent'
+        with mock.patch(presence, mock.AsyncMock(return_value=False)):
+            # The backend server has started after the agent.
+            self.agent._datapath.backend_server.is_gone = False
+            self.leave('i-1')
+            await asyncio.sleep(agent_datapath.EXIT_RESET_DELAY_S + 10 * POLL_S)
+        self.assertIn(KEY, self.store.objects)
+        with mock.patch(presence, mock.AsyncMock(return_value=True)):
+            self.leave('i-1')
+            await self._async_until(lambda: KEY not in self.store.objects)
+
     async def test_record_is_restored_with_the_next_backend_server(self):
         self.report(report())
         self.leave('i-1')
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -443,6 +443,78 @@
         self.datapath.handle_report(older)
         self.assertFalse(server.is_draining)
 
+    def test_late_heartbeat_after_a_restart_ends_no_flow(self):
+        """FLOW: the restarted agent knows no other incarnation yet.
+
+        The live one is older than this process, so it may hold flows that the
+        process has not seen.
+        """
+        now_ms = self.clock.unix_ms()
+        live = builders.report(
+            identifier='i-2', born_ms=now_ms - 20_000, sequence=16
+        )
+        for late in (
+            builders.report(sequence=9, born_ms=now_ms - 32_000),
+            builders.report(sequence=1, born_ms=now_ms - 22_000),
+            live._replace(born_ms=now_ms - 32_000),
+        ):
+            for opened_at in (0, 1):
+                with self.subTest(late=late, opened_at=opened_at):
+                    self.make_datapath(1)
+                    flow = self.open() if not opened_at else None
+                    self.clock.now += 1
+                    self.datapath.handle_report(late)
+                    flow = flow or self.open()
+                    self.clock.now += 1
+                    self.datapath.handle_report(live)
+                    self.datapath.handle_report(late)
+                    self.clock.now += 1
+                    self.datapath.handle_report(live._replace(sequence=17))
+                    self.assertEqual(self.resets(), [])
+                    self.assert_may_hold_others()
+                    self.forward(builders.datagram(flow, acknowledged=501))
+                    self.assertEqual(len(self.delivered), 1)
+
+    def assert_may_hold_others(self):
+        """Check that a flow unknown to the agent is left to the server."""
+        self.assertFalse(self.datapath.load().knows_all_flows)
+        packet = builders.datagram(builders.flow(40099), acknowledged=7)
+        self.forward(packet, frame.FORWARD_QUERY | frame.FORWARD_PROBE)
+        self.assertEqual(self.returned(), [])
+        self.assertEqual(len(self.delivered), 1)
+
+    def test_heartbeat_without_start_time_after_a_restart_ends_no_flow(self):
+        *_, without_start_time, _ = self.foreign_reports()
+        born_ms = self.clock.unix_ms() - 30_000
+        self.open()
+        self.sent.clear()
+        self.datapath.handle_report(without_start_time)
+        self.clock.now += 1
+        self.datapath.handle_report(
+            builders.report(born_ms=born_ms, sequence=30)
+        )
+        self.assertEqual(self.resets(), [])
+        self.assertEqual(self.datapath.backend_server.report.born_ms, born_ms)
+
+    def test_backend_server_that_started_later_holds_no_unknown_flow(self):
+        for sequence, uptime_ms in ((1, 0), (2, 1100), (3, 2300)):
+            with self.subTest(sequence=sequence):
+                self.make_datapath(1)
+                self.clock.now += 4
+                born_ms = self.clock.unix_ms() - uptime_ms
+                self.datapath.handle_report(
+                    builders.report(sequence=sequence, born_ms=born_ms)
+                )
+                self.assertTrue(self.datapath.load().knows_all_flows)
+
+    def test_exit_notice_before_the_first_heartbeat_ends_no_flow(self):
+        self.open()
+        self.sent.clear()
+        self.assertFalse(self.datapath.backend_server.note_exit('i-0'))
+        self.datapath.reset_flows_if_gone()
+        self.assertEqual(self.resets(), [])
+        self.assertTrue(self.datapath.load().accepts)
+
     def test_flows_of_a_backend_server_that_exits_are_reset(self):
         self.datapath.handle_report(builders.report())
         self.open()
