Hear a backend server that uses an earlier identifier again

Cause: heartbeats under the identifier of a former incarnation were dropped before their start time was looked at.

For each former identifier the latest start time that has ended is kept; a later start is a new incarnation. With the former decision three tests of the agent fail.

--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -40,7 +40,8 @@
 
 _MS_PER_S: typing.Final = 1000
 
-# Maximum number of former incarnations stored to recognize late heartbeats.
+# Maximum number of identifiers of former incarnations stored to recognize late
+# heartbeats.
 MAX_FORMER: typing.Final = 64
 
 
@@ -80,10 +81,11 @@
         self.heartbeat_s = heartbeat_s
         self._last_active_at = clock.now()
         self._last_report_at = -math.inf
-        self._older_candidates: dict[str, int] = {}
+        self._earlier_candidates: dict[tuple[str, int], int] = {}
         self._cold_until = -math.inf
-        self._former_identifiers: collections.deque[str] = collections.deque(
-            maxlen=MAX_FORMER
+        # Latest start time of the former incarnations of each identifier.
+        self._former_born_ms: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
         )
         self._pending_openings: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
@@ -148,8 +150,8 @@
             return None
         self.is_gone = False
         self._absent_at = math.inf
-        if current is not None and current.identifier != report.identifier:
-            self._former_identifiers.append(current.identifier)
+        if current is not None:
+            self._note_former(current.identifier, current.born_ms)
         return NewIncarnation(
             now - self._max_uptime_s(report, previous_heartbeat_at),
             previous_heartbeat_at,
@@ -178,7 +180,7 @@
         if self.report is None:
             return False
         if identifier != self.report.identifier:
-            self._former_identifiers.append(identifier)
+            self._note_former(identifier, self.report.born_ms)
             return False
         self.is_gone = True
         self._was_draining = True
@@ -308,17 +310,22 @@
     ) -> bool:
         """Return whether a heartbeat is from a former incarnation.
 
-        A heartbeat with an earlier start time is either late, or from a new
-        incarnation that started after the wall clock was set back. In the
-        second case its heartbeats continue while those of the current
-        incarnation stop.
+        An identifier may be used again by a later start. A heartbeat with an
+        earlier start time is either late, or from a new incarnation that
+        started after the wall clock was set back. In the second case its
+        heartbeats continue while those of the current incarnation stop.
         """
-        if report.identifier in self._former_identifiers:
+        former_born_ms = self._former_born_ms.get(report.identifier)
+        if former_born_ms is not None and not report.born_ms:
             return True
-        if current is None or not _started_earlier(report, current):
+        is_earlier = current is not None and _started_earlier(report, current)
+        if former_born_ms is not None and report.born_ms <= former_born_ms:
+            is_earlier = True
+        if not is_earlier:
             return False
-        previous_sequence = self._older_candidates.get(report.identifier)
-        self._older_candidates = {report.identifier: report.sequence}
+        key = (report.identifier, report.born_ms)
+        previous_sequence = self._earlier_candidates.get(key)
+        self._earlier_candidates = {key: report.sequence}
         silent_s = clock.now() - self._last_report_at
         continues = (
             previous_sequence is not None
@@ -328,6 +335,13 @@
             not continues or silent_s < TAKEOVER_HEARTBEATS * self.heartbeat_s
         )
 
+    def _note_former(self, identifier: str, born_ms: int) -> None:
+        """Record that incarnations which started until a time have ended."""
+        latest_ms = max(self._former_born_ms.pop(identifier, 0), born_ms)
+        self._former_born_ms[identifier] = latest_ms
+        if len(self._former_born_ms) > MAX_FORMER:
+            self._former_born_ms.popitem(last=False)
+
     def _log_change(
         self,
         current: models.BackendServerReport | None,
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -429,6 +429,63 @@
             )
         self.assertEqual(server.report.identifier, 'i-2')
 
+    def test_identifier_of_an_earlier_start_is_heard_again(self):
+        """DRAIN: the start time tells it from the earlier incarnation."""
+        server = self.datapath.backend_server
+        for starts in (('i-1', 'i-2', 'i-1'), ('i-1', 'i-1'), ('i-1',) * 4):
+            self.make_datapath(1)
+            server = self.datapath.backend_server
+            for start, identifier in enumerate(starts):
+                self.clock.now += 6
+                last = builders.report(
+                    identifier=identifier, born_ms=5000 * (start + 1)
+                )
+                self.datapath.handle_report(last)
+                self.assertEqual(server.report, last)
+                # Late ones of all earlier starts, and a late exit notice.
+                for earlier in range(start):
+                    late = builders.report(
+                        identifier=starts[earlier],
+                        born_ms=5000 * (earlier + 1),
+                        sequence=9,
+                        is_draining=True,
+                    )
+                    self.datapath.handle_report(late)
+                    self.assertEqual(server.report, last)
+                server.note_exit('i-unknown')
+            with self.subTest(starts=starts):
+                self.datapath.handle_report(
+                    last._replace(sequence=2, is_draining=True)
+                )
+                self.assertTrue(server.is_draining)
+                self.assertTrue(server.note_exit(last.identifier))
+
+    def test_identifier_that_exited_unheard_may_start_again(self):
+        server = self.datapath.backend_server
+        self.datapath.handle_report(builders.report(born_ms=5000))
+        self.assertFalse(server.note_exit('i-2'))
+        for born_ms, is_heard in ((4000, False), (6000, True)):
+            report = builders.report(identifier='i-2', born_ms=born_ms)
+            self.datapath.handle_report(report)
+            self.assertEqual(server.report == report, is_heard)
+
+    def test_earlier_identifier_is_heard_after_the_clock_was_set_back(self):
+        server = self.datapath.backend_server
+        self.datapath.handle_report(builders.report(born_ms=9000))
+        self.datapath.handle_report(
+            builders.report(identifier='i-2', born_ms=9500)
+        )
+        for sequence in range(1, 4):
+            self.clock.now += 1.0
+            self.datapath.handle_report(
+                builders.report(born_ms=7000, sequence=sequence)
+            )
+        self.assertEqual(server.report.born_ms, 7000)
+        self.datapath.handle_report(
+            builders.report(born_ms=7000, sequence=4, is_draining=True)
+        )
+        self.assertTrue(server.is_draining)
+
     def test_a_late_heartbeat_changes_nothing(self):
         self.datapath.handle_report(builders.report(born_ms=5000))
         self.datapath.handle_report(
