Count agreement on members only with peers that have read the store

After all processes were killed with the store away, balancers that knew one agent of four agreed with each other, took it for all and reset five open flows of the others (emulator).

Cause: agreement with any live balancer was taken for completeness.

A process is informed if it has read members from the store since its start, or agrees with an informed balancer; short heartbeats say so in a bit that earlier builds do not read. Only agreement with an informed one counts. The emulator lists the members at a start as the programs do.

--- a/kumquatport/process/packets/discovery.py
+++ b/kumquatport/process/packets/discovery.py
@@ -191,6 +191,7 @@
             )
             stored_objects.extend(page.objects)
         names = self._learn(stored_objects)
+        self._mesh.note_members_read()
         if self._has_listed_all:
             self._mesh.note_members_listed(names)
         return own.instance in names
--- a/kumquatport/process/packets/membership.py
+++ b/kumquatport/process/packets/membership.py
@@ -18,6 +18,8 @@
     Attributes:
         registry: The records, including this process's own.
         is_listed: Whether all members in the store have been read.
+        is_informed: Whether members have been read from the store, or agree
+            with those of a peer that was informed.
     """
 
     def __init__(self, *, keeps_agents: bool) -> None:
@@ -31,6 +33,7 @@
         self._balancers = members.Registry()
         self._new_agents: dict[str, dict[str, float]] = {}
         self.is_listed = False
+        self.is_informed = False
         self.registry.subscribe(self._on_record)
 
     def should_keep(self, record: members.InstanceRecord) -> bool:
@@ -75,6 +78,7 @@
             names: Names of the instances in the store.
         """
         self.is_listed = True
+        self.is_informed = True
         listed = frozenset(names)
         for agents in self._new_agents.values():
             for name in listed.intersection(agents):
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -226,6 +226,10 @@
         """
         self._membership.note_listed(names)
 
+    def note_members_read(self) -> None:
+        """Record that some members in the store have been read."""
+        self._membership.is_informed = True
+
     def knows_all_agents(self, service: str) -> bool:
         """Return whether all agents of a service can be taken as known.
 
@@ -388,6 +392,7 @@
             age_s=self._configuration.reported_age_s,
             round_s=round_s,
             load=self.load(),
+            is_informed=self._membership.is_informed,
         )
 
     def _full_heartbeat(
@@ -447,7 +452,9 @@
         )
         if is_newer:
             self.greet((sender,))
+        peer.is_informed = heartbeat.is_informed
         self._anti_entropy.compare(peer, record, heartbeat.members_digest)
+        self._note_agreement(peer, record)
 
     def _on_message(
         self, message: messages.Message, sender: tuple[str, int]
@@ -578,11 +585,27 @@
             )
         self._claim_address(record)
 
+    def _note_agreement(
+        self, peer: peers.Peer, record: members.InstanceRecord
+    ) -> None:
+        """Become informed by an informed balancer with the same members."""
+        shared = self._membership.shared_registry(record.kind)
+        if (
+            peer.is_informed
+            and record.kind == members.KIND_BALANCER
+            and peer.members_digest == shared.total_digest()
+        ):
+            self._membership.is_informed = True
+
     def _matches_live_balancer(self) -> bool:
-        """Return whether a live balancer holds the same members."""
+        """Return whether an informed live balancer holds the same members.
+
+        Processes that have all just started, without the store, may agree on
+        the few that have found each other.
+        """
         own_digest = self.registry.total_digest()
         return any(
-            peer.members_digest == own_digest
+            peer.is_informed and peer.members_digest == own_digest
             for record in self.registry.balancers()
             if (peer := self._liveness.peer(record.instance)) is not None
             and not self.is_suspect(record.instance)
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -173,6 +173,8 @@
         load: Load of an agent; None from a balancer.
         store_era: Era of the store in which ``domains_revision`` was read; 0
             if the store has none or the sender's build knows none.
+        is_informed: Whether the sender's members come from the store, directly
+            or from peers.
     """
 
     incarnation: int
@@ -184,12 +186,14 @@
     round_s: float
     load: Load | None
     store_era: int = 0
+    is_informed: bool = False
 
 
 _SHORT_HEARTBEAT: typing.Final = struct.Struct('!QIQQQfHBHHHf')
 # Follows a short heartbeat if the store has eras; other builds ignore it.
 _STORE_ERA: typing.Final = struct.Struct('!Q')
 _STORE_ERA_OFFSET: typing.Final = 1 + _SHORT_HEARTBEAT.size
+_IS_INFORMED: typing.Final = 1
 _IS_AGENT: typing.Final = 2
 _ACCEPTS: typing.Final = 4
 _IS_COLD: typing.Final = 8
@@ -282,7 +286,8 @@
     """Encode a short heartbeat as a datagram."""
     load = heartbeat.load or _NO_LOAD
     flags = (
-        (heartbeat.load is not None) * _IS_AGENT
+        heartbeat.is_informed * _IS_INFORMED
+        + (heartbeat.load is not None) * _IS_AGENT
         + load.accepts * _ACCEPTS
         + load.is_cold * _IS_COLD
         + load.knows_all_flows * _KNOWS_ALL_FLOWS
@@ -348,6 +353,7 @@
         round_s=fields[6] / _MS_PER_S,
         load=load,
         store_era=_decode_store_era(datagram),
+        is_informed=bool(flags & _IS_INFORMED),
     )
 
 
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -42,6 +42,7 @@
         was_draining: Whether the backend server was draining when the agent
             last reported it, even if the agent has restarted since.
         members_digest: Digest of the records that both share.
+        is_informed: Whether the peer's members come from the store.
         round_s: Seconds between two heartbeat rounds of the peer.
         compared_at: Monotonic seconds of the last comparison of members.
         is_suspect: Whether the peer has been logged as silent.
@@ -53,6 +54,7 @@
         'was_draining',
         'last_heartbeat_at',
         'incarnation',
+        'is_informed',
         'is_suspect',
         'load',
         'members_digest',
@@ -69,6 +71,7 @@
         self.placed_flows = 0
         self.was_draining = False
         self.members_digest = 0
+        self.is_informed = False
         self.compared_at = -math.inf
         self.is_suspect = True
         self.round_s = const.HEARTBEAT_S
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -488,6 +488,7 @@
             for record in tuple(self.store.members.values()):
                 if record.instance != own.instance:
                     process.mesh.learn_record(record)
+            process.mesh.note_members_listed(self.store.members)
 
         self.sim.call_later_on(node, STORE_LATENCY_S, discover)
 
--- a/tests/unit/emulator/test_histories.py
+++ b/tests/unit/emulator/test_histories.py
@@ -14,6 +14,9 @@
     # backend server's next heartbeat.
     232: {},
     269: {},
+    # After all processes were killed with the store unavailable, balancers that
+    # knew one agent agreed with each other and reset the flows of the others.
+    880029: {},
 }
 
 
--- a/tests/unit/process/packets/test_known_configuration.py
+++ b/tests/unit/process/packets/test_known_configuration.py
@@ -119,6 +119,12 @@
             if load is not None:
                 heartbeat = heartbeat._replace(load=load._replace(busy=0xFFFF))
             self.assertEqual(decoded, heartbeat)
+        for is_informed in (False, True):
+            sent = heartbeat._replace(is_informed=is_informed)
+            decoded = messages.decode_short_heartbeat(
+                messages.encode_short_heartbeat(sent)
+            )
+            self.assertEqual(decoded, sent)
         self.assertLessEqual(
             len(messages.encode_short_heartbeat(heartbeat)) + 28,
             const.HEARTBEAT_BYTES + 8,
@@ -265,6 +271,41 @@
         self.network.run()
         self.assertFalse(other.is_suspect('side-1'))
 
+    def test_balancers_without_the_store_do_not_know_all_agents(self):
+        """FLOW: after a kill of all processes each knew one agent, and agreed.
+
+        They reset the flows of the other agents.
+        """
+        names = ('front-1', 'front-2', 'front-3')
+        balancers = [
+            self.network.add(name, f'10.0.0.{number}', members.KIND_BALANCER)
+            for number, name in enumerate(names, 3)
+        ]
+        self.network.add('side-1', '10.0.0.2', members.KIND_AGENT)
+        for balancer in balancers:
+            balancer.greet(self.network.meshes)
+        self.exchange_heartbeats(balancers)
+        for balancer in balancers:
+            self.assertFalse(balancer.knows_all_agents('store'))
+        balancers[0].note_members_read()
+        self.exchange_heartbeats(balancers)
+        self.exchange_heartbeats(balancers)
+        for balancer in balancers:
+            self.assertTrue(balancer.knows_all_agents('store'))
+
+    def exchange_heartbeats(self, balancers):
+        """Exchange short heartbeats once no agent is new any more."""
+        self.network.run()
+        later = clock.now() + const.MEMBERS_SETTLED_S + 0.1
+        with mock.patch('kumquatport.helpers.clock.now', lambda: later):
+            for round_number in range(const.REMOTE_INTERVAL_ROUNDS):
+                for balancer in balancers:
+                    balancer.send_heartbeats(round_number)
+                self.network.run()
+            for balancer in balancers:
+                # Forgets the agents that are no longer new.
+                balancer.knows_all_agents('store')
+
     def test_reused_address_removes_the_earlier_instance(self):
         front = self.network.add('front-1', '10.0.0.1', members.KIND_BALANCER)
         front.learn_record(builders.record('side-1', incarnation=5))
