--- a/tests/unit/platform/test_client.py
+++ b/tests/unit/platform/test_client.py
@@ -12,12 +12,8 @@
 ENDPOINT = network.claim_network('platform').platform
 
 
-class LostResponseTest(unittest.IsolatedAsyncioTestCase):
-    """The outcome of a write with a lost response is unknown, not a conflict.
-
-    The HTTP library resends a PUT whose connection was closed; the resent
-    conditional update would conflict with the first one.
-    """
+class PlatformCase(unittest.IsolatedAsyncioTestCase):
+    """A client of a fake platform."""
 
     async def asyncSetUp(self):
         self.platform = platform.Platform()
@@ -31,6 +27,14 @@
         await self.client.async_setup()
         self.addAsyncCleanup(self.client.async_stop)
 
+
+class LostResponseTest(PlatformCase):
+    """The outcome of a write with a lost response is unknown, not a conflict.
+
+    The HTTP library resends a PUT whose connection was closed; the resent
+    conditional update would conflict with the first one.
+    """
+
     async def test_update(self):
         version = await self.client.async_put('a/b', b'0', 0)
         self.platform.control({'lose_answers': 1})
@@ -48,21 +52,9 @@
         self.assertEqual(self.platform.counts['delete'], 1)
 
 
-class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+class RestoredStoreTest(PlatformCase):
     """A store that is restored from a copy assigns revisions again."""
 
-    async def asyncSetUp(self):
-        self.platform = platform.Platform()
-        app = self.platform.application()
-        await self.enterAsyncContext(
-            runner.async_serve(app, ENDPOINT, handler_cancellation=True)
-        )
-        self.client = client.PlatformClient(
-            'http://{}:{}'.format(*ENDPOINT), 2.0
-        )
-        await self.client.async_setup()
-        self.addAsyncCleanup(self.client.async_stop)
-
     async def test_every_read_tells_the_era(self):
         self.platform.era = None
         self.assertEqual((await self.client.async_list('a/')).era, 0)
--- a/tests/unit/process/packets/test_configuration_delay.py
+++ b/tests/unit/process/packets/test_configuration_delay.py
@@ -56,6 +56,26 @@
 
         self.loop.run_until_complete(run())
 
+    def play_histories(self, default_seeds, sizes, play, draw_bounds):
+        """Play random histories in deployments of random sizes.
+
+        Args:
+            default_seeds: Seeds, unless ``KUMQUATPORT_SEEDS`` names the last.
+            sizes: Numbers of balancers to draw from.
+            play: Coroutine function of a random generator and a cluster.
+            draw_bounds: Returns bounds that it draws from a generator.
+        """
+        seeds = os.environ.get('KUMQUATPORT_SEEDS')
+        last = int(seeds) + 1 if seeds else default_seeds.stop
+        for seed in range(default_seeds.start, last):
+            rng = random.Random(seed)
+            domains = [rng.choice('abcd') for _ in range(rng.choice(sizes))]
+            bounds = draw_bounds(rng)
+            with self.subTest(seed=seed):
+                self.run_cluster(
+                    functools.partial(play, rng), domains, seed, bounds
+                )
+
     async def lose_store(self, cluster, count):
         """Cut the first balancers off just after the store has answered."""
         answered_at = cluster.store.answered_at
@@ -209,19 +229,14 @@
     CHANGES = 4
 
     def test_changes_are_in_force_in_time_in_random_histories(self):
-        seeds = os.environ.get('KUMQUATPORT_SEEDS')
-        last = int(seeds) + 1 if seeds else self.SEEDS.stop
-        for seed in range(self.SEEDS.start, last):
-            rng = random.Random(seed)
-            domains = [
-                rng.choice('abcd') for _ in range(rng.choice((2, 3, 5, 9, 16)))
-            ]
-            apply_s = rng.choice((2.0, 3.0, 4.0, 6.0))
-            bounds = watch_clusters.BOUNDS._replace(apply_s=apply_s)
-            with self.subTest(seed=seed):
-                self.run_cluster(
-                    functools.partial(self.play, rng), domains, seed, bounds
-                )
+        self.play_histories(
+            self.SEEDS,
+            (2, 3, 5, 9, 16),
+            self.play,
+            lambda rng: watch_clusters.BOUNDS._replace(
+                apply_s=rng.choice((2.0, 3.0, 4.0, 6.0))
+            ),
+        )
 
     async def play(self, rng, cluster):
         cluster.loss = LOSS
--- a/tests/unit/process/packets/test_restored_store.py
+++ b/tests/unit/process/packets/test_restored_store.py
@@ -1,9 +1,6 @@
 """Tests of a store that is restored from an older copy and counts anew."""
 
 import asyncio
-import functools
-import os
-import random
 import unittest
 
 from tests.builders import watch_clusters
@@ -128,21 +125,15 @@
     CHANGES = 4
 
     def test_changes_are_in_force_in_time_in_random_histories(self):
-        seeds = os.environ.get('KUMQUATPORT_SEEDS')
-        last = int(seeds) + 1 if seeds else self.SEEDS.stop
-        for seed in range(self.SEEDS.start, last):
-            rng = random.Random(seed)
-            domains = [
-                rng.choice('abcd') for _ in range(rng.choice((2, 3, 5, 9)))
-            ]
-            bounds = watch_clusters.BOUNDS._replace(
+        self.play_histories(
+            self.SEEDS,
+            (2, 3, 5, 9),
+            self.play,
+            lambda rng: watch_clusters.BOUNDS._replace(
                 apply_s=rng.choice((2.0, 3.0, 6.0)),
                 evacuate_s=rng.choice((2.0, 4.0, 5.0)),
-            )
-            with self.subTest(seed=seed):
-                self.run_cluster(
-                    functools.partial(self.play, rng), domains, seed, bounds
-                )
+            ),
+        )
 
     async def play(self, rng, cluster):
         cluster.loss = test_configuration_delay.LOSS
