--- a/tests/builders/former_builds.py
+++ b/tests/builders/former_builds.py
@@ -1,6 +1,6 @@
-"""Messages as the build of commit 5ce0c7f encodes and decodes them.
+"""Messages of builds that do not know the era of the store.
 
-That build refuses a message with a field more or less.
+Such a build refuses a message with a field more or less.
 """
 
 import struct
--- a/tests/unit/process/packets/test_restored_store.py
+++ b/tests/unit/process/packets/test_restored_store.py
@@ -140,7 +140,7 @@
         for _ in range(self.CHANGES):
             await self.play_restorations(rng, cluster)
             # The bounds hold again once the store has been undisturbed. An
-            # instance holds domains that were not written again for EvacMs
+            # instance holds domains that were not written again for evacuate_s
             # from when it hears of the restoration, which may be after a pause.
             await asyncio.sleep(
                 max(SETTLED_S, MAX_PAUSE_S + cluster.bounds.evacuate_s)
