Reset no open flow because its route is not known yet

A route is added, a flow is opened through a balancer that has it, and planned work moves the flow to a balancer that follows within the bound of a change but not yet, or that has just started.

Cause: a balancer took 'no route here' for 'the route was removed', even when it had heard that newer routes exist. Class: arrival order taken for the order of events.

Change: packets of an established flow without a route are dropped until the store has confirmed these routes after the first of them; the client retransmits. A flow that this balancer has forwarded had a route, so it is reset at once as before. Openings too.

Evidence: read and replayed at unit level, not seen on real processes. test_open_flow_whose_route_is_not_known_yet_is_not_reset fails before (one reset where none is due) and passes now.

--- a/kumquatport/connection/packets/flow_cache.py
+++ b/kumquatport/connection/packets/flow_cache.py
@@ -27,6 +27,8 @@
         refused_by: Instances that refused its opening packet.
         last_seen_at: Monotonic time in seconds of the last packet.
         acknowledged: Last number that the client acknowledged.
+        unrouted_since: Monotonic time in seconds of the first packet for which
+            there was no route; None if there was none.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         'is_confirmed',
         'last_seen_at',
         'refused_by',
+        'unrouted_since',
     )
 
     def __init__(self, now: float) -> None:
@@ -49,6 +52,7 @@
         self.refused_by = NO_INSTANCES
         self.last_seen_at = now
         self.acknowledged = 0
+        self.unrouted_since: float | None = None
         self._search: search.FlowSearch | None = None
 
     @property
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -128,12 +128,10 @@
             self._queue(packet)
             return
         route = self._route(packet)
-        if route is None:
-            self._flows.remove(packet.flow)
-            self._reset(packet, 'no_route')
-            return
         flow = self._flows.touch(packet.flow, clock.now())
-        if packet.is_opening:
+        if route is None:
+            self._handle_unrouted(packet, flow)
+        elif packet.is_opening:
             self._handle_opening(packet, route, flow)
         else:
             flow.acknowledged = packet.acknowledged
@@ -163,6 +161,33 @@
             self.on_queued()
         return is_new
 
+    def _handle_unrouted(
+        self, packet: packets.Packet, flow: flow_cache.CachedFlow
+    ) -> None:
+        """Reset a flow without a route.
+
+        The route of an established flow may be newer than the routes known
+        here: it was opened through another balancer. Its packets are dropped,
+        and retransmitted by the client, until the store has confirmed these
+        routes after the first of them. A flow that was forwarded here had a
+        route before.
+        """
+        now = clock.now()
+        if flow.unrouted_since is None:
+            flow.unrouted_since = now
+        confirmed_at = now - self._configuration.age_s
+        is_removed = bool(flow.agents) or confirmed_at > flow.unrouted_since
+        if not packet.is_opening and not is_removed:
+            self._log.note(
+                'route not found yet',
+                packet.flow,
+                routes_version=self._configuration.routes_version,
+                beliefs_age_s=round(self._configuration.reported_age_s, 2),
+            )
+            return
+        self._flows.remove(packet.flow)
+        self._reset(packet, 'no_route')
+
     def _handle_opening(
         self,
         packet: packets.Packet,
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -344,6 +344,32 @@
         self.client(builders.datagram(other, builders.RST))
         self.assertEqual(self.resets(), [])
 
+    def test_open_flow_whose_route_is_not_known_yet_is_not_reset(self):
+        """It was opened through a balancer that has newer routes."""
+        self.learn_agents()
+        self.configuration.confirm()
+        self.now += 1
+        other = builders.flow(service=('198.18.9.9', 443))
+        packet = builders.datagram(other, acknowledged=5, data=b'GET')
+        self.client(packet)
+        self.assertEqual(self.resets(), [])
+        self.now += 0.2
+        self.configuration.confirm(age_s=0.3)
+        self.client(packet)
+        self.assertEqual(self.resets(), [])
+        self.now += 0.4
+        self.configuration.confirm(age_s=0.1)
+        self.client(packet)
+        self.assertEqual(len(self.resets()), 1)
+
+    def test_forwarded_flow_whose_route_was_removed_is_reset_at_once(self):
+        self.learn_agents()
+        self.client(builders.datagram(self.flow, builders.SYN))
+        table = builders.table(version=2)._replace(routes={})
+        self.configuration.update_routes(routes.encode(table), 'test')
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assertEqual(len(self.resets()), 1)
+
     def test_domains_out_are_offered_nothing(self):
         self.learn_agents()
         self.configuration.update_domains(9, ('a',), 'test')
