Acknowledge a heartbeat only if it is in force

What callers saw: after an agent had acknowledged that its backend server drains, balancers and the agent went on sending it new flows (DRAIN). The rule counts from the acknowledgement.

Cause: an agent discards a heartbeat with an earlier start time than that of the incarnation it knows, until that one has been silent for 1.5 periods. It answered 200 all the same. A backend server that started again after its wall clock was set back, and leaves soon, was told that its leave is known before it was; a late heartbeat of the former incarnation delays the takeover further. The class: an acknowledgement leaves before what it acknowledges holds.

Evidence: by reading and by the tests. On real processes this order has not been seen to break the rule yet.

Change: the answer is 200 if the heartbeat, or a later one of the same incarnation, is in force, and 409 otherwise. The sender then says it again. A late heartbeat of a former incarnation gets 409 too; nobody waits for it.

The new tests failed before: the discarded heartbeat got 200, and the agent could not tell whether a heartbeat was in force.

--- a/kumquatport/platform/inbound.py
+++ b/kumquatport/platform/inbound.py
@@ -14,6 +14,7 @@
 
 _OK = 200
 _BAD_REQUEST = 400
+_CONFLICT = 409
 _UNAVAILABLE = 503
 
 
@@ -29,14 +30,16 @@
 
 
 def heartbeats(
-    on_heartbeat: abc.Callable[[models.BackendServerReport], None],
+    on_heartbeat: abc.Callable[[models.BackendServerReport], bool],
     on_exit: abc.Callable[[str], None],
 ) -> web.Application:
     """Return the application that receives heartbeats of backend servers.
 
     Args:
-        on_heartbeat: Called with each heartbeat; raises
-            ``HeartbeatRejectedError`` if it is of another writer.
+        on_heartbeat: Called with each heartbeat; returns whether it, or a
+            later one of its sender, is in force. A backend server that leaves
+            takes a 2xx answer as an acknowledgement, so other heartbeats get
+            none. Raises ``HeartbeatRejectedError`` if it is of another writer.
         on_exit: Called with the identifier of a backend server that announces
             its exit.
     """
@@ -48,12 +51,13 @@
     async def put_heartbeat(request: web.Request) -> web.Response:
         identifier = request.match_info['identifier']
         try:
-            on_heartbeat(heartbeat.decode(identifier, await request.read()))
+            report = heartbeat.decode(identifier, await request.read())
+            is_in_force = on_heartbeat(report)
         except exceptions.HeartbeatRejectedError as error:
             report_refusal(error, identifier)
             return web.json_response({}, status=_BAD_REQUEST)
         report_refusal(None, identifier)
-        return web.json_response({})
+        return web.json_response({}, status=_OK if is_in_force else _CONFLICT)
 
     async def delete_instance(request: web.Request) -> web.Response:
         on_exit(request.match_info['identifier'])
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -153,17 +153,20 @@
     def _deliver(self, datagram: bytes) -> None:
         datagrams.send(self._socket, datagram, self._target)
 
-    def _handle_report(self, report: models.BackendServerReport) -> None:
+    def _handle_report(self, report: models.BackendServerReport) -> bool:
         """Handle a heartbeat.
 
+        Returns:
+            Whether it, or a later one of the same incarnation, is in force.
+
         Raises:
             HeartbeatRejectedError: It is not of the backend server.
         """
-        if not self._datapath.handle_report(report):
-            return
-        self._announce_state()
-        if self._discovery is not None:
-            self.add_future(self._discovery.async_restore())
+        if self._datapath.handle_report(report):
+            self._announce_state()
+            if self._discovery is not None:
+                self.add_future(self._discovery.async_restore())
+        return self._datapath.backend_server.is_current(report)
 
     def _handle_exit(self, identifier: str) -> None:
         if self._datapath.backend_server.report is None:
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -157,6 +157,12 @@
             previous_heartbeat_at,
         )
 
+    def is_current(self, report: models.BackendServerReport) -> bool:
+        """Return whether a heartbeat is of the current incarnation."""
+        return self.report is not None and _is_same_incarnation(
+            self.report, report
+        )
+
     def note_reported_draining(self) -> None:
         """Mark it as draining because a peer reports that it was.
 
--- a/kumquatport/process/packets/http_services.py
+++ b/kumquatport/process/packets/http_services.py
@@ -55,7 +55,7 @@
     ready: abc.Callable[[abc.Callable[[], bool]], web.Application]
     heartbeats: abc.Callable[
         [
-            abc.Callable[[models.BackendServerReport], None],
+            abc.Callable[[models.BackendServerReport], bool],
             abc.Callable[[str], None],
         ],
         web.Application,
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -116,6 +116,32 @@
             self.leave('i-1')
             await self._async_until(lambda: KEY not in self.store.objects)
 
+    async def test_unheard_leave_is_not_acknowledged(self):
+        """DRAIN: the rule counts from the acknowledgement."""
+        self.assertTrue(self.report(report(born_ms=9000)))
+        # The wall clock was set back before the backend server started again.
+        leave = report(identifier='i-2', born_ms=7000, is_draining=True)
+        server = self.agent._datapath.backend_server
+        with mock.patch('kumquatport.helpers.clock.now') as now:
+            now.return_value = server._last_report_at
+            for sequence, is_heard in enumerate((False, False, False, True), 1):
+                answer = self.report(leave._replace(sequence=sequence))
+                self.assertEqual(
+                    (answer, server.is_draining), (is_heard, is_heard)
+                )
+                # A late heartbeat of the former one delays the takeover.
+                if sequence == 2:
+                    now.return_value += 0.2
+                    self.report(report(born_ms=9000, sequence=2))
+                now.return_value += 1.0
+
+    async def test_late_heartbeat_of_the_current_one_is_acknowledged(self):
+        leave = report(sequence=3, born_ms=9000, is_draining=True)
+        self.assertTrue(self.report(leave))
+        late = report(sequence=2, born_ms=9000)
+        self.assertTrue(self.report(late))
+        self.assertTrue(self.agent._datapath.backend_server.is_draining)
+
     async def test_record_is_restored_with_the_next_backend_server(self):
         self.report(report())
         self.leave('i-1')
