Admit a flow on a client port that is used again

What callers would see: a flow that a client opens from a port that it had before reaches a backend server that drains, is cold, or is in a failure domain that was taken out (DRAIN, EVAC, FAILBACK), or the service of a former route (CONFIG).

Cause: an agent delivered every opening packet whose flow key was in its table without admission, as a copy of the first one. The table keeps an open flow whose end was not seen for the flow's maximum age, and a closed one for some seconds; balancers send a known key to the same agent.

Change: an opening packet belongs to a flow of the table only if it has the sequence number with which that flow was opened. Where this is not known, after a restart of the agent, only within the time in which a flow opens. Otherwise it is admitted or returned like any other. A returned one leaves the former flow in the table, since its sender is not verified.

Found by reading. The three new tests of the datapath failed before: the packet was delivered while draining (two of them), and was not counted as offered.

--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -30,6 +30,8 @@
     Attributes:
         acknowledged: Last number that the client acknowledged.
         client_closed: Whether the client's end is closed.
+        client_sequence: Sequence number of the opening packet, None if it was
+            not seen.
         has_sent_request: Whether the client has sent a request.
         is_open: Whether the handshake is complete.
         is_overdue: Whether the request in progress counts as failed already.
@@ -47,6 +49,7 @@
     __slots__ = (
         'acknowledged',
         'client_closed',
+        'client_sequence',
         'has_sent_request',
         'is_open',
         'is_overdue',
@@ -70,6 +73,7 @@
         self.server_sequence: int | None = None
         self.server_last_seen_at = now
         self.acknowledged = 0
+        self.client_sequence: int | None = None
         self.client_closed = False
         self.server_closed = False
         self.request_started_at: float = 0
@@ -138,6 +142,38 @@
         state.is_open = True
         return state
 
+    def add_opening(self, packet: packets.Packet, now: float) -> None:
+        """Track a flow whose opening packet is delivered.
+
+        A flow in the table with the same key is kept unless it is closed: the
+        sender of the packet is not verified.
+
+        Args:
+            packet: The opening packet.
+            now: Monotonic time in seconds.
+        """
+        state = self.flows.get(packet.flow)
+        if state is not None and state.is_closed:
+            self.remove(packet.flow)
+        state = self.add(packet.flow, now)
+        state.client_sequence = packet.sequence
+
+    def has_opening(self, packet: packets.Packet, now: float) -> bool:
+        """Return whether an opening packet is one of a flow in the table.
+
+        Otherwise it opens a new flow: clients use their ports again.
+
+        Args:
+            packet: The opening packet.
+            now: Monotonic time in seconds.
+        """
+        state = self.flows.get(packet.flow)
+        if state is None:
+            return False
+        if state.client_sequence is None:
+            return now - state.opened_at <= HALF_OPEN_TIMEOUT_S
+        return state.client_sequence == packet.sequence
+
     def is_same_flow(self, state: FlowState, packet: packets.Packet) -> bool:
         """Return whether a client's packet belongs to the flow opened here.
 
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -280,7 +280,8 @@
         self, packet: packets.Packet, message: frame.Frame, sender: str
     ) -> None:
         """Deliver an opening packet, or return it with a reason."""
-        if self._flows.get(packet.flow) is None:
+        now = clock.now()
+        if not self._flows.has_opening(packet, now):
             reason = self._refusal_reason(packet, message)
             if reason:
                 self._log.note(
@@ -306,7 +307,7 @@
                 routes_version=self._configuration.routes_version,
                 sender_version=message.routes_version,
             )
-            self._flows.add(packet.flow, clock.now())
+            self._flows.add_opening(packet, now)
             self.backend_server.note_opening(packet.flow)
         self._deliver(packet, sender)
 
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -256,6 +256,48 @@
         self.forward(builders.datagram(flow, acknowledged=502))
         self.assertEqual(len(self.delivered), 1)
 
+    def test_client_port_used_again_opens_nothing_while_draining(self):
+        """DRAIN: the flow that the port had before is still in the table."""
+        opening = builders.datagram(self.flow, builders.SYN, sequence=7)
+        self.forward(opening)
+        self.from_server(self.flow, builders.SYN | builders.ACK, sequence=500)
+        self.forward(builders.datagram(self.flow, acknowledged=501))
+        self.datapath.handle_report(builders.report(is_draining=True))
+        self.clock.now += 10
+        later = builders.datagram(self.flow, builders.SYN, sequence=70_000)
+        self.forward(later)
+        self.assertEqual(self.delivered, [])
+        self.assertEqual(
+            self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
+        )
+        # A late copy of the opening packet belongs to the flow.
+        self.forward(opening)
+        self.assertEqual(len(self.delivered), 1)
+
+    def test_client_port_used_again_opens_a_flow_that_is_admitted(self):
+        self.open()
+        for acknowledged in (0, 1):
+            self.forward(
+                builders.datagram(
+                    builders.flow(40001),
+                    builders.SYN,
+                    sequence=70_000,
+                    acknowledged=acknowledged,
+                )
+            )
+            self.assertEqual(len(self.delivered), 1)
+        self.assertEqual(self.datapath.counts['flow offered'], 2)
+
+    def test_copy_of_an_opening_packet_after_a_restart_is_delivered(self):
+        """The process has seen only the answer of the backend server."""
+        self.from_server(self.flow, builders.SYN | builders.ACK, sequence=5)
+        self.datapath.handle_report(builders.report(is_draining=True))
+        copy = builders.datagram(self.flow, builders.SYN, acknowledged=1)
+        for elapsed_s, count in ((0.4, 1), (10, 0)):
+            self.clock.now += elapsed_s
+            self.forward(copy)
+            self.assertEqual(len(self.delivered), count)
+
     def test_a_domain_taken_out_opens_nothing(self):
         self.configuration.update_domains(9, ('a',), 'test')
         self.forward(builders.datagram(self.flow, builders.SYN))
