Confirm every exit notice by a look at the process

Callers saw open flows of a running backend server reset, all of them at once, and the backend server got no new flows until its agent was restarted.

An exit notice names an identifier and no start time. A backend server may start again under the identifier that it had, so a late notice of the earlier start was taken for the exit of the running one; its flows were reset 0.25 s later, and no heartbeat revoked it. Class: a message is taken for one of the current incarnation by its identifier alone, as with late heartbeats.

A notice now only stops new flows. Flows are reset, and the record is withdrawn, once the process is found absent: first 0.25 s later, then at the same interval until it has ended or its heartbeats go on. That is how a notice before the first heartbeat was handled already; now there is one way.

Tests: test_late_exit_notice_of_an_earlier_start_ends_no_flow and test_exit_notice_of_a_running_backend_server_ends_nothing failed before. The tests that reset flows on the notice alone demanded the fault; they now demand no new flows at once and the reset as soon as the process is absent.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -166,28 +166,28 @@
             self.add_future(self._discovery.async_restore())
 
     def _handle_exit(self, identifier: str) -> None:
-        if self._datapath.backend_server.report is None:
+        server = self._datapath.backend_server
+        if server.report is None:
+            self.add_future(self._async_confirm_exit())
+        elif server.note_exit(identifier):
+            self._announce_state()
             self.add_future(self._async_confirm_exit())
-        elif self._datapath.backend_server.note_exit(identifier):
-            self._mesh.schedule_heartbeats()
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                agent_datapath.EXIT_RESET_DELAY_S, self._reset_after_exit
-            )
-            if self._discovery is not None:
-                self.add_future(self._discovery.async_withdraw())
 
     async def _async_confirm_exit(self) -> None:
-        """Check an exit notice that may be of an earlier incarnation."""
-        await self.sleep(agent_datapath.EXIT_RESET_DELAY_S)
+        """Check an exit notice that may be of an earlier incarnation.
+
+        The checks end when the process is absent, or the notice is revoked by
+        later heartbeats.
+        """
+        server = self._datapath.backend_server
+        await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
         await self._async_check_presence()
-        if self._datapath.backend_server.is_gone and self._discovery:
+        while server.is_exiting and not self.should_stop:
+            await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
+            await self._async_check_presence()
+        if server.is_gone and self._discovery:
             await self._discovery.async_withdraw()
 
-    def _reset_after_exit(self) -> None:
-        self._datapath.reset_flows_if_gone()
-        self._announce_state()
-
     async def _async_watch_backend_server(self) -> None:
         while not self.should_stop:
             if self._datapath.backend_server.should_check_presence():
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -31,9 +31,9 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-# Seconds between the exit notice of a backend server and the reset of its
-# flows; its process may take a moment to end.
-EXIT_RESET_DELAY_S: typing.Final = 0.25
+# Seconds between the exit notice of a backend server and each check whether its
+# process has ended, which may take a moment.
+EXIT_CHECK_INTERVAL_S: typing.Final = 0.25
 
 # Maximum number of flow keys stored for flows that balancers expect this agent
 # to hold.
@@ -206,11 +206,6 @@
             if state.server_last_seen_at <= moment:
                 self._reset_lost_flow(flow, state, reason)
 
-    def reset_flows_if_gone(self) -> None:
-        """Reset the flows of a backend server that has exited."""
-        if self.backend_server.is_gone:
-            self._reset_flows_until(math.inf, 'backend_server_gone')
-
     def note_absent(self, checked_at: float) -> bool:
         """Record that no backend server process was running at a given time.
 
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -65,7 +65,7 @@
 
     Attributes:
         report: Latest heartbeat; None before the first.
-        is_gone: Whether it has exited or its process is absent.
+        is_gone: Whether its process is absent.
         heartbeat_s: Seconds between two heartbeats.
     """
 
@@ -96,13 +96,19 @@
         self._presence_checked_at = -math.inf
         self._has_bounced = False
         self._absent_at = math.inf
+        self._exit_noticed_at = math.inf
+
+    @property
+    def is_exiting(self) -> bool:
+        """Return whether it has said that it exits, which is not confirmed."""
+        return math.isfinite(self._exit_noticed_at)
 
     @property
     def is_draining(self) -> bool:
-        """Return whether it is draining or gone."""
+        """Return whether it is draining, exiting or gone."""
         if self.report is None:
             return self._was_draining
-        return self.is_gone or self.report.is_draining
+        return self.is_gone or self.is_exiting or self.report.is_draining
 
     @property
     def is_cold(self) -> bool:
@@ -146,10 +152,9 @@
         self._log_change(current, report)
         self.report = report
         if is_same:
-            self._revoke_absence(now)
+            self._revoke_end(now)
             return None
-        self.is_gone = False
-        self._absent_at = math.inf
+        self._clear_end()
         if current is not None:
             self._note_former(current.identifier, current.born_ms)
         return NewIncarnation(
@@ -170,21 +175,23 @@
     def note_exit(self, identifier: str) -> bool:
         """Handle the exit notice of an incarnation.
 
+        A notice names no start time, so it may be a late one of an earlier
+        incarnation with the same identifier. Until its process is found
+        absent, the backend server keeps its flows and gets no new ones.
+
         Args:
             identifier: Identifier of the incarnation.
 
         Returns:
-            Whether it is the current incarnation. Before the first heartbeat
-            the notice may be a late one of an earlier incarnation.
+            Whether the current incarnation has this identifier.
         """
         if self.report is None:
             return False
         if identifier != self.report.identifier:
             self._note_former(identifier, self.report.born_ms)
             return False
-        self.is_gone = True
-        self._was_draining = True
-        _LOGGER.info('backend server gone', backend_server=identifier)
+        self._exit_noticed_at = clock.now()
+        _LOGGER.info('backend server exits', backend_server=identifier)
         return True
 
     def should_check_presence(self) -> bool:
@@ -216,12 +223,15 @@
         """
         if self._last_report_at > checked_at:
             return False
+        now = clock.now()
         self.is_gone = True
-        self._absent_at = clock.now()
+        # No heartbeat revokes an exit that it has announced.
+        self._absent_at = math.inf if self.is_exiting else now
+        self._exit_noticed_at = math.inf
         _LOGGER.info(
             'backend server absent',
             backend_server=self.report and self.report.identifier,
-            silent_s=round(self._absent_at - self._last_active_at, 3),
+            silent_s=round(now - self._last_active_at, 3),
         )
         return True
 
@@ -292,17 +302,22 @@
             return math.inf
         return counted_s
 
-    def _revoke_absence(self, now: float) -> None:
+    def _revoke_end(self, now: float) -> None:
         """Mark it as present again if its heartbeats continue.
 
         A single heartbeat may have been sent before the process ended, so one
-        soon after the process was found absent is not enough.
+        soon after its exit notice or absence is not enough.
         """
-        if now - self._absent_at > TAKEOVER_HEARTBEATS * self.heartbeat_s:
-            self.is_gone = False
-            self._absent_at = math.inf
+        ended_at = min(self._absent_at, self._exit_noticed_at)
+        if now - ended_at > TAKEOVER_HEARTBEATS * self.heartbeat_s:
+            self._clear_end()
             _LOGGER.warning('backend server is present again')
 
+    def _clear_end(self) -> None:
+        self.is_gone = False
+        self._absent_at = math.inf
+        self._exit_noticed_at = math.inf
+
     def _is_from_former(
         self,
         current: models.BackendServerReport | None,
