Forget the former owner of an address for good

Operators saw machines that were lost minutes before as members of all balancers again, as soon as a balancer started. Lookups of lost flows waited for an answer of these machines, so clients ran into their deadlines instead of being reset. Where the clock of a machine was behind the start of the former owner of its address, balancers ignored all frames that it sent, for good: its refusals of openings, its answers to lookups and its registrations of flows.

Cause: an address was assigned by comparing incarnations, which come from the clocks of different hosts, and only when a record changed. The former owner was forgotten on the first heartbeat of the next one, but its record came back from the store or a peer: the next owner kept the address, the record stayed, and no silence ends a record without heartbeats. Class: an order of events taken from clocks of different hosts, and what is forgotten once only.

Now the instance that is heard owns the address; incarnations decide if both or neither are heard. The other record is forgotten whenever it is reported.

--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -482,9 +482,8 @@
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
         self._liveness.set_peer(record.instance, peer)
-        if record != self.registry.get(record.instance):
-            self._membership.merge(record)
         self._liveness.note_heartbeat(peer, record)
+        self._merge_heard(record)
         state = message.configuration
         age_s = self.pause_recovery.received_age_s(state.age_s)
         self._merge_configuration(state._replace(age_s=age_s), record)
@@ -496,6 +495,13 @@
         if is_new:
             self._on_peer_started(peer, record)
 
+    def _merge_heard(self, record: members.InstanceRecord) -> None:
+        """Merge the record of an instance that has just been heard."""
+        if record != self.registry.get(record.instance):
+            self._membership.merge(record)
+        elif self.instance_at(record.address) != record.instance:
+            self._on_record(record, record)
+
     def _on_peer_started(
         self, peer: peers.Peer, record: members.InstanceRecord
     ) -> None:
@@ -612,19 +618,36 @@
         )
 
     def _claim_address(self, record: members.InstanceRecord) -> None:
-        """Assign an address to an instance, replacing an earlier one there."""
-        previous = self._instance_by_address.get(
-            record.address, record.instance
-        )
-        previous_record = self.registry.get(previous)
-        if previous != record.instance and previous_record is not None:
-            if previous_record.incarnation > record.incarnation:
+        """Assign an address to an instance; the other one there is forgotten.
+
+        Peers and the store may still hold the record of the former owner.
+        """
+        owner = self.registry.get(self.instance_at(record.address))
+        if owner is not None and owner.instance != record.instance:
+            if not self._replaces(record, owner):
+                if self.is_suspect(record.instance):
+                    self._membership.forget(record.instance)
                 return
-            _LOGGER.info('instance replaced', peer=previous, by=record.instance)
-            self._membership.forget(previous)
-            self._liveness.remove_peer(previous)
+            _LOGGER.info(
+                'instance replaced', peer=owner.instance, by=record.instance
+            )
+            self._membership.forget(owner.instance)
+            self._liveness.remove_peer(owner.instance)
         self._instance_by_address[record.address] = record.instance
 
+    def _replaces(
+        self, record: members.InstanceRecord, owner: members.InstanceRecord
+    ) -> bool:
+        """Return whether an instance replaces another one at its address.
+
+        Incarnations of different hosts compare their clocks, so they decide
+        only if heartbeats do not.
+        """
+        is_heard = not self.is_suspect(record.instance)
+        if is_heard == self.is_suspect(owner.instance):
+            return is_heard
+        return record.incarnation >= owner.incarnation
+
     def _fetch_from(self, record: members.InstanceRecord, origin: str) -> None:
         """Start to fetch the routes of a peer that has newer ones."""
         self._newer_peers.pop(record.instance, None)
