Test that a former agent opens no flow at the next backend server

An agent may still run when its address is used again by another service. It must take none of the flows that are offered to it: they would run at the next backend server, which answers on the same port (ROUTE). No test held that for an agent that is leaving, or whose backend server exited or is absent, while the next one sends heartbeats and packets.

--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -8,6 +8,7 @@
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
     agent_datapath,
+    const,
     known_configuration,
     mesh,
     messages,
@@ -309,6 +310,41 @@
         self.forward(self.opening('store'), version=3)
         self.assertEqual(len(self.delivered), 1)
 
+    def test_former_agent_opens_no_flow_at_the_next_backend_server(self):
+        """ROUTE: it may still run when the address is used again."""
+        for reason in ('is_leaving', 'exited', 'absent'):
+            with self.subTest(reason=reason):
+                self.make_datapath(1)
+                server = self.datapath.backend_server
+                self.datapath.handle_report(
+                    builders.report(born_ms=self.clock.unix_ms())
+                )
+                if reason == 'is_leaving':
+                    self.datapath.is_leaving = True
+                elif reason == 'exited':
+                    self.assertTrue(server.note_exit('i-1'))
+                else:
+                    self.assertTrue(self.datapath.note_absent(self.clock.now))
+                for number in range(8):
+                    self.clock.now += const.PAUSE_CHECK_S
+                    self.mesh.send_heartbeats(number)
+                following = builders.report(
+                    identifier='i-2',
+                    service='manuals',
+                    born_ms=self.clock.unix_ms(),
+                )
+                for sequence in (1, 2, 3):
+                    with self.assertRaises(exceptions.HeartbeatRejectedError):
+                        self.datapath.handle_report(
+                            following._replace(sequence=sequence)
+                        )
+                self.from_server(builders.flow(40009))
+                self.forward(self.opening('store'), version=3)
+                self.assertEqual(self.delivered, [])
+                self.assertEqual(
+                    self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
+                )
+
     def test_balancer_that_knows_the_former_owner_is_greeted(self):
         """It must not take a read of the store to tell it of this agent."""
         self.make_datapath(None)
