Reset no flow whose registrar names an agent that is not known yet

A restarted balancer that had read all members from the store reset an open flow of a live agent that was missing in the store's listing (FLOW).

Cause: the registrar named the holder's address, to which the balancer could map no instance yet. That counted as "unknown to the registrar", the other agents did not hold the flow, and the listing was taken as complete.

Such an address now forbids the reset until an instance is known there or the registrars that named it name none any more; they are asked again with each packet. Meanwhile probes are limited as for a holder that cannot be reached.

--- a/kumquatport/connection/packets/search.py
+++ b/kumquatport/connection/packets/search.py
@@ -22,6 +22,8 @@
     Attributes:
         not_holding: Agents that do not hold the flow.
         unknown_to: Registrars that do not know the flow or did not answer.
+        locations: Addresses without a known instance that registrars have
+            named as the holder's, by registrar.
         has_asked_all: Whether all agents have been asked.
     """
 
@@ -31,6 +33,7 @@
         '_likely_until',
         '_probe_times',
         'has_asked_all',
+        'locations',
         'not_holding',
         'unknown_to',
     )
@@ -39,6 +42,7 @@
         """Create a search that has not asked any instance yet."""
         self.not_holding: set[str] = set()
         self.unknown_to: set[str] = set()
+        self.locations: dict[str, str] = {}
         self.has_asked_all = False
         self._asked_registrar = ''
         self._asked_at: float = 0
@@ -62,6 +66,11 @@
                 return name
         return ''
 
+    def ask_registrars_again(self) -> None:
+        """Ask those that have named a holder whether they still do."""
+        self.unknown_to.difference_update(self.locations)
+        self._asked_registrar = ''
+
     def next_agents(
         self, holders: abc.Set[str], order: abc.Iterable[str], now: float
     ) -> list[str]:
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -1,5 +1,6 @@
 """Lookup of the agent that holds a flow unknown to this balancer."""
 
+import math
 import typing
 import zlib
 from collections import abc
@@ -100,6 +101,7 @@
         self._actions = actions
         self._rings = hash_ring.HashRings()
         self._holders_by_service: dict[str, _PossibleHolders] = {}
+        self._greeted_at: dict[str, float] = {}
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
@@ -147,21 +149,26 @@
             self._ask_agents(unresolved)
 
     def on_location(
-        self, unresolved: UnresolvedPacket, sender: str, instance: str
+        self, unresolved: UnresolvedPacket, sender: str, address: str
     ) -> None:
         """Handle a registrar's answer.
 
         Args:
             unresolved: Packet that the answer carried back.
             sender: Name of the registrar.
-            instance: Agent that it names; empty for none.
+            address: Address of the agent that it names; empty for none.
         """
         search = unresolved.flow.search
+        search.locations.pop(sender, None)
+        instance = self._mesh.instance_at(address)
         if instance and instance not in search.not_holding:
             self._forward_to(unresolved, instance)
-        else:
-            search.unknown_to.add(sender)
-            self.resolve(unresolved)
+            return
+        search.unknown_to.add(sender)
+        if address and not instance:
+            search.locations[sender] = address
+            self._greet(address)
+        self.resolve(unresolved)
 
     def on_not_held(
         self, unresolved: UnresolvedPacket, instance: str, *, was_only: bool
@@ -263,7 +270,9 @@
         packets that only reach other backend servers as misdelivered.
         """
         unanswered = names - search.not_holding
-        if not any(self._mesh.is_suspect(instance) for instance in unanswered):
+        if not self._unknown_holders(search) and not any(
+            self._mesh.is_suspect(instance) for instance in unanswered
+        ):
             return len(names)
         since = clock.now() - self._settings.bounds.reorder_s
         return MAX_PROBES - search.count_probes(since)
@@ -276,6 +285,13 @@
         """
         packet, route, flow = unresolved
         missing = len(flow.search.not_holding)
+        unknown_holders = self._unknown_holders(flow.search)
+        if unknown_holders:
+            self._log.note('flow not found yet', packet.flow, missing=missing)
+            for address in unknown_holders:
+                self._greet(address)
+            flow.search.ask_registrars_again()
+            return
         services = [share.service for share in route.weighted_services]
         if not all(
             self._mesh.knows_all_agents(service) for service in services
@@ -287,6 +303,22 @@
         self._actions.forget(packet.flow)
         self._actions.reset_lost(packet, missing)
 
+    def _unknown_holders(self, search: searches.FlowSearch) -> set[str]:
+        """Return the named addresses at which no instance is known yet."""
+        return {
+            address
+            for address in search.locations.values()
+            if not self._mesh.instance_at(address)
+        }
+
+    def _greet(self, address: str) -> None:
+        """Request the record of an instance, unless it was just requested."""
+        now = clock.now()
+        greeted_at = self._greeted_at.get(address, -math.inf)
+        if now - greeted_at >= searches.ANSWER_TIMEOUT_S:
+            self._greeted_at[address] = now
+            self._mesh.greet((address,))
+
 
 def service_of(route: routes.Route, flow: bytes) -> str:
     """Return the service of a flow, by the weights of its route.
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -451,14 +451,13 @@
         if answer is None or packet is None or route is None:
             return
         flow = self._flows.touch(packet.flow, clock.now())
-        address = packets.address_from_mark(answer.address)
-        instance = self._mesh.instance_at(address)
         if flow.agents:
             # An answer to an earlier packet has already resolved the flow.
             self._forward(packet, flow.agents[-1], 0)
         else:
             unresolved = flow_lookup.UnresolvedPacket(packet, route, flow)
-            self._lookup.on_location(unresolved, sender, instance)
+            address = packets.address_from_mark(answer.address)
+            self._lookup.on_location(unresolved, sender, address)
 
     def on_peer_started(self, record: members.InstanceRecord) -> None:
         """Send a restarted agent the keys of the flows that it may hold."""
--- a/tests/unit/process/packets/test_flow_registration.py
+++ b/tests/unit/process/packets/test_flow_registration.py
@@ -14,6 +14,7 @@
 )
 from kumquatport.process.packets import (
     const,
+    flow_lookup,
     messages,
 )
 from kumquatport.version import members
@@ -274,6 +275,87 @@
         forwarded = (AGENTS['side-1'], frame.KIND_FORWARD)
         self.assertEqual(self.kinds(), [forwarded])
 
+    def restart(self):
+        """Restart the balancer; the store lists all members but side-2."""
+        made = balancers.make(self._send)
+        self.configuration, self.mesh, self.forwarder = made
+        members_listed = {**BALANCERS, 'side-1': AGENTS['side-1']}
+        for name, address in members_listed.items():
+            if name != 'front-1':
+                self.send_heartbeat(name, address)
+        self.mesh.note_members_listed(members_listed)
+
+    def not_held(self, agent):
+        self.sent.clear()
+        back = frame.pack(
+            frame.KIND_RETURN, frame.REASON_NOT_HELD, 1, self.packet
+        )
+        self.forwarder.on_frame(back, AGENTS[agent])
+
+    def resets(self):
+        return [
+            datagram
+            for datagram, endpoint in self.sent
+            if endpoint == (builders.CLIENT, 9000)
+        ]
+
+    def probe_count(self):
+        return sum(
+            bool(frame.unpack(datagram).detail & frame.FORWARD_PROBE)
+            for datagram, _ in self.sent
+            if datagram[0] == frame.KIND_FORWARD
+        )
+
+    def test_no_reset_while_a_named_holder_is_unknown(self):
+        """FLOW: a live agent is missing in the store's listing."""
+        self.restart()
+        self.client()
+        self.answer(self.first, 'side-2')
+        greeting = (AGENTS['side-2'], frame.KIND_CONTROL)
+        self.assertIn(greeting, self.kinds())
+        self.answer(self.second, 'side-2')
+        self.not_held('side-1')
+        self.assertEqual(self.resets(), [])
+        self.now += 0.2
+        self.client()
+        self.answer(self.first, 'side-2')
+        self.assertIn(greeting, self.kinds())
+        self.assertEqual(self.resets(), [])
+        self.send_heartbeat('side-2', AGENTS['side-2'])
+        self.now += 0.2
+        self.client()
+        self.answer(self.first, 'side-2')
+        forwarded = (AGENTS['side-2'], frame.KIND_FORWARD)
+        self.assertEqual(self.kinds(), [forwarded])
+
+    def test_few_probes_while_a_named_holder_is_unknown(self):
+        """They reach only other backend servers."""
+        self.restart()
+        self.mesh.peer('side-1').load = builders.load(knows_all_flows=False)
+        self.client()
+        self.answer(self.first, 'side-2')
+        self.answer(self.second, 'side-2')
+        probes = self.probe_count()
+        for _ in range(2 * flow_lookup.MAX_PROBES):
+            self.client()
+            probes += self.probe_count()
+        self.assertEqual(probes, flow_lookup.MAX_PROBES)
+
+    def test_flow_is_reset_once_its_registrars_name_no_holder(self):
+        self.restart()
+        self.client()
+        self.answer(self.first, 'side-2')
+        self.answer(self.second, 'side-2')
+        self.not_held('side-1')
+        self.assertEqual(self.resets(), [])
+        self.now += 0.2
+        self.client()
+        for registrar in (self.first, self.second):
+            query = (BALANCERS[registrar], frame.KIND_LOCATE)
+            self.assertEqual(self.kinds(), [query])
+            self.answer(registrar, '')
+        self.assertEqual(len(self.resets()), 1)
+
     def test_flow_registered_here_is_known(self):
         message = frame.pack_flows(frame.KIND_REGISTER, [self.flow])
         self.forwarder.on_frame(message, AGENTS['side-1'])
