Let an agent outrank its former record after its clock was set back

After a planned restart of an agent whose wall clock had been set back since its former start, balancers placed no flow on it for 90 s and kept its former record, and reset flows that it held when that record expired.

Cause: an incarnation is a wall clock time, and heartbeats of a lower one are dropped. A balancer learns its former record back from its peers and outranks it; an agent keeps no records of agents, so it did not.

Who receives a full heartbeat of a lower incarnation answers with the record that it knows, and an instance merges records of itself, also an agent. Both only for the same address and port: the sender has them to itself, so the record is of a former process.

Open: an instance that moves to a host whose clock is behind is not heard until the expiry.

--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -258,6 +258,11 @@
 
     def learn_record(self, record: members.InstanceRecord) -> None:
         """Merge a record and greet its instance if the record has changed."""
+        own = self.own_record.current
+        if record.instance == own.instance and _is_same_endpoint(record, own):
+            # Only this process uses its endpoint, so the record is a former one.
+            self.registry.merge(record)
+            return
         if self._membership.merge(record) and not members.is_departed(record):
             self.greet((record.address,))
 
@@ -476,6 +481,7 @@
             return
         peer = self._liveness.peer(record.instance) or peers.Peer()
         if record.incarnation < peer.incarnation:
+            self._tell_former_record(record)
             return
         if not self._membership.should_keep(record):
             return
@@ -535,6 +541,18 @@
         reply = reply._replace(receiver_was_draining=peer.was_draining)
         self.send(messages.encode(reply), record.address)
 
+    def _tell_former_record(self, record: members.InstanceRecord) -> None:
+        """Tell an instance that its former record outranks its own.
+
+        Its clock was set back since the former start. A process elsewhere that
+        the instance has replaced is not told.
+        """
+        known = self.registry.get(record.instance)
+        if known is not None and _is_same_endpoint(known, record):
+            self.send(
+                messages.encode(messages.Records((known,))), record.address
+            )
+
     def _on_digests(self, message: messages.Digests, sender: str) -> None:
         record = self.registry.get(self.instance_at(sender))
         if record is None:
@@ -671,6 +689,15 @@
             self._instance_by_address.pop(record.address)
 
 
+def _is_same_endpoint(
+    first: members.InstanceRecord, second: members.InstanceRecord
+) -> bool:
+    return (first.address, first.control_port) == (
+        second.address,
+        second.control_port,
+    )
+
+
 def _ignore_frame(_datagram: bytes, _address: str) -> None:
     """Ignore frames until a handler is set."""
 
--- /dev/null
+++ b/tests/builders/meshes.py
@@ -0,0 +1,68 @@
+"""Meshes of several instances, connected in this process."""
+
+from kumquatport.process.packets import known_configuration, mesh, peers
+from kumquatport.version import members
+from tests.builders import packets
+
+
+class Network:
+    """Delivers datagrams between meshes when told so, in order.
+
+    Attributes:
+        meshes: The mesh at each address.
+    """
+
+    def __init__(self) -> None:
+        """Create a network without instances."""
+        self.meshes: dict[str, mesh.Mesh] = {}
+        self._datagrams: list[tuple[bytes, str, str]] = []
+        self._round = 0
+
+    def start(self, instance: str, address: str, kind: str) -> mesh.Mesh:
+        """Start an instance, in place of an earlier one at its address.
+
+        It greets the others and is ready.
+        """
+        settings = packets.settings(
+            instance=instance,
+            address=address,
+            seeds=tuple(self.meshes),
+            service='store' if kind == members.KIND_AGENT else '',
+        )
+        started = mesh.Mesh(
+            settings, kind, known_configuration.KnownConfiguration(instance)
+        )
+        if kind == members.KIND_AGENT:
+            started.load = packets.load
+        self.meshes[address] = started
+        started.connect(
+            peers.Transport(
+                lambda datagram, endpoint: self._send(
+                    datagram, address, endpoint[0]
+                ),
+                lambda call: call(),
+                lambda *_: None,
+                lambda *_: None,
+            )
+        )
+        started.own_record.update('ready', None)
+        self.deliver()
+        return started
+
+    def deliver(self) -> None:
+        """Deliver datagrams until none is left."""
+        while self._datagrams:
+            datagram, sender, receiver = self._datagrams.pop(0)
+            if receiver in self.meshes:
+                self.meshes[receiver].on_datagram(datagram, (sender, 7000))
+
+    def run_round(self) -> None:
+        """Run the next heartbeat round of all instances."""
+        self._round += 1
+        for instance in self.meshes.values():
+            instance.send_heartbeats(self._round)
+        self.deliver()
+
+    def _send(self, datagram: bytes, sender: str, receiver: str) -> bool:
+        self._datagrams.append((datagram, sender, receiver))
+        return True
