Probe a backend server only once for a flow

A restarted agent that cannot tell delivers what it is asked to test. Each balancer that met the flow tested anew, so the bound on tests, which each balancer keeps for itself, did not bound the packets that went astray.

The agent now remembers the flows whose packets its backend server bounced, until their opening packet comes, and answers the next balancer by itself. A backend server that does not hold a flow comes to hold it only by an opening packet, which passes through the agent.

test_backend_server_is_probed_once_for_a_flow failed before.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -36,7 +36,7 @@
 EXIT_CHECK_INTERVAL_S: typing.Final = 0.25
 
 # Maximum number of flow keys stored for flows that balancers expect this agent
-# to hold.
+# to hold, and for flows that its backend server does not hold.
 MAX_HINTS: typing.Final = 100_000
 
 
@@ -76,6 +76,7 @@
         self._deliver_datagram = deliver
         self._flows = flow_table.FlowTable()
         self._hinted_flows: set[bytes] = set()
+        self._bounced_flows: set[bytes] = set()
         self._registrars = registrars.Registrars()
         self._registration = registration.FlowRegistration()
         self._cold_limiter = cold_start.ColdStartLimiter(
@@ -230,6 +231,7 @@
         Packets of flows that are not held here are returned to their senders.
         """
         self._knows_all_flows = True
+        self._bounced_flows.clear()
         for packet, sender, _ in self._pending_queries.pop_all(clock.now()):
             if self._flows.get(packet.flow) is None:
                 self._return_packet(packet, frame.REASON_NOT_HELD, sender)
@@ -302,6 +304,7 @@
                 sender_version=message.routes_version,
             )
             self._flows.add(packet.flow, clock.now())
+            self._bounced_flows.discard(packet.flow)
             self.backend_server.note_opening(packet.flow)
         self._deliver(packet, sender)
 
@@ -407,7 +410,7 @@
         self, packet: packets.Packet, message: frame.Frame, sender: str
     ) -> None:
         """Deliver a packet of an unknown flow only if it may be held here."""
-        if self._knows_all_flows:
+        if self._knows_all_flows or packet.flow in self._bounced_flows:
             self._return_packet(packet, frame.REASON_NOT_HELD, sender)
             return
         self._pending_queries.add(
@@ -473,6 +476,8 @@
         elif sender:
             self._flows.remove(packet.flow)
             self._hinted_flows.discard(packet.flow)
+            if len(self._bounced_flows) < MAX_HINTS:
+                self._bounced_flows.add(packet.flow)
             self._pending_queries.remove(packet.flow)
             self._return_packet(unmarked, frame.REASON_NOT_HELD, sender)
 
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -187,6 +187,23 @@
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
         self.assertEqual(self.resets(), [])
 
+    def test_backend_server_is_probed_once_for_a_flow(self):
+        """FLOW: each of several balancers probed the same wrong ones."""
+        detail = frame.FORWARD_QUERY | frame.FORWARD_PROBE
+        packet = builders.datagram(self.flow, acknowledged=900, data=b'x')
+        self.forward(packet, detail)
+        self.bounce(self.delivered[0])
+        for later in (detail, frame.FORWARD_QUERY, 0):
+            self.forward(packet, later, sender=OTHER)
+            self.assertEqual(self.delivered, [])
+            self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
+        # A flow that opens here later is held, also after it has timed out.
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.clock.now += 4
+        self.datapath.expire()
+        self.forward(packet, detail)
+        self.assertEqual(len(self.delivered), 1)
+
     def test_a_bounced_opening_packet_is_offered_elsewhere(self):
         self.forward(builders.datagram(self.flow, builders.SYN))
         self.bounce(self.delivered[0])
