Probe few backend servers in any search for a flow

Callers' packets of an open flow reached other backend servers under planned restarts of agents and balancers, up to ten at once, while none reached the flow's own.

A search tested at most two backend servers while an agent that may hold the flow was silent, and all of them otherwise. An agent that is being restarted is not silent yet: its heartbeats are overdue only after 1 to 3 s. Also a holder that is merely slower than the others gets its packet after theirs. Class: the lack of a sign of failure is taken for an answer.

A balancer now always makes at most two tests in the time in which packets may go astray. To make tests rarer, it tells a restarted agent all flows whose packets it sends to that agent alone, not only those that the agent had once confirmed, which were few: an agent confirms only when it is asked.

Searches for flows that no agent knows take longer.

test_few_probes_while_the_holder_is_slow_to_answer and test_restarted_agent_gets_the_keys_of_flows_placed_there failed before.

--- a/kumquatport/connection/packets/flow_cache.py
+++ b/kumquatport/connection/packets/flow_cache.py
@@ -23,7 +23,6 @@
     Attributes:
         agents: Instances that were offered its opening packet; the last is the
             one in use. ``confirm`` leaves only the one that holds the flow.
-        is_confirmed: Whether an agent has announced that it holds the flow.
         refused_by: Instances that refused its opening packet.
         last_seen_at: Monotonic time in seconds of the last packet.
         acknowledged: Last number that the client acknowledged.
@@ -33,7 +32,6 @@
         '_search',
         'acknowledged',
         'agents',
-        'is_confirmed',
         'last_seen_at',
         'refused_by',
     )
@@ -45,7 +43,6 @@
             now: Monotonic time in seconds.
         """
         self.agents: tuple[str, ...] = ()
-        self.is_confirmed = False
         self.refused_by = NO_INSTANCES
         self.last_seen_at = now
         self.acknowledged = 0
@@ -61,7 +58,6 @@
     def confirm(self, agent: str) -> None:
         """Set the agent that holds the flow and end the search for it."""
         self.agents = (agent,)
-        self.is_confirmed = True
         self._search = None
 
 
@@ -100,11 +96,11 @@
         self._flows.pop(flow, None)
 
     def flows_of_agent(self, instance: str) -> list[bytes]:
-        """Return the confirmed flows of an agent."""
+        """Return the flows whose packets go to an agent alone."""
         return [
             flow
             for flow, cached in self._flows.items()
-            if cached.is_confirmed and cached.agents == (instance,)
+            if cached.agents == (instance,)
         ]
 
     def expire(self, now: float, idle_s: float) -> int:
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -21,8 +21,8 @@
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
 
-# Packets delivered only to probe whether a backend server holds a flow, while
-# another agent that may hold it cannot be reached.
+# Packets delivered within ``reorder_s`` only to probe whether a backend server
+# holds a flow.
 MAX_PROBES: typing.Final = 2
 
 
@@ -179,7 +179,6 @@
         if not names - flow.search.not_holding:
             self._give_up(unresolved)
         elif was_only:
-            flow.is_confirmed = False
             self.resolve(unresolved)
         elif not flow.agents and flow.search.should_ask_all(
             names, self._lookup_order(unresolved)
@@ -234,7 +233,7 @@
         if not asked:
             self._give_up(unresolved)
             return
-        probes = self._remaining_probes(search, names)
+        probes = self._remaining_probes(search)
         self._log.note(
             'flow looked up',
             unresolved.packet.flow,
@@ -254,17 +253,13 @@
         peer = self._mesh.peer(instance)
         return bool(peer and peer.load and peer.load.knows_all_flows)
 
-    def _remaining_probes(
-        self, search: searches.FlowSearch, names: abc.Set[str]
-    ) -> int:
+    def _remaining_probes(self, search: searches.FlowSearch) -> int:
         """Return the number of backend servers that may be probed for a flow.
 
-        While the holder may be an agent that cannot be reached, users see the
-        packets that only reach other backend servers as misdelivered.
+        Users see the packets that reach other backend servers as misdelivered
+        if none reaches the flow's own meanwhile: its agent may be stopping or
+        slow.
         """
-        unanswered = names - search.not_holding
-        if not any(self._mesh.is_suspect(instance) for instance in unanswered):
-            return len(names)
         since = clock.now() - self._settings.bounds.reorder_s
         return MAX_PROBES - search.count_probes(since)
 
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests of the forwarder, packet by packet."""
 
 import itertools
+from unittest import mock
 
 from kumquatport.connection.packets import frame
 from kumquatport.connection.packets import packet as packets
@@ -315,6 +316,29 @@
             )
         self.assertLessEqual(probes, flow_lookup.MAX_PROBES)
 
+    def test_few_probes_while_the_holder_is_slow_to_answer(self):
+        """FLOW: it may be starting or stopping, and is not silent yet."""
+        others = ('side-1', 'side-2', 'side-4', 'side-5')
+        added = {'side-4': '10.0.0.14', 'side-5': '10.0.0.15'}
+        self.enterContext(mock.patch.dict(AGENTS, added))
+        for state in ('ready', 'leaving'):
+            with self.subTest(state=state):
+                self.learn_agents()
+                for instance in others:
+                    self.send_heartbeat(instance, knows_all_flows=False)
+                self.send_heartbeat('side-3', 1, state, knows_all_flows=False)
+                self.flow = builders.flow(next(self.ports))
+                probes = []
+                for _ in range(3):
+                    self.client(builders.datagram(self.flow, acknowledged=5))
+                    probes += [
+                        instance
+                        for instance, detail in self.forwards()
+                        if detail & frame.FORWARD_PROBE
+                    ]
+                    self.now += 0.4
+                self.assertEqual(len(probes), flow_lookup.MAX_PROBES)
+
     def test_a_returned_opening_packet_tries_the_others(self):
         self.learn_agents()
         packet = builders.datagram(self.flow, builders.SYN)
@@ -368,9 +392,21 @@
         self.forwarder.on_frame(
             frame.pack_flows(frame.KIND_HELD, [self.flow]), AGENTS['side-2']
         )
+        self.assert_gets_keys_at_restart('side-2')
+
+    def test_restarted_agent_gets_the_keys_of_flows_placed_there(self):
+        """FLOW: without them other balancers have to search for the flow."""
+        self.learn_agents()
+        self.client(builders.datagram(self.flow, builders.SYN))
+        ((chosen, _),) = self.forwards()
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        self.assert_gets_keys_at_restart(chosen)
+
+    def assert_gets_keys_at_restart(self, instance):
+        """Check that an agent gets the key of its flow when it restarts."""
         self.mesh.on_peer_started = self.forwarder.on_peer_started
         self.sent.clear()
-        self.send_heartbeat('side-2', incarnation=2)
+        self.send_heartbeat(instance, incarnation=2)
         keys = [
             frame.unpack_flows(datagram)
             for datagram, _ in self.sent
