Count all flows as known once the earlier ones have expired

An agent that was restarted beside a running backend server was unsure of its flows until that backend server was restarted. Each later search for a lost flow had to test there, and few tests are made in a search, so callers would wait for the reset of a flow whose backend server has gone.

Flows that opened before the agent started are older than FlowTtlS after that time, so all that count have passed through it.

test_agent_knows_all_flows_once_the_earlier_ones_have_expired failed before.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -171,7 +171,11 @@
     def expire(self) -> None:
         """Remove expired flows and log the number of omitted log lines."""
         now = clock.now()
-        self._flows.expire(now, self._settings.bounds.flow_ttl_s)
+        flow_ttl_s = self._settings.bounds.flow_ttl_s
+        self._flows.expire(now, flow_ttl_s)
+        if not self._knows_all_flows and now - self._started_at > flow_ttl_s:
+            # Flows that opened before this process started have expired.
+            self._mark_all_flows_known()
         self._pending_queries.expire(now)
         self._log.flush()
 
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -228,6 +228,14 @@
         self.forward(packet, frame.FORWARD_QUERY | frame.FORWARD_PROBE)
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
 
+    def test_agent_knows_all_flows_once_the_earlier_ones_have_expired(self):
+        """Otherwise every later lookup of a lost flow has to probe here."""
+        ttl_s = builders.settings().bounds.flow_ttl_s
+        for elapsed_s, is_known in ((ttl_s, False), (1, True)):
+            self.clock.now += elapsed_s
+            self.datapath.expire()
+            self.assertEqual(self.datapath.load().knows_all_flows, is_known)
+
     def test_pending_queries_are_answered_once_all_flows_are_known(self):
         """Otherwise lookups wait for the client's next packet."""
         packet = builders.datagram(self.flow, acknowledged=5)
