--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -186,7 +186,6 @@
         if not names - flow.search.not_holding:
             self._give_up(unresolved)
         elif was_only:
-            flow.is_confirmed = False
             self.resolve(unresolved)
         elif not flow.agents and flow.search.should_ask_all(
             names, self._lookup_order(unresolved)
@@ -257,6 +256,15 @@
                 detail |= frame.FORWARD_PROBE
             self._actions.forward(unresolved.packet, instance, detail)
 
+    def _is_serving(self, instance: str) -> bool:
+        """Return whether an agent is heard and not stopping."""
+        record = self._mesh.registry.get(instance)
+        return (
+            record is not None
+            and record.state == members_const.STATE_READY
+            and not self._mesh.is_suspect(instance)
+        )
+
     def _knows_all_flows(self, instance: str) -> bool:
         peer = self._mesh.peer(instance)
         return bool(peer and peer.load and peer.load.knows_all_flows)
@@ -266,12 +274,14 @@
     ) -> int:
         """Return the number of backend servers that may be probed for a flow.
 
-        While the holder may be an agent that cannot be reached, users see the
-        packets that only reach other backend servers as misdelivered.
+        While the holder may be an agent that cannot be reached or is stopping,
+        users see the packets that only reach other backend servers as
+        misdelivered. Otherwise it gets the packet too, and after a restart of
+        all instances its clients wait for that.
         """
         unanswered = names - search.not_holding
-        if not self._unknown_holders(search) and not any(
-            self._mesh.is_suspect(instance) for instance in unanswered
+        if not self._unknown_holders(search) and all(
+            self._is_serving(instance) for instance in unanswered
         ):
             return len(names)
         since = clock.now() - self._settings.bounds.reorder_s
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -188,6 +188,23 @@
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
         self.assertEqual(self.resets(), [])
 
+    def test_backend_server_is_probed_once_for_a_flow(self):
+        """FLOW: each of several balancers probed the same wrong ones."""
+        detail = frame.FORWARD_QUERY | frame.FORWARD_PROBE
+        packet = builders.datagram(self.flow, acknowledged=900, data=b'x')
+        self.forward(packet, detail)
+        self.bounce(self.delivered[0])
+        for later in (detail, frame.FORWARD_QUERY, 0):
+            self.forward(packet, later, sender=OTHER)
+            self.assertEqual(self.delivered, [])
+            self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
+        # A flow that opens here later is held, also after it has timed out.
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.clock.now += 4
+        self.datapath.expire()
+        self.forward(packet, detail)
+        self.assertEqual(len(self.delivered), 1)
+
     def test_a_bounced_opening_packet_is_offered_elsewhere(self):
         self.forward(builders.datagram(self.flow, builders.SYN))
         self.bounce(self.delivered[0])
@@ -212,6 +229,14 @@
         self.forward(packet, frame.FORWARD_QUERY | frame.FORWARD_PROBE)
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
 
+    def test_agent_knows_all_flows_once_the_earlier_ones_have_expired(self):
+        """Otherwise every later lookup of a lost flow has to probe here."""
+        ttl_s = builders.settings().bounds.flow_ttl_s
+        for elapsed_s, is_known in ((ttl_s, False), (1, True)):
+            self.clock.now += elapsed_s
+            self.datapath.expire()
+            self.assertEqual(self.datapath.load().knows_all_flows, is_known)
+
     def test_pending_queries_are_answered_once_all_flows_are_known(self):
         """Otherwise lookups wait for the client's next packet."""
         packet = builders.datagram(self.flow, acknowledged=5)
