--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -187,6 +187,23 @@
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
         self.assertEqual(self.resets(), [])
 
+    def test_backend_server_is_probed_once_for_a_flow(self):
+        """FLOW: each of several balancers probed the same wrong ones."""
+        detail = frame.FORWARD_QUERY | frame.FORWARD_PROBE
+        packet = builders.datagram(self.flow, acknowledged=900, data=b'x')
+        self.forward(packet, detail)
+        self.bounce(self.delivered[0])
+        for later in (detail, frame.FORWARD_QUERY, 0):
+            self.forward(packet, later, sender=OTHER)
+            self.assertEqual(self.delivered, [])
+            self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
+        # A flow that opens here later is held, also after it has timed out.
+        self.forward(builders.datagram(self.flow, builders.SYN))
+        self.clock.now += 4
+        self.datapath.expire()
+        self.forward(packet, detail)
+        self.assertEqual(len(self.delivered), 1)
+
     def test_a_bounced_opening_packet_is_offered_elsewhere(self):
         self.forward(builders.datagram(self.flow, builders.SYN))
         self.bounce(self.delivered[0])
@@ -211,6 +228,14 @@
         self.forward(packet, frame.FORWARD_QUERY | frame.FORWARD_PROBE)
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
 
+    def test_agent_knows_all_flows_once_the_earlier_ones_have_expired(self):
+        """Otherwise every later lookup of a lost flow has to probe here."""
+        ttl_s = builders.settings().bounds.flow_ttl_s
+        for elapsed_s, is_known in ((ttl_s, False), (1, True)):
+            self.clock.now += elapsed_s
+            self.datapath.expire()
+            self.assertEqual(self.datapath.load().knows_all_flows, is_known)
+
     def test_pending_queries_are_answered_once_all_flows_are_known(self):
         """Otherwise lookups wait for the client's next packet."""
         packet = builders.datagram(self.flow, acknowledged=5)
@@ -568,20 +593,45 @@
         self.open()
         self.sent.clear()
         self.assertFalse(self.datapath.backend_server.note_exit('i-0'))
-        self.datapath.reset_flows_if_gone()
         self.assertEqual(self.resets(), [])
         self.assertTrue(self.datapath.load().accepts)
 
     def test_flows_of_a_backend_server_that_exits_are_reset(self):
+        server = self.datapath.backend_server
         self.datapath.handle_report(builders.report())
         self.open()
         self.sent.clear()
-        self.assertFalse(self.datapath.backend_server.note_exit('i-9'))
-        self.datapath.reset_flows_if_gone()
-        self.assertEqual(self.resets(), [])
-        self.assertTrue(self.datapath.backend_server.note_exit('i-1'))
-        self.datapath.reset_flows_if_gone()
+        self.assertFalse(server.note_exit('i-9'))
+        self.assertTrue(self.datapath.load().accepts)
+        self.assertTrue(server.note_exit('i-1'))
+        self.assertFalse(self.datapath.load().accepts)
+        self.assertTrue(self.report_absent())
         self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
+        # It has said so itself, so no later heartbeat revokes it.
+        self.clock.now += 5 * server.heartbeat_s
+        self.datapath.handle_report(builders.report(sequence=9))
+        self.assertTrue(server.is_gone)
+
+    def test_late_exit_notice_of_an_earlier_start_ends_no_flow(self):
+        """FLOW: a notice names an identifier, which a later start may have."""
+        server = self.datapath.backend_server
+        self.datapath.handle_report(builders.report(born_ms=5000))
+        self.datapath.handle_report(builders.report(born_ms=9000))
+        flow = self.open()
+        self.sent.clear()
+        self.assertTrue(server.note_exit('i-1'))
+        self.assertEqual(self.resets(), [])
+        self.assertFalse(self.datapath.load().accepts)
+        self.assertEqual(self.datapath.state, members_const.STATE_READY)
+        for sequence in (2, 3):
+            self.clock.now += server.heartbeat_s
+            live = builders.report(born_ms=9000, sequence=sequence)
+            is_changed = self.datapath.handle_report(live)
+            self.assertEqual(is_changed, sequence == 3)
+        self.assertTrue(self.datapath.load().accepts)
+        self.forward(builders.datagram(flow, acknowledged=501))
+        self.assertEqual(len(self.delivered), 1)
 
     def report_absent(self):
         """Report that no backend server process exists."""
@@ -645,11 +695,12 @@
         """The delayed reset after its backend server's exit keeps the state."""
         self.datapath.handle_report(builders.report())
         self.datapath.backend_server.note_exit('i-1')
+        self.report_absent()
         self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
         self.datapath.is_leaving = True
         self.assertEqual(self.datapath.state, members_const.STATE_LEAVING)
         self.datapath.has_left = True
-        self.datapath.reset_flows_if_gone()
+        self.report_absent()
         self.assertEqual(self.datapath.state, members_const.STATE_GONE)
 
     def test_presence_is_checked_in_doubt_and_rarely(self):
