Conclude nothing from a first heartbeat without a start time

After a restart an agent that first heard a heartbeat without a start time and with sequence 1 took the backend server for just started and answered for the life of its process that it does not hold flows that the live backend server held; balancers could then reset them (FLOW).

Cause: without a start time the number of heartbeats alone bounded the time for which the backend server can have run, which is 0 for sequence 1.

Without a start time the first heartbeat that an agent receives bounds nothing, whatever its sequence. The agent knows all flows once the earlier ones have expired, or once the process was found absent.

The new test fails before. test_pending_queries_are_answered_once_all_flows_are_known demanded the fault by its input, a heartbeat without a start time; it now states one, its assertions are the same and it passes on the former code too.

--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -289,7 +289,8 @@
 
         The number of its heartbeats tells, unless it stood still or the
         heartbeat is late. Its start time tells, unless the clock was set
-        meanwhile. The larger one is on the safe side.
+        meanwhile. The larger one is on the safe side. Without a start time
+        the first heartbeat that is received tells nothing.
         """
         later_heartbeats = max(report.sequence - FIRST_SEQUENCE, 0)
         counted_s = (
@@ -298,7 +299,7 @@
         if report.born_ms:
             age_s = (clock.unix_ms() - report.born_ms) / _MS_PER_S
             return max(counted_s, age_s)
-        if later_heartbeats and math.isinf(previous_heartbeat_at):
+        if math.isinf(previous_heartbeat_at):
             return math.inf
         return counted_s
 
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -244,7 +244,8 @@
             packet, frame.FORWARD_QUERY | frame.FORWARD_PROBE, sender=OTHER
         )
         self.assertEqual(self.returned(), [])
-        self.datapath.handle_report(builders.report())
+        born_ms = self.clock.unix_ms()
+        self.datapath.handle_report(builders.report(born_ms=born_ms))
         self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, OTHER)])
 
     def test_pending_query_of_a_held_flow_is_not_returned(self):
@@ -578,6 +579,17 @@
         self.assertEqual(self.resets(), [])
         self.assertEqual(self.datapath.backend_server.report.born_ms, born_ms)
 
+    def test_heartbeat_without_start_time_does_not_make_all_flows_known(self):
+        """FLOW: the backend server may be older than this process."""
+        *_, without_start_time, _ = self.foreign_reports()
+        born_ms = self.clock.unix_ms() - 30_000
+        self.datapath.handle_report(without_start_time)
+        self.clock.now += 1
+        self.datapath.handle_report(
+            builders.report(born_ms=born_ms, sequence=30)
+        )
+        self.assert_may_hold_others()
+
     def test_backend_server_that_started_later_holds_no_unknown_flow(self):
         for sequence, uptime_ms in ((1, 0), (2, 1100), (3, 2300)):
             with self.subTest(sequence=sequence):
