Open no flow while another service reports at the agent's port

Callers of one service were answered by another one whose backend server had started at the port of a lost one, while the agent of the lost one still ran (ROUTE). The platform takes the machine away with its backend server, so this needs an agent that ends late and had few flows: with more, unanswered opening packets show the loss before the address is used again.

Cause: packets from the port count as signs of life, and nothing tells whose they are. The heartbeats of the next backend server, which tell it, were refused and forgotten. Class: a fact that is rejected where it is invalid as an order, and then not used as evidence.

Once the backend server has been silent for 1.5 heartbeat periods, a heartbeat that differs from the agent in its service only stops new flows until the backend server is heard again. Flows are kept, since another writer may have sent it.

The new test failed before.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -152,13 +152,15 @@
             Whether it changed anything that must be announced at once.
 
         Raises:
-            HeartbeatRejectedError: It is of another writer; nothing changed.
+            HeartbeatRejectedError: It is of another writer.
         """
         server = self.backend_server
         try:
             backend_server.check_writer(report, server.report, self._settings)
         except exceptions.HeartbeatRejectedError:
             self._log.counts['heartbeat refused'] += 1
+            if backend_server.is_of_other_service(report, self._settings):
+                server.note_other_service(report)
             raise
         before = (server.is_draining, server.is_gone)
         incarnation = server.update(report)
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -80,7 +80,9 @@
         self._was_draining = False
         self.heartbeat_s = heartbeat_s
         self._last_active_at = clock.now()
+        self._started_at = clock.now()
         self._last_report_at = -math.inf
+        self._has_successor = False
         self._earlier_candidates: dict[tuple[str, int], int] = {}
         self._cold_until = -math.inf
         # Latest start time of the former incarnations of each identifier.
@@ -142,6 +144,7 @@
         self._last_report_at = now
         self._last_active_at = now
         self._unanswered = 0
+        self._has_successor = False
         self._cold_until = now + report.cold_left_s
         self._log_change(current, report)
         self.report = report
@@ -167,6 +170,30 @@
             self._was_draining = True
             _LOGGER.info('peers report that the backend server was draining')
 
+    def note_other_service(self, report: models.BackendServerReport) -> None:
+        """Handle a heartbeat that names another service.
+
+        After the backend server has fallen silent, one for its own port comes
+        from the next backend server there, whose packets are no sign of life.
+        Flows are kept: another writer may have sent it.
+
+        Args:
+            report: Heartbeat for the port of the backend server.
+        """
+        silent_since = max(self._last_report_at, self._started_at)
+        silent_s = clock.now() - silent_since
+        if self._has_successor or silent_s < (
+            TAKEOVER_HEARTBEATS * self.heartbeat_s
+        ):
+            return
+        self._has_successor = True
+        _LOGGER.warning(
+            'backend server of another service at the port',
+            backend_server=report.identifier,
+            service=report.service,
+            silent_s=round(silent_s, 3),
+        )
+
     def note_exit(self, identifier: str) -> bool:
         """Handle the exit notice of an incarnation.
 
@@ -241,7 +268,7 @@
 
     def is_responsive(self) -> bool:
         """Return whether it responds; count overdue opening packets."""
-        if self.is_gone:
+        if self.is_gone or self._has_successor:
             return False
         now = clock.now()
         while self._pending_openings:
@@ -267,7 +294,9 @@
     def admit_probe(self) -> bool:
         """Return whether a probe is allowed now; True counts as a probe."""
         now = clock.now()
-        if self.is_gone or now - self._probed_at < PROBE_INTERVAL_S:
+        if self.is_gone or self._has_successor:
+            return False
+        if now - self._probed_at < PROBE_INTERVAL_S:
             return False
         self._probed_at = now
         return True
@@ -396,6 +425,23 @@
         )
 
 
+def is_of_other_service(
+    report: models.BackendServerReport, settings: models.Settings
+) -> bool:
+    """Return whether a heartbeat differs from the agent in its service only.
+
+    Args:
+        report: The heartbeat.
+        settings: Settings of the agent.
+    """
+    return (
+        bool(settings.service)
+        and report.service != settings.service
+        and report.endpoint == settings.backend_server
+        and report.failure_domain == settings.failure_domain
+    )
+
+
 def _is_same_incarnation(
     current: models.BackendServerReport, report: models.BackendServerReport
 ) -> bool:
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -345,6 +345,37 @@
                     self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
                 )
 
+    def test_silent_backend_server_gets_no_flow_for_the_next_one(self):
+        """ROUTE: the next one answers on the same port, so it seems alive."""
+        own = builders.report(born_ms=self.clock.unix_ms())
+        following = own._replace(identifier='i-2', service='manuals')
+        self.datapath.handle_report(own)
+        flow = self.open(40005)
+
+        def refuse():
+            with self.assertRaises(exceptions.HeartbeatRejectedError):
+                self.datapath.handle_report(following)
+
+        refuse()
+        self.assertTrue(self.datapath.load().accepts)
+        for number in range(8):
+            self.clock.now += const.PAUSE_CHECK_S
+            self.mesh.send_heartbeats(number)
+        refuse()
+        self.from_server(builders.flow(40009))
+        self.assertFalse(self.datapath.load().accepts)
+        self.forward(self.opening('store'))
+        self.assertEqual(self.delivered, [])
+        self.assertEqual(
+            self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
+        )
+        self.assertEqual(self.resets(), [])
+        self.forward(builders.datagram(flow, acknowledged=501))
+        self.assertEqual(len(self.delivered), 1)
+        self.datapath.handle_report(own._replace(sequence=2))
+        self.forward(self.opening('store'))
+        self.assertEqual(len(self.delivered), 1)
+
     def test_balancer_that_knows_the_former_owner_is_greeted(self):
         """It must not take a read of the store to tell it of this agent."""
         self.make_datapath(None)
