--- a/tests/emulator/backend_server.py
+++ b/tests/emulator/backend_server.py
@@ -75,6 +75,7 @@
         self.served = 0
         self.heartbeat_count = 0
         self.crashed_at = -100.0
+        self._identifier = ''
         self.on_up_changed: abc.Callable[[bool], None] = _ignore
         self._queued: collections.deque[tuple[bytes, wire.Data]] = (
             collections.deque()
@@ -82,9 +83,16 @@
 
     @property
     def identifier(self) -> str:
-        return f'{self.address}-{self.incarnation}'
+        return self._identifier or f'{self.address}-{self.incarnation}'
 
-    def start(self) -> None:
+    def start(self, identifier: str = '') -> None:
+        """Start a new incarnation.
+
+        Args:
+            identifier: Identifier in its heartbeats; by default one that no
+                other incarnation has.
+        """
+        self._identifier = identifier
         self.is_up = True
         self.is_draining = False
         self.started_at = self.sim.time
--- a/tests/emulator/checks.py
+++ b/tests/emulator/checks.py
@@ -52,7 +52,7 @@
         sim = self._system.sim
         for one in self._system.clients:
             resets, one.resets = one.resets, []
-            for at, flow in resets:
+            for at, flow, _ in resets:
                 open_at = self._find_open_at(flow)
                 if open_at is None or self._crashed_recently(open_at):
                     continue
--- a/tests/emulator/client.py
+++ b/tests/emulator/client.py
@@ -32,6 +32,20 @@
     attempts: int
 
 
+class Reset(typing.NamedTuple):
+    """A reset by the system that a client received.
+
+    Attributes:
+        received_at: Simulated seconds at which it was received.
+        flow: Flow that it ends.
+        sender: Address of the instance that sent it.
+    """
+
+    received_at: float
+    flow: bytes
+    sender: str
+
+
 class Client:
     """A client that sends one request after the other.
 
@@ -58,7 +72,7 @@
     ) -> None:
         self.sim = sim
         self.outcomes: list[Outcome] = []
-        self.resets: list[tuple[float, bytes]] = []
+        self.resets: list[Reset] = []
         self.open_flows: dict[bytes, float] = {}
         self._address = address
         self._route = route
@@ -148,20 +162,20 @@
             resend_delay_s, lambda: self._send_request(attempt, next_delay_s)
         )
 
-    def _on_packet(self, datagram: bytes, _source: tuple[str, int]) -> None:
+    def _on_packet(self, datagram: bytes, source: tuple[str, int]) -> None:
         packet = wire.parse(datagram)
         if wire.reverse_flow(packet.flow) != self._flow:
             return
         if packet.flags & wire.RST:
-            self._on_reset(packet)
+            self._on_reset(packet, source[0])
         elif packet.flags & wire.SYN:
             self._on_syn_ack(packet)
         elif packet.data and packet.data.number == self._request_number:
             self._on_answer(packet.data)
 
-    def _on_reset(self, packet: wire.Packet) -> None:
+    def _on_reset(self, packet: wire.Packet, sender: str) -> None:
         if packet.sum == 0:
-            self.resets.append((self.sim.time, self._flow))
+            self.resets.append(Reset(self.sim.time, self._flow, sender))
         self._is_open = False
         self.open_flows.pop(self._flow, None)
         if self._is_waiting:
--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import time
+import typing
 import urllib.error
 import urllib.request
 import zlib
@@ -14,7 +15,7 @@
 
 from kumquatport.platform import calls
 from tests import network, processes
-from tests.emulator import backend_server, client
+from tests.emulator import backend_server, client, wire
 from tests.live import real_network
 
 PEER_PORT = 7720
@@ -25,11 +26,11 @@
 APP_PORT = 8000
 METRICS_PORT = 9464
 DOMAINS = ('a', 'b', 'c')
+STANDINS = ('store', 'faults')
 PROBE_INTERVAL_S = 0.5
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 45.0
 STOP_TIMEOUT_S = 10.0
 FAULT_PROXY_PORT = 9300
-FIRST_CLIENT_HOST = 200
 ROUTER_HOST = 251
 ROUTES = {
     ('198.18.0.1', 443): 'store',
@@ -57,12 +58,32 @@
 FlowTtlS = 60
 GraceS = 6
 DrainMs = 3000
+ConfigApplyMs = 3000
+EvacMs = 5000
 [platform]
 Address = "{store}"
 HistoryS = 20
 """
 
 
+class Machine(typing.NamedTuple):
+    """A machine with one instance.
+
+    Attributes:
+        name: Name of the instance.
+        address: Its IPv4 address.
+        domain: Its failure domain.
+        service: Service of its backend server; empty for a balancer.
+        link: Number of its link to the store at the fault proxy.
+    """
+
+    name: str
+    address: str
+    domain: str
+    service: str
+    link: int
+
+
 class LiveDeployment:
     """Processes, backend servers, clients, a router and an operator.
 
@@ -73,11 +94,30 @@
         last_fault_at: End of the last fault by address.
         draining_since: Time at which an agent learned that its backend server
             drains, by name.
+        machines: Machines by the name of their instance.
+        on_taken: Called with flow, time of sending and balancer's address for
+            each packet that the router sends to a balancer.
+        on_leave_acknowledged: Called with a backend server when its agent
+            has accepted that it is draining or gone.
     """
 
     def __init__(
-        self, seed: int, balancers: int = 2, stores: int = 3, manuals: int = 2
+        self,
+        seed: int,
+        balancers: int = 2,
+        stores: int = 3,
+        manuals: int = 2,
+        source: pathlib.Path = processes.ROOT,
     ) -> None:
+        """Prepare a deployment without starting it.
+
+        Args:
+            seed: Seed of the clients and backend servers.
+            balancers: Number of balancers.
+            stores: Number of agents of the service ``store``.
+            manuals: Number of agents of the service ``manuals``.
+            source: Checkout whose programs are run.
+        """
         self.net = network.Network()
         self.sim = real_network.RealNetwork(seed)
         self.folder = tempfile.TemporaryDirectory(prefix='kumquatport-live-')
@@ -90,8 +130,17 @@
         self.dropped_routes: dict[tuple[str, int], float] = {}
         self.last_fault_at: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
+        self.machines: dict[str, Machine] = {}
+        self.on_taken: abc.Callable[[bytes, float, str], None] = _ignore
+        self.on_leave_acknowledged: abc.Callable[
+            [backend_server.BackendServer], None
+        ] = _ignore
+        self._source = source
+        self._pool = network.AddressPool()
+        self._receivers: dict[str, backend_server.BackendServer] = {}
+        self._links = 0
         self._probe_failures: dict[str, int] = {}
-        self._started_ms: dict[str, int] = {}
+        self._started_ms: dict[tuple[str, int], int] = {}
         self._services = ['store'] * stores + ['manuals'] * manuals
         self._balancers = balancers
         self._tasks: list[asyncio.Task] = []
@@ -108,24 +157,26 @@
         self._start_store()
         self._start_fault_proxy()
         self.put_configuration()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
         for number in range(self._balancers):
-            self._add_process(
-                f'front-{number}', self.net.balancer(number), number, ''
-            )
+            self.add_machine(f'front-{number}', number, '')
         for number, service in enumerate(self._services):
-            address = self.net.agent(number)
             name = f'side-{number}'
-            self._add_process(name, address, number, service)
-            self._add_backend_server(name, address, service, number)
+            self.add_machine(name, number, service)
+            server = self.add_backend_server(name)
+            server.start()
+            server.started_at -= backend_server.COLD_S
         for process in self.processes.values():
             process.start()
-        self._session = aiohttp.ClientSession()
         self._tasks.append(asyncio.create_task(self._async_probe()))
-        self._tasks.append(asyncio.create_task(self._async_send_heartbeats()))
         async with asyncio.timeout(START_TIMEOUT_S):
             while len(self.rotation) < self._balancers:
                 await asyncio.sleep(0.05)
         await asyncio.sleep(1.0)
+        for machine in self.machines.values():
+            self._write_settings(machine, is_first_start=False)
 
     async def async_stop(self) -> dict[str, int | None]:
         """Stop all processes and return their exit codes by name."""
@@ -135,21 +186,30 @@
         if self._session is not None:
             await self._session.close()
         instances = [
-            one
-            for name, one in self.processes.items()
-            if name in self.addresses
+            one for name, one in self.processes.items() if name not in STANDINS
         ]
-        standins = [self.processes['store'], self.processes['faults']]
+        standins = [self.processes[name] for name in STANDINS]
         await asyncio.to_thread(processes.end_all, instances, STOP_TIMEOUT_S)
         await asyncio.to_thread(processes.end_all, standins, STOP_TIMEOUT_S)
         codes = {name: one.exit_code for name, one in self.processes.items()}
         self.sim.close()
+        self._pool.close()
         self.net.close()
         return codes
 
-    def add_clients(self, long: int, short: int) -> None:
+    def add_clients(
+        self, long: int, short: int, work_s: float = 0.03, pause_s: float = 0.2
+    ) -> None:
+        """Start clients with flows of many requests, and of one request.
+
+        Args:
+            long: Number of clients whose flows carry many requests.
+            short: Number of clients with a flow for each request.
+            work_s: Mean seconds of work of a request.
+            pause_s: Mean seconds between the requests of a client.
+        """
         for number in range(long + short):
-            address = f'{self.net.prefix}.{FIRST_CLIENT_HOST + number}'
+            address = self._pool.take()
             is_long = number < long
             route = ('198.18.0.1', 443)
             if not is_long:
@@ -161,8 +221,8 @@
                 route,
                 lambda flow, datagram: self._send_from_client(flow, datagram),
                 is_long=is_long,
-                work_s=0.03,
-                pause_s=0.2,
+                work_s=work_s,
+                pause_s=pause_s,
             )
             self.clients.append(one)
             one.start()
@@ -251,19 +311,10 @@
         )
         process.start()
         self.processes['faults'] = process
-        count = self._balancers + len(self._services)
-        links = {
-            str(number): {
-                'protocol': 'tcp',
-                'listen': f'{self.net.faults}:{FAULT_PROXY_PORT + 1 + number}',
-                'target': '{}:{}'.format(*self.net.platform),
-            }
-            for number in range(count)
-        }
         until = self.sim.time + START_TIMEOUT_S
         while self.sim.time < until:
             try:
-                self.control_fault_proxy({'links': links})
+                self.control_fault_proxy({})
             except OSError:
                 continue
             return
@@ -277,57 +328,113 @@
     def _log_path(self, name: str) -> pathlib.Path:
         return pathlib.Path(self.folder.name) / f'{name}.log'
 
-    def _add_process(
-        self, name: str, address: str, number: int, service: str
-    ) -> None:
-        path = pathlib.Path(self.folder.name) / f'{name}.toml'
-        link = len(self.addresses)
+    def add_machine(
+        self, name: str, number: int, service: str, address: str = ''
+    ) -> Machine:
+        """Add a machine without starting its instance.
+
+        Args:
+            name: Name of the instance, never used before.
+            number: Number that determines its failure domain.
+            service: Service of its backend server; empty for a balancer.
+            address: Its address; by default one that nobody had.
+        """
+        machine = Machine(
+            name,
+            address or self._pool.take(),
+            DOMAINS[number % len(DOMAINS)],
+            service,
+            self._links,
+        )
+        self._links += 1
+        self._open_link(machine)
+        path = self._write_settings(machine, is_first_start=not self.rotation)
+        options = ['agent' if service else 'balancer', '--settings', str(path)]
+        options += ['--metrics', str(METRICS_PORT)]
+        self.machines[name] = machine
+        self.addresses[name] = machine.address
+        self.processes[name] = processes.Process(
+            name,
+            'kumquatport.platform',
+            options,
+            self._log_path(name),
+            self._source,
+        )
+        return machine
+
+    def add_backend_server(self, name: str) -> backend_server.BackendServer:
+        """Add the backend server of a machine, which is to be started."""
+        machine = self.machines[name]
+        address = machine.address
+        server = backend_server.BackendServer(
+            self.sim, address, machine.service, machine.domain
+        )
+        server.on_up_changed = self.sim.create_port_switch(address, APP_PORT)
+        self.backend_servers[name] = server
+        if address not in self._receivers:
+            self._listen_for_backend_servers(address)
+        self._receivers[address] = server
+        self._tasks.append(
+            asyncio.create_task(self._async_send_heartbeats(name, server))
+        )
+        return server
+
+    def remove_machine(self, name: str) -> None:
+        """Forget a machine whose instance and backend server have ended."""
+        self.machines.pop(name)
+        self.addresses.pop(name)
+        self.backend_servers.pop(name, None)
+
+    def _open_link(self, machine: Machine) -> None:
+        link = {
+            'protocol': 'tcp',
+            'listen': self._store_address(machine),
+            'target': '{}:{}'.format(*self.net.platform),
+        }
+        self.control_fault_proxy({'links': {str(machine.link): link}})
+
+    def _store_address(self, machine: Machine) -> str:
+        return f'{self.net.faults}:{FAULT_PROXY_PORT + 1 + machine.link}'
+
+    def _write_settings(
+        self, machine: Machine, *, is_first_start: bool
+    ) -> pathlib.Path:
+        path = pathlib.Path(self.folder.name) / f'{machine.name}.toml'
+        address = machine.address
         extra, listen = '', ''
-        if service:
-            extra = f'app = "{address}:{APP_PORT}"\nService = "{service}"'
+        if machine.service:
+            extra = (
+                f'app = "{address}:{APP_PORT}"\nService = "{machine.service}"'
+            )
             listen = (
                 f'outbound = "{address}:{OUTBOUND_PORT}"\n'
                 f'Control = "{address}:{CONTROL_PORT}"'
             )
         path.write_text(
             SETTINGS.format(
-                name=name,
+                name=machine.name,
                 address=address,
-                domain=DOMAINS[number % len(DOMAINS)],
+                domain=machine.domain,
                 peer=PEER_PORT,
                 last=PEER_PORT + 15,
-                first='true',
+                first=str(is_first_start).lower(),
                 extra=extra,
                 listen=listen,
                 entry=ENTRY_PORT,
                 ready=READY_PORT,
-                store=f'{self.net.faults}:{FAULT_PROXY_PORT + 1 + link}',
+                store=self._store_address(machine),
             )
         )
-        role = 'agent' if service else 'balancer'
-        options = [role, '--settings', str(path)]
-        options += ['--metrics', str(METRICS_PORT)]
-        self.addresses[name] = address
-        self.processes[name] = processes.Process(
-            name, 'kumquatport.platform', options, self._log_path(name)
-        )
+        return path
 
-    def _add_backend_server(
-        self, name: str, address: str, service: str, number: int
-    ) -> None:
-        domain = DOMAINS[number % len(DOMAINS)]
-        server = backend_server.BackendServer(
-            self.sim, address, service, domain
-        )
-        server.on_up_changed = self.sim.create_port_switch(address, APP_PORT)
-        server.start()
-        server.started_at -= backend_server.COLD_S
-        self.backend_servers[name] = server
+    def _listen_for_backend_servers(self, address: str) -> None:
         outbound = (address, OUTBOUND_PORT)
         send = self.sim.listen(
             address,
             APP_PORT,
-            lambda datagram, _: self._deliver(server, datagram, answer),
+            lambda datagram, _: self._deliver(
+                self._receivers[address], datagram, answer
+            ),
         )
 
         def answer(sent: bytes) -> None:
@@ -348,7 +455,10 @@
         if not self.rotation:
             return
         index = zlib.crc32(flow) % len(self.rotation)
-        target = self.addresses[self.rotation[index]]
+        target = self.addresses.get(self.rotation[index])
+        if target is None:
+            return
+        self.on_taken(flow, wire.parse(datagram).client_sent_at, target)
         self._send_from_router(datagram, (target, ENTRY_PORT))
 
     async def _async_probe(self) -> None:
@@ -383,11 +493,12 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
-    async def _async_send_heartbeats(self) -> None:
-        while True:
-            await asyncio.gather(
-                *[self.async_heartbeat(one) for one in self.backend_servers]
-            )
+    async def _async_send_heartbeats(
+        self, name: str, server: backend_server.BackendServer
+    ) -> None:
+        while self.backend_servers.get(name) is server:
+            if server.is_up:
+                await self.async_heartbeat(name)
             await asyncio.sleep(backend_server.HEARTBEAT_S)
 
     async def async_heartbeat(self, name: str) -> bool:
@@ -396,12 +507,28 @@
         if not server.is_up:
             return False
         server.heartbeat_count += 1
+        body = self.heartbeat_body(name)
+        incarnation = server.incarnation
+        is_accepted = await self.async_send_heartbeat(
+            server.address, server.identifier, body
+        )
+        if (
+            is_accepted
+            and body['State'] == 'draining'
+            and server.incarnation == incarnation
+        ):
+            self.on_leave_acknowledged(server)
+        return is_accepted
+
+    def heartbeat_body(self, name: str) -> dict:
+        """Return what a backend server says of itself."""
+        server = self.backend_servers[name]
         # Computed once, because the start time of an incarnation is constant.
         age_ms = int((self.sim.time - server.started_at) * 1000)
         born_ms = self._started_ms.setdefault(
-            server.identifier, _unix_ms() - age_ms
+            (name, server.incarnation), _unix_ms() - age_ms
         )
-        body = {
+        return {
             'Service': server.service,
             'Address': f'{server.address}:{APP_PORT}',
             'Zone': server.domain,
@@ -412,17 +539,38 @@
             'Sequence': server.heartbeat_count,
             'born': born_ms,
         }
-        return await self._async_call('PUT', self._heartbeat_url(server), body)
+
+    async def async_send_heartbeat(
+        self, address: str, identifier: str, body: object
+    ) -> bool:
+        """Send a heartbeat to the agent at an address."""
+        url = _instance_url(address, identifier)
+        return await self._async_call('PUT', url, body)
 
     async def async_report_exit(self, name: str) -> bool:
         """Report that a backend server exits; return whether it was accepted."""
+        server = self.backend_servers[name]
+        incarnation = server.incarnation
+        is_accepted = await self.async_send_exit(
+            server.address, server.identifier
+        )
+        if is_accepted and server.incarnation == incarnation:
+            self.on_leave_acknowledged(server)
+        return is_accepted
+
+    async def async_send_exit(self, address: str, identifier: str) -> bool:
+        """Send an exit notice to the agent at an address."""
         return await self._async_call(
-            'DELETE', self._heartbeat_url(self.backend_servers[name]), None
+            'DELETE', _instance_url(address, identifier), None
         )
 
-    def _heartbeat_url(self, server: backend_server.BackendServer) -> str:
-        base_url = f'http://{server.address}:{CONTROL_PORT}'
-        return f'{base_url}/instances/{server.identifier}'
+
+def _instance_url(address: str, identifier: str) -> str:
+    return f'http://{address}:{CONTROL_PORT}/instances/{identifier}'
+
+
+def _ignore(*_: object) -> None:
+    """Do nothing."""
 
 
 def _unix_ms() -> int:
--- a/tests/network.py
+++ b/tests/network.py
@@ -15,6 +15,7 @@
 STATSD_PORT = 8125
 SERVICE_PORT = 4433
 BACKEND_PORT = 8000
+POOL_HOSTS = range(2, 250)
 
 Endpoint = tuple[str, int]
 
@@ -62,6 +63,25 @@
         return f'{self._prefix}.{number}'
 
 
+class AddressPool:
+    """Hands out addresses, of further networks once one has no more."""
+
+    def __init__(self) -> None:
+        self._networks: list[Network] = []
+        self._left: list[int] = []
+
+    def take(self) -> str:
+        """Return an address that was not handed out before."""
+        if not self._left:
+            self._networks.append(Network())
+            self._left = list(reversed(POOL_HOSTS))
+        return f'{self._networks[-1].prefix}.{self._left.pop()}'
+
+    def close(self) -> None:
+        for one in self._networks:
+            one.close()
+
+
 @functools.cache
 def claim_network(name: str) -> Network:
     """Claim a network for a test module until this process exits.
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -25,7 +25,12 @@
     """A process that a test may stop, suspend and restart."""
 
     def __init__(
-        self, name: str, module: str, options: list[str], log: pathlib.Path
+        self,
+        name: str,
+        module: str,
+        options: list[str],
+        log: pathlib.Path,
+        root: pathlib.Path = ROOT,
     ) -> None:
         """Prepare the process without starting it.
 
@@ -34,11 +39,13 @@
             module: Module to run with ``python -m``.
             options: Command line arguments.
             log: File for its output.
+            root: Checkout whose module is run.
         """
         self.name = name
         self.module = module
         self.options = options
         self.log = log
+        self._root = root
         self._popen: subprocess.Popen[bytes] | None = None
 
     @property
@@ -64,8 +71,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
-                cwd=ROOT,
-                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+                cwd=self._root,
+                env={**os.environ, 'PYTHONPATH': str(self._root)},
             )
 
     def kill(self) -> None:
