Live: start processes from the loop's own thread

A child that is about to run its program holds the sockets of its parent, so a backend server's port could still be in use when it was opened again.

--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -494,7 +494,8 @@
         for address in addresses:
             name = self._add_machine(service, address)
             self._losses.pop(address)()
-            await asyncio.to_thread(self._live.processes[name].start)
+            self._live.processes[name].start()
+            await asyncio.sleep(0)
 
     async def _async_start_new(
         self, service: str, count: int, after_s: float = 0.0
@@ -505,7 +506,8 @@
             name = self._add_machine(service)
             address = self._live.machines[name].address
             self._judge.disruptions.record(address, 'start', planned=True)
-            await asyncio.to_thread(self._live.processes[name].start)
+            self._live.processes[name].start()
+            await asyncio.sleep(0)
 
     def _add_machine(self, service: str, address: str = '') -> str:
         number = next(self._numbers)
@@ -584,7 +586,7 @@
         if name in self._ended:
             end()
             return
-        await asyncio.to_thread(process.start)
+        process.start()
         end()
         self._busy_processes.discard(name)
         if name in self._ended:
@@ -740,16 +742,21 @@
     names = [one for one in options.only.split(',') if one]
     red = 0
     for seed in range(int(first), int(last or first) + 1):
-        result = asyncio.run(
-            async_play(
-                seed,
-                options.size,
-                names,
-                options.source.resolve(),
-                options.keep_logs,
-                options.seconds,
+        try:
+            result = asyncio.run(
+                async_play(
+                    seed,
+                    options.size,
+                    names,
+                    options.source.resolve(),
+                    options.keep_logs,
+                    options.seconds,
+                )
             )
-        )
+        except (OSError, TimeoutError, processes.NotReadyError) as error:
+            print(f'seed {seed}: not judged: {error!r}', flush=True)
+            red += 1
+            continue
         red += bool(result.violations)
         print(_describe(result), flush=True)
     print(f'{red} seeds with a broken rule')
