--- /dev/null
+++ b/tests/unit/live/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the judge of real processes."""
