--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -136,6 +136,7 @@
             [backend_server.BackendServer], None
         ] = _ignore
         self._source = source
+        self._is_stopping = False
         self._pool = network.AddressPool()
         self._receivers: dict[str, backend_server.BackendServer] = {}
         self._links = 0
@@ -180,6 +181,8 @@
 
     async def async_stop(self) -> dict[str, int | None]:
         """Stop all processes and return their exit codes by name."""
+        # A call that times out as it is cancelled loses the cancellation.
+        self._is_stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -463,7 +466,7 @@
 
     async def _async_probe(self) -> None:
         """Probe the readiness of the balancers, as the platform does."""
-        while True:
+        while not self._is_stopping:
             names = [one for one in self.addresses if one.startswith('front')]
             answers = await asyncio.gather(
                 *[self._async_is_ready(one) for one in names]
@@ -496,7 +499,9 @@
     async def _async_send_heartbeats(
         self, name: str, server: backend_server.BackendServer
     ) -> None:
-        while self.backend_servers.get(name) is server:
+        while (
+            self.backend_servers.get(name) is server and not self._is_stopping
+        ):
             if server.is_up:
                 await self.async_heartbeat(name)
             await asyncio.sleep(backend_server.HEARTBEAT_S)
--- a/tests/unit/live/test_rules.py
+++ b/tests/unit/live/test_rules.py
@@ -53,6 +53,8 @@
 
 
 class RulesTest(unittest.TestCase):
+    """A deployment of stand-ins, one of each service."""
+
     def setUp(self):
         self.system = _System()
         self.sim = self.system.sim
@@ -103,6 +105,8 @@
 
 
 class RouteTest(RulesTest):
+    """Openings at services that no configuration allows."""
+
     def test_opening_at_the_service_of_its_route(self):
         self._open(self.server)
         self.judge.check()
@@ -133,6 +137,8 @@
 
 
 class DrainTest(RulesTest):
+    """Openings at backend servers that leave."""
+
     def setUp(self):
         super().setUp()
         self.server.is_draining = True
@@ -215,6 +221,8 @@
 
 
 class ResetTest(RulesTest):
+    """Resets of open flows."""
+
     def test_reset_of_an_open_flow(self):
         self._reset(self._open(self.server))
         self.assertEqual(['FLOW'], self._broken())
@@ -292,6 +300,8 @@
 
 
 class MisdeliveryTest(RulesTest):
+    """Packets of open flows at other backend servers."""
+
     def setUp(self):
         super().setUp()
         self.flow = self._open(self.server)
@@ -361,6 +371,8 @@
 
 
 class DescriptionTest(unittest.TestCase):
+    """Texts of violations."""
+
     def test_flow_as_in_the_logs(self):
         self.assertEqual(
             '127.0.0.200:1025>198.18.0.1:443', rules.describe_flow(_flow())
