--- a/tests/emulator/backend_server.py
+++ b/tests/emulator/backend_server.py
@@ -48,6 +48,8 @@
             whichever backend server they arrived: time in seconds, flow and
             whether it was this one.
         busy_slots: Slots in use.
+        closes_when_draining: Whether it closes each flow after the next answer
+            once it drains.
         heartbeat_count: Heartbeats since the start.
         on_up_changed: Called with the new state at a start or a crash.
     """
@@ -72,6 +74,7 @@
         self.arrivals: collections.Counter[str] = collections.Counter()
         self.deliveries: list[tuple[float, bytes, bool]] = []
         self.busy_slots = 0
+        self.closes_when_draining = False
         self.served = 0
         self.heartbeat_count = 0
         self.crashed_at = -100.0
@@ -181,6 +184,8 @@
             self.busy_slots -= 1
             self.served += 1
             answer(wire.answer(flow, data, ok=True))
+            if self.is_draining and self.closes_when_draining:
+                answer(wire.pack(wire.reverse_flow(flow), wire.FIN | wire.ACK))
             if self._queued:
                 self._process(*self._queued.popleft(), answer)
 
--- a/tests/emulator/client.py
+++ b/tests/emulator/client.py
@@ -170,6 +170,8 @@
             self._on_reset(packet, source[0])
         elif packet.flags & wire.SYN:
             self._on_syn_ack(packet)
+        elif packet.is_fin and not self._is_waiting:
+            self._close()
         elif packet.data and packet.data.number == self._request_number:
             self._on_answer(packet.data)
 
--- a/tests/features/packets.feature
+++ b/tests/features/packets.feature
@@ -15,3 +15,7 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario: Machines come, go and change hands
+    When the history of seed 1 is played for 12 seconds
+    Then no rule is broken
--- a/tests/features/steps/packets.py
+++ b/tests/features/steps/packets.py
@@ -5,7 +5,7 @@
 import behave
 from behave import runner
 
-from tests.live import deployment, soak
+from tests.live import churn, deployment, soak
 
 
 @behave.given('balancers, agents and the store run as processes')
@@ -61,3 +61,14 @@
 def step_no_violation(context: runner.Context) -> None:
     result = context.result
     assert not result.violations, (result.violations, result.faults)
+
+
+@behave.when('the history of seed {seed:d} is played for {seconds:d} seconds')
+def step_history(context: runner.Context, seed: int, seconds: int) -> None:
+    context.result = asyncio.run(churn.async_play(seed, seconds=seconds))
+
+
+@behave.then('no rule is broken')
+def step_no_broken_rule(context: runner.Context) -> None:
+    result = context.result
+    assert not result.violations, (result.violations, result.events)
--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -31,7 +31,8 @@
 REUSE_AFTER_S = 2.0
 SECONDS = 24.0
 EVENTS = 8
-LAST_EVENT_S = 14.0
+SLOW_PAUSE_S = 2.5
+CALM_END_S = 10.0
 MIN_SERVED_RATIO = 0.25
 SERVICES = ('store', 'manuals')
 
@@ -43,7 +44,8 @@
         balancers: Number of balancers.
         stores: Agents of the service with long flows.
         manuals: Agents of the service with a flow for each request.
-        long: Clients of the first service.
+        long: Clients whose flows carry many requests.
+        slow: Such clients with long pauses.
         short: Clients with a flow for each request.
         pause_s: Mean seconds between the requests of a client.
     """
@@ -52,13 +54,14 @@
     stores: int
     manuals: int
     long: int
+    slow: int
     short: int
     pause_s: float
 
 
 SIZES: typing.Final = {
-    'small': Size(4, 6, 3, 20, 10, 0.2),
-    'grown': Size(25, 42, 21, 120, 40, 0.4),
+    'small': Size(4, 6, 3, 16, 8, 10, 0.2),
+    'grown': Size(25, 42, 21, 90, 40, 40, 0.4),
 }
 
 # Events of a history, drawn one theme a seed in turn. Without a disturbance of
@@ -210,7 +213,7 @@
         addresses = await self._async_remove(names)
         tasks = [self._async_start_at(addresses, _other(service))]
         if not are_new_first:
-            after_s = self._rng.choice((0.0, 1.0, 2.0, 4.0))
+            after_s = self._rng.choice((0.0, 2.0, 4.0, 4.0))
             tasks.append(self._async_start_new(service, len(names), after_s))
         await asyncio.gather(*tasks)
         return f'{service} {names} new first {are_new_first}'
@@ -422,7 +425,7 @@
     def _claim_share(self, service: str, most: float = 1.0) -> list[str]:
         """Claim a share of the machines of a service; at most all."""
         names = self._idle_servers(service)
-        share = min(self._rng.choice((1 / 3, 2 / 3, 1.0)), most)
+        share = min(self._rng.choice((1 / 3, 1.0, 1.0)), most)
         chosen = self._sample(names, max(1, round(len(names) * share)))
         self._busy_servers.update(chosen)
         return chosen
@@ -490,7 +493,7 @@
 
     async def _async_start_at(self, addresses: list[str], service: str) -> None:
         """Start machines at addresses that others had."""
-        await asyncio.sleep(REUSE_AFTER_S + self._rng.uniform(0.02, 0.3))
+        await asyncio.sleep(REUSE_AFTER_S + self._rng.uniform(0.02, 0.2))
         for address in addresses:
             name = self._add_machine(service, address)
             self._losses.pop(address)()
@@ -638,11 +641,13 @@
         seed, scale.balancers, scale.stores, scale.manuals, source
     )
     try:
+        live.closes_when_draining = True
         await live.async_start()
         judge = rules.RuleJudge(live, deployment.ROUTES)
         live.on_taken = judge.note_taken
         live.on_leave_acknowledged = judge.note_leave_acknowledged
         live.add_clients(scale.long, scale.short, pause_s=scale.pause_s)
+        live.add_clients(scale.slow, 0, pause_s=SLOW_PAUSE_S)
         churn = Churn(live, judge, rng)
         # Long flows are open when the first event begins.
         await asyncio.sleep(2)
@@ -650,7 +655,7 @@
             asyncio.create_task(
                 churn.async_play(
                     rng.choice(tuple(names) or THEMES[theme]),
-                    rng.uniform(0, LAST_EVENT_S),
+                    rng.uniform(0, max(seconds - CALM_END_S, 4)),
                     f'{seed}-{number}',
                 )
             )
--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -31,6 +31,9 @@
 START_TIMEOUT_S = 45.0
 STOP_TIMEOUT_S = 10.0
 FAULT_PROXY_PORT = 9300
+# Links to the store for machines that are added later.
+SPARE_LINKS = 100
+SPARE_LINKS_RATIO = 4
 ROUTER_HOST = 251
 ROUTES = {
     ('198.18.0.1', 443): 'store',
@@ -95,6 +98,8 @@
         draining_since: Time at which an agent learned that its backend server
             drains, by name.
         machines: Machines by the name of their instance.
+        closes_when_draining: Whether backend servers close their flows, one
+            after the other, once they drain.
         on_taken: Called with flow, time of sending and balancer's address for
             each packet that the router sends to a balancer.
         on_leave_acknowledged: Called with a backend server when its agent
@@ -131,6 +136,7 @@
         self.last_fault_at: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
         self.machines: dict[str, Machine] = {}
+        self.closes_when_draining = False
         self.on_taken: abc.Callable[[bytes, float, str], None] = _ignore
         self.on_leave_acknowledged: abc.Callable[
             [backend_server.BackendServer], None
@@ -144,6 +150,9 @@
         self._started_ms: dict[tuple[str, int], int] = {}
         self._services = ['store'] * stores + ['manuals'] * manuals
         self._balancers = balancers
+        self._max_machines = SPARE_LINKS + (
+            SPARE_LINKS_RATIO * (balancers + len(self._services))
+        )
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
         router = f'{self.net.prefix}.{ROUTER_HOST}'
@@ -314,10 +323,18 @@
         )
         process.start()
         self.processes['faults'] = process
+        links = {
+            str(number): {
+                'protocol': 'tcp',
+                'listen': self._link_address(number),
+                'target': '{}:{}'.format(*self.net.platform),
+            }
+            for number in range(self._max_machines)
+        }
         until = self.sim.time + START_TIMEOUT_S
         while self.sim.time < until:
             try:
-                self.control_fault_proxy({})
+                self.control_fault_proxy({'links': links})
             except OSError:
                 continue
             return
@@ -350,7 +367,6 @@
             self._links,
         )
         self._links += 1
-        self._open_link(machine)
         path = self._write_settings(machine, is_first_start=not self.rotation)
         options = ['agent' if service else 'balancer', '--settings', str(path)]
         options += ['--metrics', str(METRICS_PORT)]
@@ -372,6 +388,7 @@
         server = backend_server.BackendServer(
             self.sim, address, machine.service, machine.domain
         )
+        server.closes_when_draining = self.closes_when_draining
         server.on_up_changed = self.sim.create_port_switch(address, APP_PORT)
         self.backend_servers[name] = server
         if address not in self._receivers:
@@ -388,16 +405,8 @@
         self.addresses.pop(name)
         self.backend_servers.pop(name, None)
 
-    def _open_link(self, machine: Machine) -> None:
-        link = {
-            'protocol': 'tcp',
-            'listen': self._store_address(machine),
-            'target': '{}:{}'.format(*self.net.platform),
-        }
-        self.control_fault_proxy({'links': {str(machine.link): link}})
-
-    def _store_address(self, machine: Machine) -> str:
-        return f'{self.net.faults}:{FAULT_PROXY_PORT + 1 + machine.link}'
+    def _link_address(self, link: int) -> str:
+        return f'{self.net.faults}:{FAULT_PROXY_PORT + 1 + link}'
 
     def _write_settings(
         self, machine: Machine, *, is_first_start: bool
@@ -425,7 +434,7 @@
                 listen=listen,
                 entry=ENTRY_PORT,
                 ready=READY_PORT,
-                store=self._store_address(machine),
+                store=self._link_address(machine.link),
             )
         )
         return path
