--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -181,6 +181,8 @@
             'cut_store': self.cut_store,
             'evacuate': self.evacuate,
             'configure': self.configure,
+            'add_route': self.add_route,
+            'drop_route': self.drop_route,
         }
 
     async def async_play(self, name: str, delay_s: float, seed: str) -> None:
@@ -426,6 +428,26 @@
         await self._async_write(self._live.put_configuration)
         return str(self._live.version)
 
+    async def add_route(self) -> str:
+        """Add a route, with clients that use it at once."""
+        route = f'198.18.0.{len(self._live.routes)}', 8443
+        service = self._rng.choice(SERVICES)
+        self._live.routes[route] = service
+        self._judge.allowed[route] = {service}
+        if not await self._async_write(self._live.put_configuration):
+            return 'not written'
+        for _ in range(4):
+            self._live.add_client(route, 0.03, 0.2, is_long=True)
+        return f'{route} {service}'
+
+    async def drop_route(self) -> str:
+        """Remove a route that clients use."""
+        route = ('198.18.0.1', 80)
+        self._judge.dropped_routes.add(route)
+        self._live.dropped_routes[route] = self._live.sim.time
+        is_written = await self._async_write(self._live.put_configuration)
+        return f'{route} {is_written}'
+
     def _claim_share(self, service: str, most: float = 1.0) -> list[str]:
         """Claim a share of the machines of a service; at most all."""
         names = self._idle_servers(service)
--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -98,6 +98,7 @@
         draining_since: Time at which an agent learned that its backend server
             drains, by name.
         machines: Machines by the name of their instance.
+        routes: Service of each route of the configurations.
         closes_when_draining: Whether backend servers close their flows, one
             after the other, once they drain.
         on_taken: Called with flow, time of sending and balancer's address for
@@ -136,6 +137,7 @@
         self.last_fault_at: dict[str, float] = {}
         self.draining_since: dict[str, float] = {}
         self.machines: dict[str, Machine] = {}
+        self.routes = dict(ROUTES)
         self.closes_when_draining = False
         self.on_taken: abc.Callable[[bytes, float, str], None] = _ignore
         self.on_leave_acknowledged: abc.Callable[
@@ -221,23 +223,33 @@
             pause_s: Mean seconds between the requests of a client.
         """
         for number in range(long + short):
-            address = self._pool.take()
             is_long = number < long
             route = ('198.18.0.1', 443)
             if not is_long:
                 routes = (('198.18.0.1', 80), ('198.18.0.2', 443))
                 route = routes[number % 2]
-            one = client.Client(
-                self.sim,
-                address,
-                route,
-                lambda flow, datagram: self._send_from_client(flow, datagram),
-                is_long=is_long,
-                work_s=work_s,
-                pause_s=pause_s,
-            )
-            self.clients.append(one)
-            one.start()
+            self.add_client(route, work_s, pause_s, is_long=is_long)
+
+    def add_client(
+        self,
+        route: tuple[str, int],
+        work_s: float,
+        pause_s: float,
+        *,
+        is_long: bool,
+    ) -> None:
+        """Start a client of a route; see ``client.Client``."""
+        one = client.Client(
+            self.sim,
+            self._pool.take(),
+            route,
+            lambda flow, datagram: self._send_from_client(flow, datagram),
+            is_long=is_long,
+            work_s=work_s,
+            pause_s=pause_s,
+        )
+        self.clients.append(one)
+        one.start()
 
     def put_configuration(self) -> None:
         """Write the routes as an operator does."""
@@ -248,7 +260,9 @@
                 'PathPrefix': f'/{port}/',
                 'Service': service,
             }
-            for index, ((address, port), service) in enumerate(ROUTES.items())
+            for index, ((address, port), service) in enumerate(
+                self.routes.items()
+            )
             if (address, port) not in self.dropped_routes
         ]
         services = [
