--- a/tests/live/rules.py
+++ b/tests/live/rules.py
@@ -134,6 +134,7 @@
 
     def __init__(self, last_own_at: float) -> None:
         self.last_own_at = last_own_at
+        self.settled_at = last_own_at
         self.astray_at: collections.deque[float] = collections.deque(
             maxlen=ASTRAY_LIMIT
         )
@@ -153,6 +154,7 @@
         """Settle whether there was a window without an own packet."""
         if self._is_enough() and at - self.last_own_at >= REORDER_S:
             self.is_found = True
+            self.settled_at = at
 
     def _is_enough(self) -> bool:
         return (
@@ -356,7 +358,9 @@
             'FLOW',
             until,
             f'astray from {server.address}, flow {describe_flow(flow)}, '
-            f'taken by {sorted(machines)}',
+            f'taken by {sorted(machines)}, own packet '
+            f'{since - row.last_own_at:.2f} s before, none '
+            f'{row.settled_at - since:.2f} s after',
         )
 
     def _find_open_at(self, flow: bytes) -> backend_server.BackendServer | None:
