--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -29,6 +29,8 @@
 CHECK_INTERVAL_S = 0.05
 MAX_LAG_S = 0.5
 REUSE_AFTER_S = 2.0
+# As in the settings of the instances.
+GRACE_S = 6.0
 SECONDS = 24.0
 EVENTS = 8
 SLOW_PAUSE_S = 2.5
@@ -573,8 +575,7 @@
         )
         process = self._live.processes[name]
         process.resume()
-        process.term()
-        await asyncio.to_thread(process.wait)
+        await _async_stop(process)
         self._live.remove_machine(name)
 
     async def _async_restart_server(self, name: str) -> str:
@@ -613,8 +614,7 @@
         how = 'term' if is_planned else 'kill'
         end = self._judge.disruptions.begin(address, how, planned=is_planned)
         if is_planned:
-            process.term()
-            await asyncio.to_thread(process.wait)
+            await _async_stop(process)
         else:
             await asyncio.to_thread(process.kill)
         await asyncio.sleep(down_s)
@@ -644,6 +644,13 @@
         return False
 
 
+async def _async_stop(process: processes.Process) -> None:
+    """Request a graceful stop; kill the process when its time is over."""
+    process.term()
+    if await asyncio.to_thread(process.wait, GRACE_S) is None:
+        await asyncio.to_thread(process.kill)
+
+
 def _other(service: str) -> str:
     return SERVICES[1 - SERVICES.index(service)]
 
