--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -355,7 +355,7 @@
                 ]
             )
             await asyncio.sleep(gap_s)
-        return f'{len(names)}, {at_once} at once, down {down_s}, gap {gap_s}'
+        return f'{names}, {at_once} at once, down {down_s}, gap {gap_s}'
 
     async def kill(self) -> str:
         names = self._sample(self._idle_processes(), self._rng.randint(1, 3))
@@ -705,7 +705,10 @@
         judge.check()
         outcomes = [one for user in live.clients for one in user.outcomes]
         found = checks.format_violations(judge.violations)
-        found += [f'ENDED {name}' for name in churn.find_ended()]
+        found += [
+            f'ENDED {name} with {live.processes[name].exit_code}'
+            for name in churn.find_ended()
+        ]
         served = sum(one.served for one in outcomes)
         if served < MIN_SERVED_RATIO * len(outcomes):
             found.append(f'SERVED {served} of {len(outcomes)}')
@@ -722,7 +725,8 @@
     finally:
         await live.async_stop()
     if found and keep_logs is not None:
-        _keep_logs(live, result, keep_logs / f'{size}-{seed}')
+        folder = keep_logs / f'{size}-{seed}'
+        _keep_logs(live, result, folder, judge.disruptions)
     live.folder.cleanup()
     return result
 
@@ -755,10 +759,13 @@
 
 
 def _keep_logs(
-    live: deployment.LiveDeployment, result: Result, folder: pathlib.Path
+    live: deployment.LiveDeployment,
+    result: Result,
+    folder: pathlib.Path,
+    disruptions: rules.Disruptions,
 ) -> None:
     shutil.copytree(live.folder.name, folder, dirs_exist_ok=True)
-    rows = [*result.events, '', *result.violations]
+    rows = [*result.events, '', *result.violations, '', *disruptions.rows()]
     (folder / 'history.txt').write_text('\n'.join(rows) + '\n')
 
 
--- a/tests/live/rules.py
+++ b/tests/live/rules.py
@@ -47,6 +47,7 @@
 
     def __init__(self, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
+        self._start = clock()
         self._by_address: dict[str, list[Disruption]] = collections.defaultdict(
             list
         )
@@ -118,6 +119,19 @@
             for one in self._find((address,), at - CONTACT_S, at)
         )
 
+    def rows(self) -> list[str]:
+        """Return all disruptions as text, in the order of their begin."""
+        found = [
+            (one.since, one.until, address, one.kind)
+            for address, disruptions in self._by_address.items()
+            for one in disruptions
+        ]
+        return [
+            f'{since - self._start:.3f} to {until - self._start:.3f} s: '
+            f'{address} {kind}'
+            for since, until, address, kind in sorted(found)
+        ]
+
     def _find(
         self, addresses: abc.Iterable[str], since: float, until: float
     ) -> list[Disruption]:
--- a/tests/unit/live/test_rules.py
+++ b/tests/unit/live/test_rules.py
@@ -371,7 +371,22 @@
 
 
 class DescriptionTest(unittest.TestCase):
-    """Texts of violations."""
+    """Texts of violations and disruptions."""
+
+    def test_disruptions_in_their_order(self):
+        now = [10.0]
+        disruptions = rules.Disruptions(lambda: now[0])
+        end = disruptions.begin(SIDE, 'pause')
+        now[0] = 11.5
+        disruptions.record(FRONT, 'kill')
+        end()
+        self.assertEqual(
+            [
+                f'0.000 to 1.500 s: {SIDE} pause',
+                f'1.500 to 1.500 s: {FRONT} kill',
+            ],
+            disruptions.rows(),
+        )
 
     def test_flow_as_in_the_logs(self):
         self.assertEqual(
