--- a/tests/emulator/backend_server.py
+++ b/tests/emulator/backend_server.py
@@ -48,6 +48,8 @@
             whichever backend server they arrived: time in seconds, flow and
             whether it was this one.
         busy_slots: Slots in use.
+        closes_when_draining: Whether it closes each flow after the next answer
+            once it drains.
         heartbeat_count: Heartbeats since the start.
         on_up_changed: Called with the new state at a start or a crash.
     """
@@ -72,9 +74,11 @@
         self.arrivals: collections.Counter[str] = collections.Counter()
         self.deliveries: list[tuple[float, bytes, bool]] = []
         self.busy_slots = 0
+        self.closes_when_draining = False
         self.served = 0
         self.heartbeat_count = 0
         self.crashed_at = -100.0
+        self._identifier = ''
         self.on_up_changed: abc.Callable[[bool], None] = _ignore
         self._queued: collections.deque[tuple[bytes, wire.Data]] = (
             collections.deque()
@@ -82,9 +86,16 @@
 
     @property
     def identifier(self) -> str:
-        return f'{self.address}-{self.incarnation}'
+        return self._identifier or f'{self.address}-{self.incarnation}'
 
-    def start(self) -> None:
+    def start(self, identifier: str = '') -> None:
+        """Start a new incarnation.
+
+        Args:
+            identifier: Identifier in its heartbeats; by default one that no
+                other incarnation has.
+        """
+        self._identifier = identifier
         self.is_up = True
         self.is_draining = False
         self.started_at = self.sim.time
@@ -173,6 +184,8 @@
             self.busy_slots -= 1
             self.served += 1
             answer(wire.answer(flow, data, ok=True))
+            if self.is_draining and self.closes_when_draining:
+                answer(wire.pack(wire.reverse_flow(flow), wire.FIN | wire.ACK))
             if self._queued:
                 self._process(*self._queued.popleft(), answer)
 
