--- a/tests/live/churn.py
+++ b/tests/live/churn.py
@@ -43,6 +43,7 @@
     """Size of a deployment and its load.
 
     Attributes:
+        start_timeout_s: Seconds that the balancers have to become ready.
         balancers: Number of balancers.
         stores: Agents of the service with long flows.
         manuals: Agents of the service with a flow for each request.
@@ -52,6 +53,7 @@
         pause_s: Mean seconds between the requests of a client.
     """
 
+    start_timeout_s: float
     balancers: int
     stores: int
     manuals: int
@@ -62,8 +64,8 @@
 
 
 SIZES: typing.Final = {
-    'small': Size(4, 6, 3, 16, 8, 10, 0.2),
-    'grown': Size(25, 42, 21, 90, 40, 40, 0.4),
+    'small': Size(20.0, 4, 6, 3, 16, 8, 10, 0.2),
+    'grown': Size(45.0, 25, 42, 21, 90, 40, 40, 0.4),
 }
 
 # Events of a history, drawn one theme a seed in turn. Without a disturbance of
@@ -681,7 +683,7 @@
     )
     try:
         live.closes_when_draining = True
-        await live.async_start()
+        await live.async_start(scale.start_timeout_s)
         judge = rules.RuleJudge(live, deployment.ROUTES)
         live.on_taken = judge.note_taken
         live.on_leave_acknowledged = judge.note_leave_acknowledged
--- a/tests/live/deployment.py
+++ b/tests/live/deployment.py
@@ -28,7 +28,7 @@
 DOMAINS = ('a', 'b', 'c')
 STANDINS = ('store', 'faults')
 PROBE_INTERVAL_S = 0.5
-START_TIMEOUT_S = 45.0
+START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 FAULT_PROXY_PORT = 9300
 # Links to the store for machines that are added later.
@@ -164,8 +164,12 @@
     def store_url(self) -> str:
         return 'http://{}:{}'.format(*self.net.platform)
 
-    async def async_start(self) -> None:
-        """Start the store and all processes; wait until the balancers are ready."""
+    async def async_start(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Start the store and all processes; wait until the balancers are ready.
+
+        Args:
+            timeout_s: Seconds that the balancers have to become ready.
+        """
         self._start_store()
         self._start_fault_proxy()
         self.put_configuration()
@@ -183,7 +187,7 @@
         for process in self.processes.values():
             process.start()
         self._tasks.append(asyncio.create_task(self._async_probe()))
-        async with asyncio.timeout(START_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             while len(self.rotation) < self._balancers:
                 await asyncio.sleep(0.05)
         await asyncio.sleep(1.0)
