Probe without a limit after a restart of most instances at once

Cause: the limit of two probes, which keeps packets from going astray under planned restarts, held there as well.

Change: if three quarters of the known instances are heard and have started within one second of each other in the last four, a search probes all. Planned restarts come in turn.

test_all_are_probed_after_a_restart_of_all_instances failed before (two probes of three).

--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -15,6 +15,7 @@
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     decision_log,
+    mass_restart,
     mesh,
     models,
     registrar,
@@ -26,6 +27,9 @@
 # holds a flow.
 MAX_PROBES: typing.Final = 2
 
+# Seconds between two checks whether most instances have just restarted.
+RESTART_CHECK_S: typing.Final = 0.1
+
 
 class PacketActions(typing.NamedTuple):
     """Callbacks that dispose of a packet.
@@ -102,6 +106,8 @@
         self._rings = hash_ring.HashRings()
         self._holders_by_service: dict[str, _PossibleHolders] = {}
         self._greeted_at: dict[str, float] = {}
+        self._restart_checked_at = -math.inf
+        self._is_mass_restart = False
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
@@ -240,7 +246,7 @@
         if not asked:
             self._give_up(unresolved)
             return
-        probes = self._remaining_probes(search)
+        probes = self._remaining_probes(search, names)
         self._log.note(
             'flow looked up',
             unresolved.packet.flow,
@@ -260,16 +266,40 @@
         peer = self._mesh.peer(instance)
         return bool(peer and peer.load and peer.load.knows_all_flows)
 
-    def _remaining_probes(self, search: searches.FlowSearch) -> int:
+    def _remaining_probes(
+        self, search: searches.FlowSearch, names: abc.Set[str]
+    ) -> int:
         """Return the number of backend servers that may be probed for a flow.
 
         Users see the packets that reach other backend servers as misdelivered
         if none reaches the flow's own meanwhile: its agent may be stopping or
-        slow.
+        slow. After a restart of most instances only probes tell whether a flow
+        is still held, and its client waits for that.
         """
-        since = clock.now() - self._settings.bounds.reorder_s
+        now = clock.now()
+        if self._is_after_mass_restart(now):
+            return len(names)
+        since = now - self._settings.bounds.reorder_s
         return MAX_PROBES - search.count_probes(since)
 
+    def _is_after_mass_restart(self, now: float) -> bool:
+        if now >= self._restart_checked_at + RESTART_CHECK_S:
+            self._restart_checked_at = now
+            own = self._settings.instance
+            self._is_mass_restart = mass_restart.is_mass_restart(
+                [
+                    mass_restart.Start(
+                        record.incarnation,
+                        record.instance == own
+                        or not self._mesh.is_suspect(record.instance),
+                    )
+                    for record in self._mesh.registry.all_records()
+                    if not members.is_departed(record)
+                ],
+                clock.unix_ms(),
+            )
+        return self._is_mass_restart
+
     def _give_up(self, unresolved: UnresolvedPacket) -> None:
         """Reset a flow that no known agent holds.
 
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -339,6 +339,21 @@
                     self.now += 0.4
                 self.assertEqual(len(probes), flow_lookup.MAX_PROBES)
 
+    def test_all_are_probed_after_a_restart_of_all_instances(self):
+        """Nobody knows the flow, and its client waits."""
+        now_ms = 2_000_000
+        clock = 'kumquatport.helpers.clock.unix_ms'
+        self.enterContext(mock.patch(clock, lambda: now_ms))
+        for instance in AGENTS:
+            self.send_heartbeat(instance, now_ms - 900, knows_all_flows=False)
+        self.client(builders.datagram(self.flow, acknowledged=5))
+        probes = [
+            instance
+            for instance, detail in self.forwards()
+            if detail & frame.FORWARD_PROBE
+        ]
+        self.assertEqual(set(probes), set(AGENTS))
+
     def test_a_returned_opening_packet_tries_the_others(self):
         self.learn_agents()
         packet = builders.datagram(self.flow, builders.SYN)
