--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -723,6 +723,7 @@
         self.open()
         self.sent.clear()
         self.assertFalse(server.note_exit('i-9'))
+        self.assertEqual(self.resets(), [])
         self.assertTrue(self.datapath.load().accepts)
         self.assertTrue(server.note_exit('i-1'))
         self.assertFalse(self.datapath.load().accepts)
