Queue the packets of flows at the rate of a narrow link

A balancer whose settings state LinkMbps now sends no more than 0.95 of it. Packets above that wait in the process: opening and small packets first, then data by rank, in turn among flows; a retransmission replaces the packet that still waits. Control messages pass at once and are charged.

--- /dev/null
+++ b/kumquatport/connection/packets/link_queue.py
@@ -0,0 +1,227 @@
+"""Queue of a balancer for packets that its link cannot carry at once.
+
+Without it, packets above the rate of a narrow link wait in the network, whose
+queue holds some 50 ms and drops what does not fit. A client that loses one
+packet of a window sends the window again after 0.2 s, and copies of opening
+packets are offered to further agents, so a short burst of uploads kept narrow
+links full for good. Packets that wait here are not lost, opening packets pass
+the others, and a retransmission replaces the packet that still waits.
+"""
+
+import collections
+import math
+import typing
+
+# Share of the link's rate that is used. The rest carries the store's calls and
+# keeps the queue in the network short, so that the order of this one counts.
+LINK_SHARE: typing.Final = 0.95
+
+# Bytes of the IPv4 and UDP headers of a datagram.
+HEADER_BYTES: typing.Final = 28
+
+# Seconds of the rate that may be sent at once after a quiet time, and that
+# control messages may use in advance. The network's queue holds some 0.05 s.
+BURST_S: typing.Final = 0.01
+MAX_DEBT_S: typing.Final = 0.05
+
+# Minimum seconds between two releases: a wake-up for each packet would cost
+# more processor time than the packets themselves.
+MIN_RELEASE_S: typing.Final = 0.004
+
+# Seconds of the rate that may wait. Clients have at most 16 packets of a flow
+# in flight, so only some 60 flows at once can fill 2 s of 5 Mbit/s.
+MAX_QUEUE_S: typing.Final = 2.0
+
+# Of this many data packets, one is the longest waiting of all, so that no
+# priority starves.
+OLDEST_INTERVAL: typing.Final = 8
+
+# Rank of packets that leave first; all others are priorities of routes.
+URGENT: typing.Final = -1
+
+
+class QueuedPacket(typing.NamedTuple):
+    """A packet that is ready to be sent.
+
+    Attributes:
+        stream: Key of the packets that keep their order: flow and receiver.
+        identity: Equal for a packet and its retransmissions.
+        rank: ``URGENT``, or the priority of its route; 0 is the highest.
+        message: The datagram to send.
+        address: IPv4 address of the receiver.
+    """
+
+    stream: tuple[bytes, str]
+    identity: tuple[int, int, int]
+    rank: int
+    message: bytes
+    address: str
+
+
+class _Entry:
+    """A waiting packet; a retransmission replaces it in place."""
+
+    __slots__ = ('packet', 'queued_at')
+
+    def __init__(self, packet: QueuedPacket, now: float) -> None:
+        self.packet = packet
+        self.queued_at = now
+
+
+_Stream = collections.OrderedDict[tuple[int, int, int], _Entry]
+_Streams = collections.OrderedDict[tuple[bytes, str], _Stream]
+
+
+class LinkQueue:
+    """Orders the packets that wait for the link.
+
+    Urgent packets leave first, then data by rank, in turn among the streams of
+    a rank.
+
+    Attributes:
+        rate: Bytes per second that are sent; infinite if no rate is stated.
+        replaced: Waiting packets that a retransmission has replaced.
+        dropped: Packets that were dropped because the queue was full.
+    """
+
+    def __init__(self, link_bytes_per_s: float, now: float) -> None:
+        """Create an empty queue.
+
+        Args:
+            link_bytes_per_s: Rate of the link; 0 if none is stated.
+            now: Monotonic time in seconds.
+        """
+        self.rate = _usable_rate(link_bytes_per_s)
+        self.replaced = 0
+        self.dropped = 0
+        self._credit = self.rate * BURST_S
+        self._credited_at = now
+        self._queued_bytes = 0
+        self._released = 0
+        self._ranks: dict[int, _Streams] = {}
+
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds that the waiting packets need."""
+        return self._queued_bytes / self.rate
+
+    def apply_rate(self, link_bytes_per_s: float, now: float) -> None:
+        """Change the rate of the link; see ``__init__``."""
+        self.rate = _usable_rate(link_bytes_per_s)
+        self._credit = min(self.rate * BURST_S, 0)
+        self._credited_at = now
+
+    def charge(self, datagram_bytes: int, now: float) -> None:
+        """Record a datagram that has been sent."""
+        if math.isinf(self.rate):
+            return
+        self._refill(now)
+        self._credit = max(
+            self._credit - datagram_bytes - HEADER_BYTES,
+            -self.rate * MAX_DEBT_S,
+        )
+
+    def must_wait(self, now: float) -> bool:
+        """Return whether a packet has to be queued."""
+        if math.isinf(self.rate):
+            return False
+        self._refill(now)
+        return self._queued_bytes > 0 or self._credit <= 0
+
+    def add(self, packet: QueuedPacket, now: float) -> None:
+        """Queue a packet, or replace the former copy that still waits."""
+        streams = self._ranks.setdefault(packet.rank, collections.OrderedDict())
+        stream = streams.setdefault(packet.stream, collections.OrderedDict())
+        former = stream.get(packet.identity)
+        if former is not None:
+            self._queued_bytes -= _size(former.packet)
+            self._queued_bytes += _size(packet)
+            former.packet = packet
+            self.replaced += 1
+            return
+        stream[packet.identity] = _Entry(packet, now)
+        self._queued_bytes += _size(packet)
+        while self._queued_bytes > self.rate * MAX_QUEUE_S:
+            self._drop_last_of_longest()
+
+    def release(self, now: float) -> list[QueuedPacket]:
+        """Remove and return the packets that the link can carry now.
+
+        The caller charges them when it sends them.
+        """
+        self._refill(now)
+        credit = self._credit
+        released = []
+        while self._queued_bytes and credit > 0:
+            packet = self._pop()
+            credit -= _size(packet)
+            released.append(packet)
+        return released
+
+    def next_release_s(self) -> float | None:
+        """Return the seconds until a packet can be sent, None if none waits."""
+        if not self._queued_bytes:
+            return None
+        return max(-self._credit / self.rate, MIN_RELEASE_S)
+
+    def _refill(self, now: float) -> None:
+        earned = (now - self._credited_at) * self.rate
+        self._credit = min(self._credit + earned, self.rate * BURST_S)
+        self._credited_at = now
+
+    def _pop(self) -> QueuedPacket:
+        rank = min(self._ranks)
+        if rank != URGENT:
+            self._released += 1
+            if self._released % OLDEST_INTERVAL == 0:
+                return self._take(*self._oldest())
+        return self._take(rank, next(iter(self._ranks[rank])))
+
+    def _oldest(self) -> tuple[int, tuple[bytes, str]]:
+        """Return rank and stream of the packet that has waited longest."""
+        return min(
+            (
+                (rank, key)
+                for rank, streams in self._ranks.items()
+                for key in streams
+            ),
+            key=self._queued_at,
+        )
+
+    def _queued_at(self, position: tuple[int, tuple[bytes, str]]) -> float:
+        rank, key = position
+        return next(iter(self._ranks[rank][key].values())).queued_at
+
+    def _take(self, rank: int, key: tuple[bytes, str]) -> QueuedPacket:
+        """Remove the first packet of a stream; the stream's turn is over."""
+        streams = self._ranks[rank]
+        _, entry = streams[key].popitem(last=False)
+        streams.move_to_end(key)
+        self._forget(entry.packet)
+        return entry.packet
+
+    def _drop_last_of_longest(self) -> None:
+        """Drop a packet of the longest stream of the lowest rank."""
+        rank = max(self._ranks)
+        streams = self._ranks[rank]
+        key = max(streams, key=lambda each: len(streams[each]))
+        _, entry = streams[key].popitem()
+        self._forget(entry.packet)
+        self.dropped += 1
+
+    def _forget(self, packet: QueuedPacket) -> None:
+        """Account for a removed packet, and remove what became empty."""
+        self._queued_bytes -= _size(packet)
+        streams = self._ranks[packet.rank]
+        if not streams[packet.stream]:
+            streams.pop(packet.stream)
+        if not streams:
+            self._ranks.pop(packet.rank)
+
+
+def _usable_rate(link_bytes_per_s: float) -> float:
+    return link_bytes_per_s * LINK_SHARE if link_bytes_per_s else math.inf
+
+
+def _size(packet: QueuedPacket) -> int:
+    return len(packet.message) + HEADER_BYTES
--- a/kumquatport/platform/settings.py
+++ b/kumquatport/platform/settings.py
@@ -12,6 +12,7 @@
 from kumquatport.process.packets import models
 
 _MS_PER_S: typing.Final = 1000.0
+_BYTES_PER_MEGABIT: typing.Final = 125_000
 
 
 def _parse_endpoint(text: object) -> models.Endpoint:
@@ -50,6 +51,10 @@
             },
             extra=vol.ALLOW_EXTRA,
         ),
+        vol.Optional('Limits', default=dict): vol.Schema(
+            {vol.Optional('LinkMbps', default=0): _NON_NEGATIVE_NUMBER},
+            extra=vol.ALLOW_EXTRA,
+        ),
         vol.Required('Bounds'): vol.Schema(
             {
                 vol.Optional('WarmupFactor', default=1.0): _NON_NEGATIVE_NUMBER,
@@ -137,6 +142,7 @@
         is_first_start=checked['Bootstrap'],
         store=_to_store_settings(checked['platform']),
         bounds=_to_bounds(checked['Bounds']),
+        link_bytes_per_s=checked['Limits']['LinkMbps'] * _BYTES_PER_MEGABIT,
     )
 
 
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -63,6 +63,7 @@
         Raises:
             StartError: The address or port cannot be bound.
         """
+        self._forwarder.link.call_later = asyncio.get_running_loop().call_later
         _, close = datagrams.listen(self._entry, self._forwarder.on_client)
         self._close_callbacks.append(close)
         self.add_future(self._async_expire())
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -19,6 +19,7 @@
     decision_log,
     flow_lookup,
     known_configuration,
+    link_sender,
     mesh,
     models,
 )
@@ -36,6 +37,9 @@
     (members_const.STATE_READY, members_const.STATE_VACANT)
 )
 
+# Rank of all data until routes state priorities.
+NO_PRIORITY: typing.Final = 0
+
 # Seconds for which the mean cost of an open flow is cached.
 FLOW_COST_TTL_S: typing.Final = 0.3
 
@@ -45,6 +49,7 @@
 
     Attributes:
         on_queued: Called when a packet has been queued for ``retry_queued``.
+        link: Sends packets at the rate of this host's link.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self.on_queued: abc.Callable[[], None] = _ignore_queued
         self._flow_costs: dict[str, tuple[float, float]] = {}
         self._log = decision_log.DecisionLog(_LOGGER, codec.format_flow)
+        self.link = link_sender.LinkSender(settings.link_bytes_per_s, peers)
         self._lookup = flow_lookup.FlowLookup(
             settings,
             peers,
@@ -93,7 +99,7 @@
     @property
     def counts(self) -> abc.Mapping[str, float]:
         """Return the number of times that each decision was taken."""
-        return self._log.counts
+        return {**self._log.counts, **self.link.counts}
 
     def gauges(self) -> abc.Mapping[str, float]:
         """Return the current values of the gauges."""
@@ -105,12 +111,14 @@
             'store_era': self._configuration.store_era,
             'domains_out': len(self._configuration.domains_out),
             'beliefs_age_s': self._configuration.reported_age_s,
+            'link_wait_s': self.link.wait_s,
         }
 
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
         self._settings = settings
         self._lookup.apply_settings(settings)
+        self.link.apply_rate(settings.link_bytes_per_s)
 
     def expire(self) -> None:
         """Remove expired flows and log the number of omitted log lines."""
@@ -403,7 +411,7 @@
             if packet.is_opening
             else packet.datagram,
         )
-        self._mesh.send(message, record.address)
+        self.link.send(packet, NO_PRIORITY, message, record.address)
 
     def _with_service(self, packet: packets.Packet) -> bytes:
         """Return an opening packet that names the service of its flow.
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -35,6 +35,7 @@
             paused.
         on_frame: Called with each frame that carries a packet or flow keys,
             and the address of its sender.
+        on_sent: Called with the size of each datagram that has been sent.
         on_peer_started: Called with the record of a peer that is new or has
             restarted.
         on_draining_reported: Called when a peer reports that the backend
@@ -74,6 +75,7 @@
             self.registry,
         )
         self.on_frame: peers.FrameHandler = _ignore_frame
+        self.on_sent: abc.Callable[[int], None] = _ignore_size
         self.on_peer_started: abc.Callable[[members.InstanceRecord], None] = (
             _ignore_record
         )
@@ -320,6 +322,7 @@
     def _send(self, datagram: bytes, endpoint: tuple[str, int]) -> bool:
         if self._transport is None:
             return False
+        self.on_sent(len(datagram))
         return self._transport.send(datagram, endpoint)
 
     def _send_full_heartbeats(self) -> None:
@@ -729,6 +732,10 @@
     """Ignore started and expired peers until a handler is set."""
 
 
+def _ignore_size(_datagram_bytes: int) -> None:
+    """Ignore sent datagrams; only a balancer limits its rate."""
+
+
 def _ignore_draining() -> None:
     """Ignore reports of draining; a balancer has no backend server."""
 
--- a/kumquatport/process/packets/models.py
+++ b/kumquatport/process/packets/models.py
@@ -79,6 +79,7 @@
         store: Settings of the platform's store.
         bounds: Limits guaranteed to the users.
         metrics_port: TCP port of the metrics; 0 for none.
+        link_bytes_per_s: Rate of the host's link; 0 if none is stated.
     """
 
     instance: str
@@ -99,6 +100,7 @@
     store: StoreSettings
     bounds: Bounds
     metrics_port: int = 0
+    link_bytes_per_s: float = 0
 
 
 class BackendServerReport(typing.NamedTuple):
