Name all errors of a settings file at once

An operator who mended one key met the next only at the following start. The error keeps the first key and lists the others with what was expected. The test failed before: only NodeName was named.

--- a/kumquatport/platform/settings.py
+++ b/kumquatport/platform/settings.py
@@ -111,13 +111,34 @@
             str(source), 0, '', str(error)
         ) from error
     except vol.Invalid as error:
-        key = '.'.join(str(part) for part in error.path)
+        first, *others = _list_errors(error)
         raise exceptions.SettingsError(
-            str(source), 0, key, error.error_message
+            str(source),
+            0,
+            _format_key(first),
+            '; '.join(
+                (
+                    first.error_message,
+                    *(
+                        f'{_format_key(other)}: {other.error_message}'
+                        for other in others
+                    ),
+                )
+            ),
         ) from error
     return _to_settings(checked)
 
 
+def _list_errors(invalid: vol.Invalid) -> list[vol.Invalid]:
+    if isinstance(invalid, vol.MultipleInvalid):
+        return list(invalid.errors)
+    return [invalid]
+
+
+def _format_key(invalid: vol.Invalid) -> str:
+    return '.'.join(str(part) for part in invalid.path)
+
+
 def _to_settings(checked: dict[str, typing.Any]) -> models.Settings:
     listen = checked['Listen']
     packet_endpoint = listen['DatagramAddr']
--- a/tests/unit/platform/test_reading.py
+++ b/tests/unit/platform/test_reading.py
@@ -220,6 +220,22 @@
                     settings.load(self.path)
                 self.assertEqual(caught.exception.key, key)
 
+    def test_all_errors_of_a_file_are_named_at_once(self):
+        """Guards against an operator who mends one error at a time."""
+        text = SETTINGS.replace('NodeName = "side-1"', '')
+        text = text.replace('DrainMs = 3000', 'DrainMs = -1')
+        text += '[Limits]\nLinkMbps = "fast"\n'
+        self.path.write_text(text)
+        with self.assertRaises(exceptions.SettingsError) as caught:
+            settings.load(self.path)
+        for key in ('NodeName', 'Bounds.DrainMs', 'Limits.LinkMbps'):
+            self.assertIn(key, str(caught.exception))
+
+    def test_rate_of_the_link(self):
+        self.assertEqual(settings.load(self.path).link_bytes_per_s, 0)
+        self.path.write_text(SETTINGS + '[Limits]\nLinkMbps = 5.0\n')
+        self.assertEqual(settings.load(self.path).link_bytes_per_s, 625_000)
+
     def test_malformed_or_missing_file(self):
         self.path.write_text('Ip = ')
         with self.assertRaises(exceptions.SettingsError):
