--- a/kumquatport/process/packets/reload.py
+++ b/kumquatport/process/packets/reload.py
@@ -18,7 +18,9 @@
 POLL_S: typing.Final = 2.0
 
 # Fields that a running process applies; the others need a restart.
-RELOADABLE: typing.Final = frozenset(('seeds', 'heartbeat_s', 'bounds'))
+RELOADABLE: typing.Final = frozenset(
+    ('seeds', 'heartbeat_s', 'bounds', 'link_bytes_per_s')
+)
 
 Load = abc.Callable[[pathlib.Path], models.Settings]
 Apply = abc.Callable[[models.Settings], None]
--- a/tests/unit/platform/test_reading.py
+++ b/tests/unit/platform/test_reading.py
@@ -232,6 +232,8 @@
             self.assertIn(key, str(caught.exception))
 
     def test_rate_of_the_link(self):
+        """Guards against a rate in another unit than bytes."""
+        self.path.write_text(SETTINGS)
         self.assertEqual(settings.load(self.path).link_bytes_per_s, 0)
         self.path.write_text(SETTINGS + '[Limits]\nLinkMbps = 5.0\n')
         self.assertEqual(settings.load(self.path).link_bytes_per_s, 625_000)
