Expire members that nobody hears, however often they are reported

Lookups of lost flows did not end: an instance that was lost before a balancer started stayed a member of all balancers, on real processes for 137 s and more. A record from the store or a peer had no expiry unless its instance had been heard, and balancers restored it to each other by comparing members.

A record now expires 90 s after it was learned. An expired record is refused, whether the store or a peer reports it, for as long as it is reported and 300 s more, until the instance is heard or a later record comes. Before a record expires, two balancers are asked in each heartbeat round whether they hear the instance, and only that answer prolongs it; the reporter of a refused record is asked too, so a balancer that hears the instance restores it. An instance that falls silent to one balancer only is kept in the same way, where its record was absent until a peer restored it. Query and answer are new kinds of frames, which former builds ignore. The record in the store is deleted as before.

--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -15,6 +15,10 @@
 # A query from a balancer to a registrar, and the answer.
 KIND_LOCATE: typing.Final = 8
 KIND_LOCATION: typing.Final = 9
+# A query whether the receiver hears some instances, and the answer. Builds that
+# know no kinds from here on ignore them.
+KIND_HEARD_QUERY: typing.Final = 10
+KIND_HEARD: typing.Final = 11
 
 # Flags of a forwarded packet. Query: the sender does not know whether this
 # agent holds the flow, and expects an answer.
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -166,6 +166,17 @@
                 self.remove_peer(instance)
                 yield instance
 
+    def silent_since(self, seconds: float) -> abc.Iterator[tuple[str, float]]:
+        """Yield the peers that are silent for longer, and when heard last.
+
+        Args:
+            seconds: Seconds of silence.
+        """
+        before = clock.now() - seconds
+        for instance, peer in self._peers.items():
+            if peer.last_heartbeat_at < before:
+                yield instance, peer.last_heartbeat_at
+
     def _suspect_timeout_s(self, instance: str, peer: peers.Peer) -> float:
         """Return the seconds of silence after which a peer is suspect."""
         record = self._registry.get(instance)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -11,6 +11,7 @@
     anti_entropy,
     known_configuration,
     liveness,
+    member_expiry,
     membership,
     messages,
     models,
@@ -91,6 +92,9 @@
             settings.failure_domain,
             is_balancer=self._is_balancer,
         )
+        self._expiry = member_expiry.MemberExpiry(
+            settings.instance, self._membership, self._liveness, self.send
+        )
         self._anti_entropy = anti_entropy.AntiEntropy(
             self._membership, self.send
         )
@@ -265,7 +269,10 @@
             # Only this process uses its endpoint, so the record is a former one.
             self.registry.merge(record)
             return
+        if self._expiry.is_refused(record):
+            return
         if self._membership.merge(record) and not members.is_departed(record):
+            self._expiry.note_learned(record)
             self.greet((record.address,))
 
     def schedule_heartbeats(self) -> None:
@@ -341,9 +348,7 @@
             round_number: Number of the heartbeat round.
         """
         self.pause_recovery.is_unconfirmed()
-        for instance in self._liveness.expire_silent():
-            self._expire_peer(instance)
-        self._membership.expire()
+        self._expire_members(round_number)
         encoded: dict[tuple[str, float], bytes] = {}
         greeting = b''
         for index, record in enumerate(self._heartbeat_peers()):
@@ -428,6 +433,8 @@
                 )
             elif kind == frame.KIND_CONTROL:
                 self._on_message(messages.decode(datagram), sender)
+            elif kind in {frame.KIND_HEARD_QUERY, frame.KIND_HEARD}:
+                self._on_names(kind, datagram, sender[0])
             else:
                 self.on_frame(datagram, sender[0])
         except exceptions.FramePayloadError as error:
@@ -449,7 +456,7 @@
             self.greet((sender,))
             return
         peer.round_s = heartbeat.round_s
-        self._liveness.note_heartbeat(peer, record)
+        self._note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
@@ -470,7 +477,7 @@
         if isinstance(message, messages.Heartbeat):
             self._on_heartbeat(message)
         elif isinstance(message, messages.Records):
-            self._on_records(message)
+            self._on_records(message, sender[0])
         elif isinstance(message, messages.Digests):
             self._on_digests(message, sender[0])
         elif isinstance(message, messages.ConfirmationRequest):
@@ -491,7 +498,7 @@
         is_new = record.incarnation > peer.incarnation
         peer.incarnation = record.incarnation
         self._liveness.set_peer(record.instance, peer)
-        self._liveness.note_heartbeat(peer, record)
+        self._note_heartbeat(peer, record)
         self._merge_heard(record)
         state = message.configuration
         age_s = self.pause_recovery.received_age_s(state.age_s)
@@ -504,6 +511,12 @@
         if is_new:
             self._on_peer_started(peer, record)
 
+    def _note_heartbeat(
+        self, peer: peers.Peer, record: members.InstanceRecord
+    ) -> None:
+        self._liveness.note_heartbeat(peer, record)
+        self._expiry.note_heard(record.instance)
+
     def _merge_heard(self, record: members.InstanceRecord) -> None:
         """Merge the record of an instance that has just been heard."""
         if record != self.registry.get(record.instance):
@@ -590,9 +603,19 @@
             self.on_draining_reported()
         self.pause_recovery.handle_confirmation(message, record.instance)
 
-    def _on_records(self, message: messages.Records) -> None:
+    def _on_records(self, message: messages.Records, sender: str) -> None:
         for record in message.records:
             self.learn_record(record)
+        self._expiry.query_refused(message.records, sender)
+
+    def _on_names(self, kind: int, datagram: bytes, sender: str) -> None:
+        """Handle a query whether instances are heard, or its answer."""
+        if not self.instance_at(sender):
+            self.greet((sender,))
+        elif kind == frame.KIND_HEARD_QUERY:
+            self._expiry.on_query(datagram, sender)
+        else:
+            self._expiry.on_heard(datagram)
 
     def _on_record(
         self,
@@ -703,12 +726,25 @@
         except exceptions.DocumentRejectedError as error:
             _LOGGER.warning('routes refused', peer=source, error=error)
 
-    def _expire_peer(self, instance: str) -> None:
-        record = self.registry.get(instance)
-        self._membership.forget(instance)
-        if record is not None:
-            self._release_address(record)
-            self.on_peer_expired(record)
+    def _expire_members(self, round_number: int) -> None:
+        """Remove the members that no process has heard for a while."""
+        self._expiry.query_doubtful(round_number)
+        for instance in self._liveness.expire_silent():
+            silent = self.registry.get(instance)
+            if silent is not None and not self._expiry.should_keep(instance):
+                self._expire(silent)
+        for record in self._expiry.due():
+            self._liveness.lines.warning(
+                'instance never heard', peer=record.instance
+            )
+            self._expire(record)
+        self._membership.expire()
+
+    def _expire(self, record: members.InstanceRecord) -> None:
+        self._membership.forget(record.instance)
+        self._expiry.expire(record)
+        self._release_address(record)
+        self.on_peer_expired(record)
 
     def _release_address(self, record: members.InstanceRecord) -> None:
         if self._instance_by_address.get(record.address) == record.instance:
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -207,6 +207,9 @@
 # What decoding raises, including for an unknown kind.
 _MALFORMED: typing.Final = (IndexError, *decoding.MALFORMED)
 
+# Names of instances in one frame, which keep it below 3 KB.
+NAMES_PER_FRAME: typing.Final = 40
+
 Message = Heartbeat | Records | Digests | ConfirmationRequest | Confirmation
 
 # The index is the number on the wire, so new kinds are appended.
@@ -242,6 +245,28 @@
     return message
 
 
+def encode_names(kind: int, names: abc.Sequence[str]) -> bytes:
+    """Encode names of instances as a frame.
+
+    Args:
+        kind: ``frame.KIND_HEARD_QUERY`` or ``frame.KIND_HEARD``.
+        names: At most ``NAMES_PER_FRAME`` names.
+    """
+    return bytes((kind,)) + msgspec.msgpack.encode(names)
+
+
+def decode_names(datagram: bytes) -> tuple[str, ...]:
+    """Decode a frame with names of instances.
+
+    Raises:
+        FramePayloadError: The datagram is malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(datagram[1:], type=tuple[str, ...])
+    except decoding.MALFORMED as error:
+        raise exceptions.FramePayloadError(str(error)) from error
+
+
 def _check_values(message: Message) -> None:
     """Check the ranges of values that are used for packing and sending.
 
