Tell a mass restart without comparing clocks of hosts

Whether most instances had just restarted together was told from the start times in their records, by the clocks of their hosts, and from the own clock. In tests with six agents, clocks that differ by 7 s each, or an own clock that is 30 s behind, hid a loss of power: two agents were probed for a lost flow, while its client waited. A balancer restarted alone with its clock 59 s behind, at the start times of the others, took this for a mass restart and probed all six, which reaches backend servers that do not hold the flow.

Starts are now placed on the monotonic clock of the process that decides: it has seen an instance that it knows start anew, or the instance states how long it has been running. A balancer that has just started can tell only by the latter, and nothing that is sent says it, so a frame of 13 bytes follows each full heartbeat. Former builds ignore its kind. Full heartbeats are sent at a start, a change and first contact, so the uptimes are known as early as the records. Instances of former builds count as running before, if their start was not seen: a loss of power during an upgrade is met with limited probes.

--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -19,6 +19,8 @@
 # know no kinds from here on ignore them.
 KIND_HEARD_QUERY: typing.Final = 10
 KIND_HEARD: typing.Final = 11
+# Seconds since the start of the sender; follows its full heartbeats.
+KIND_UPTIME: typing.Final = 12
 
 # Flags of a forwarded packet. Query: the sender does not know whether this
 # agent holds the flow, and expects an answer.
@@ -56,6 +58,9 @@
 _HEADER: typing.Final = struct.Struct('<BBQ')
 HEADER_BYTES: typing.Final = _HEADER.size
 _LOCATION: typing.Final = struct.Struct('<BI')
+_UPTIME: typing.Final = struct.Struct('<BQI')
+_MAX_UPTIME_MS: typing.Final = 2**32 - 1
+_MS_PER_S: typing.Final = 1000
 
 
 class Frame(typing.NamedTuple):
@@ -122,6 +127,32 @@
     return Location(address, message[_LOCATION.size :])
 
 
+class Uptime(typing.NamedTuple):
+    """Statement of an instance how long it has been running.
+
+    Attributes:
+        incarnation: Incarnation of its record.
+        uptime_s: Seconds since its start.
+    """
+
+    incarnation: int
+    uptime_s: float
+
+
+def pack_uptime(uptime: Uptime) -> bytes:
+    """Encode how long an instance has been running; see ``Uptime``."""
+    uptime_ms = min(round(uptime.uptime_s * _MS_PER_S), _MAX_UPTIME_MS)
+    return _UPTIME.pack(KIND_UPTIME, uptime.incarnation, uptime_ms)
+
+
+def unpack_uptime(message: bytes) -> Uptime | None:
+    """Decode how long an instance has been running; None if too short."""
+    if len(message) < _UPTIME.size:
+        return None
+    _, incarnation, uptime_ms = _UPTIME.unpack_from(message)
+    return Uptime(incarnation, uptime_ms / _MS_PER_S)
+
+
 def pack_flows(kind: int, flows: typing.Iterable[bytes]) -> bytes:
     """Encode a list of flows.
 
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -285,18 +285,8 @@
     def _is_after_mass_restart(self, now: float) -> bool:
         if now >= self._restart_checked_at + RESTART_CHECK_S:
             self._restart_checked_at = now
-            own = self._settings.instance
             self._is_mass_restart = mass_restart.is_mass_restart(
-                [
-                    mass_restart.Start(
-                        record.incarnation,
-                        record.instance == own
-                        or not self._mesh.is_suspect(record.instance),
-                    )
-                    for record in self._mesh.registry.all_records()
-                    if not members.is_departed(record)
-                ],
-                clock.unix_ms(),
+                self._mesh.starts(), now
             )
         return self._is_mass_restart
 
--- a/kumquatport/process/packets/mass_restart.py
+++ b/kumquatport/process/packets/mass_restart.py
@@ -12,38 +12,44 @@
 # Share of the known instances that have started together.
 MIN_SHARE: typing.Final = 0.75
 
-# Longest time in ms between the first and the last of these starts. The
+# Longest time in seconds between the first and the last of these starts. The
 # platform starts all at the same moment, but some hosts are slower.
-MAX_SPAN_MS: typing.Final = 1_000
+MAX_SPAN_S: typing.Final = 1.0
 
-# Time in ms after the starts in which clients meet the loss of their flows.
-RECENT_MS: typing.Final = 4_000
+# Seconds after the starts in which clients meet the loss of their flows.
+RECENT_S: typing.Final = 4.0
 
 
 class Start(typing.NamedTuple):
-    """Start of an instance.
+    """Start of an instance, by the monotonic clock of this process.
+
+    Start times by the clocks of different hosts are not compared: one that is
+    off by seconds would hide a mass restart or feign one.
 
     Attributes:
-        started_ms: Unix time in ms by the clock of its host.
+        started_at: Monotonic seconds; None if it is unknown, as for an instance
+            of a former build that was running when this process started.
         is_heard: Whether its heartbeats arrive.
     """
 
-    started_ms: int
+    started_at: float | None
     is_heard: bool
 
 
-def is_mass_restart(starts: abc.Collection[Start], now_ms: int) -> bool:
+def is_mass_restart(starts: abc.Collection[Start], now: float) -> bool:
     """Return whether most instances have just started together.
 
     Args:
         starts: Starts of all known instances, including this one.
-        now_ms: Unix time in ms.
+        now: Monotonic time in seconds.
     """
-    recent_ms = sorted(
-        one.started_ms
+    recent = sorted(
+        one.started_at
         for one in starts
-        if one.is_heard and abs(now_ms - one.started_ms) <= RECENT_MS
+        if one.is_heard
+        and one.started_at is not None
+        and now - one.started_at <= RECENT_S
     )
     needed = max(math.ceil(MIN_SHARE * len(starts)), 2)
-    first_to_last = zip(recent_ms, recent_ms[needed - 1 :], strict=False)
-    return any(last - first <= MAX_SPAN_MS for first, last in first_to_last)
+    first_to_last = zip(recent, recent[needed - 1 :], strict=False)
+    return any(last - first <= MAX_SPAN_S for first, last in first_to_last)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -7,10 +7,12 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import frame
+from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     anti_entropy,
     known_configuration,
     liveness,
+    mass_restart,
     member_expiry,
     membership,
     messages,
@@ -85,6 +87,7 @@
             _ignore_record
         )
         self.load: abc.Callable[[], messages.Load | None] = _no_load
+        self._started_at = clock.now()
         self._settings = settings
         self._configuration = configuration
         self._liveness = liveness.Liveness(
@@ -198,6 +201,22 @@
             if record is not None and name != self._settings.instance:
                 self.send_load(record.address)
 
+    def starts(self) -> list[mass_restart.Start]:
+        """Return the starts of all known instances, including this one."""
+        own = self._settings.instance
+        starts = [mass_restart.Start(self._started_at, is_heard=True)]
+        for record in self.registry.all_records():
+            if record.instance == own or members.is_departed(record):
+                continue
+            peer = self._liveness.peer(record.instance)
+            starts.append(
+                mass_restart.Start(
+                    peer.started_at if peer else None,
+                    not self.is_suspect(record.instance),
+                )
+            )
+        return starts
+
     def live_balancers(self) -> list[str]:
         """Return the live balancers, including this process if it is one."""
         return sorted(self.live_balancer_domains())
@@ -260,7 +279,7 @@
         message = messages.encode(self._full_heartbeat(wants_reply=True))
         for address in addresses:
             if address != self._settings.address:
-                self.send(message, address)
+                self._send_with_uptime(message, address)
 
     def learn_record(self, record: members.InstanceRecord) -> None:
         """Merge a record and greet its instance if the record has changed."""
@@ -337,7 +356,15 @@
         self._is_heartbeat_scheduled = False
         message = messages.encode(self._full_heartbeat(wants_reply=False))
         for record in self._heartbeat_peers():
-            self.send(message, record.address)
+            self._send_with_uptime(message, record.address)
+
+    def _send_with_uptime(self, heartbeat: bytes, address: str) -> None:
+        """Send a full heartbeat, and the uptime that it has no field for."""
+        self.send(heartbeat, address)
+        uptime = frame.Uptime(
+            self.own_record.current.incarnation, clock.now() - self._started_at
+        )
+        self.send(frame.pack_uptime(uptime), address)
 
     def send_heartbeats(self, round_number: int) -> None:
         """Send the short heartbeats that are due, and greet silent peers.
@@ -370,7 +397,7 @@
             greeting = greeting or messages.encode(
                 self._full_heartbeat(wants_reply=True)
             )
-            self.send(greeting, record.address)
+            self._send_with_uptime(greeting, record.address)
 
     def _heartbeat_peers(self) -> abc.Iterator[members.InstanceRecord]:
         """Yield the records of the peers that get this process's heartbeats."""
@@ -433,6 +460,8 @@
                 )
             elif kind == frame.KIND_CONTROL:
                 self._on_message(messages.decode(datagram), sender)
+            elif kind == frame.KIND_UPTIME:
+                self._on_uptime(datagram, sender[0])
             elif kind in {frame.KIND_HEARD_QUERY, frame.KIND_HEARD}:
                 self._on_names(kind, datagram, sender[0])
             else:
@@ -496,7 +525,8 @@
         if not self._membership.should_keep(record):
             return
         is_new = record.incarnation > peer.incarnation
-        peer.incarnation = record.incarnation
+        if is_new:
+            peer.note_incarnation(record.incarnation, clock.now())
         self._liveness.set_peer(record.instance, peer)
         self._note_heartbeat(peer, record)
         self._merge_heard(record)
@@ -561,7 +591,7 @@
             with_changes=routes_version < self._configuration.routes_version,
         )
         reply = reply._replace(receiver_was_draining=peer.was_draining)
-        self.send(messages.encode(reply), record.address)
+        self._send_with_uptime(messages.encode(reply), record.address)
 
     def _tell_former_record(self, record: members.InstanceRecord) -> None:
         """Tell an instance that its former record outranks its own.
@@ -608,6 +638,12 @@
             self.learn_record(record)
         self._expiry.query_refused(message.records, sender)
 
+    def _on_uptime(self, datagram: bytes, sender: str) -> None:
+        peer = self._liveness.peer(self.instance_at(sender))
+        uptime = frame.unpack_uptime(datagram)
+        if peer is not None and uptime is not None:
+            peer.note_uptime(uptime, clock.now())
+
     def _on_names(self, kind: int, datagram: bytes, sender: str) -> None:
         """Handle a query whether instances are heard, or its answer."""
         if not self.instance_at(sender):
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -4,6 +4,7 @@
 import typing
 from collections import abc
 
+from kumquatport.connection.packets import frame
 from kumquatport.process.packets import const, messages
 from kumquatport.version import members
 
@@ -37,6 +38,8 @@
         load_requested_at: Monotonic seconds of the first offer since the last
             heartbeat that requested the load; infinity if there was none.
         incarnation: Incarnation of the peer's process.
+        started_at: Monotonic seconds, by the clock of this process, when the
+            peer started; None if it is unknown.
         load: Load of an agent.
         placed_flows: Flows placed on the agent since the last heartbeat.
         was_draining: Whether the backend server was draining when the agent
@@ -60,6 +63,7 @@
         'members_digest',
         'placed_flows',
         'round_s',
+        'started_at',
     )
 
     def __init__(self) -> None:
@@ -67,6 +71,7 @@
         self.last_heartbeat_at = -math.inf
         self.load_requested_at = math.inf
         self.incarnation = 0
+        self.started_at: float | None = None
         self.load: messages.Load | None = None
         self.placed_flows = 0
         self.was_draining = False
@@ -76,6 +81,30 @@
         self.is_suspect = True
         self.round_s = const.HEARTBEAT_S
 
+    def note_incarnation(self, incarnation: int, now: float) -> None:
+        """Record a new incarnation, whose start was seen if it is not the first.
+
+        Args:
+            incarnation: Incarnation of the peer's process.
+            now: Monotonic seconds.
+        """
+        self.started_at = now if self.incarnation else None
+        self.incarnation = incarnation
+
+    def note_uptime(self, uptime: frame.Uptime, now: float) -> None:
+        """Record for how long the peer has been running by its own clock.
+
+        Delays make the start appear later, so the earliest one counts.
+
+        Args:
+            uptime: Statement of the peer.
+            now: Monotonic seconds.
+        """
+        if uptime.incarnation == self.incarnation:
+            started_at = now - uptime.uptime_s
+            if self.started_at is None or started_at < self.started_at:
+                self.started_at = started_at
+
 
 def round_s(count: int) -> float:
     """Return the seconds between two heartbeat rounds.
