--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -7,10 +7,13 @@
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import frame
+from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     anti_entropy,
     known_configuration,
     liveness,
+    mass_restart,
+    member_expiry,
     membership,
     messages,
     models,
@@ -84,6 +87,7 @@
             _ignore_record
         )
         self.load: abc.Callable[[], messages.Load | None] = _no_load
+        self._started_at = clock.now()
         self._settings = settings
         self._configuration = configuration
         self._liveness = liveness.Liveness(
@@ -91,6 +95,9 @@
             settings.failure_domain,
             is_balancer=self._is_balancer,
         )
+        self._expiry = member_expiry.MemberExpiry(
+            settings.instance, self._membership, self._liveness, self.send
+        )
         self._anti_entropy = anti_entropy.AntiEntropy(
             self._membership, self.send
         )
@@ -194,6 +201,22 @@
             if record is not None and name != self._settings.instance:
                 self.send_load(record.address)
 
+    def starts(self) -> list[mass_restart.Start]:
+        """Return the starts of all known instances, including this one."""
+        own = self._settings.instance
+        starts = [mass_restart.Start(self._started_at, is_heard=True)]
+        for record in self.registry.all_records():
+            if record.instance == own or members.is_departed(record):
+                continue
+            peer = self._liveness.peer(record.instance)
+            starts.append(
+                mass_restart.Start(
+                    peer.started_at if peer else None,
+                    not self.is_suspect(record.instance),
+                )
+            )
+        return starts
+
     def live_balancers(self) -> list[str]:
         """Return the live balancers, including this process if it is one."""
         return sorted(self.live_balancer_domains())
@@ -256,7 +279,7 @@
         message = messages.encode(self._full_heartbeat(wants_reply=True))
         for address in addresses:
             if address != self._settings.address:
-                self.send(message, address)
+                self._send_with_uptime(message, address)
 
     def learn_record(self, record: members.InstanceRecord) -> None:
         """Merge a record and greet its instance if the record has changed."""
@@ -265,7 +288,10 @@
             # Only this process uses its endpoint, so the record is a former one.
             self.registry.merge(record)
             return
+        if self._expiry.is_refused(record):
+            return
         if self._membership.merge(record) and not members.is_departed(record):
+            self._expiry.note_learned(record)
             self.greet((record.address,))
 
     def schedule_heartbeats(self) -> None:
@@ -330,7 +356,15 @@
         self._is_heartbeat_scheduled = False
         message = messages.encode(self._full_heartbeat(wants_reply=False))
         for record in self._heartbeat_peers():
-            self.send(message, record.address)
+            self._send_with_uptime(message, record.address)
+
+    def _send_with_uptime(self, heartbeat: bytes, address: str) -> None:
+        """Send a full heartbeat, and the uptime that it has no field for."""
+        self.send(heartbeat, address)
+        uptime = frame.Uptime(
+            self.own_record.current.incarnation, clock.now() - self._started_at
+        )
+        self.send(frame.pack_uptime(uptime), address)
 
     def send_heartbeats(self, round_number: int) -> None:
         """Send the short heartbeats that are due, and greet silent peers.
@@ -341,9 +375,7 @@
             round_number: Number of the heartbeat round.
         """
         self.pause_recovery.is_unconfirmed()
-        for instance in self._liveness.expire_silent():
-            self._expire_peer(instance)
-        self._membership.expire()
+        self._expire_members(round_number)
         encoded: dict[tuple[str, float], bytes] = {}
         greeting = b''
         for index, record in enumerate(self._heartbeat_peers()):
@@ -365,7 +397,7 @@
             greeting = greeting or messages.encode(
                 self._full_heartbeat(wants_reply=True)
             )
-            self.send(greeting, record.address)
+            self._send_with_uptime(greeting, record.address)
 
     def _heartbeat_peers(self) -> abc.Iterator[members.InstanceRecord]:
         """Yield the records of the peers that get this process's heartbeats."""
@@ -428,6 +460,10 @@
                 )
             elif kind == frame.KIND_CONTROL:
                 self._on_message(messages.decode(datagram), sender)
+            elif kind == frame.KIND_UPTIME:
+                self._on_uptime(datagram, sender[0])
+            elif kind in {frame.KIND_HEARD_QUERY, frame.KIND_HEARD}:
+                self._on_names(kind, datagram, sender[0])
             else:
                 self.on_frame(datagram, sender[0])
         except exceptions.FramePayloadError as error:
@@ -449,7 +485,7 @@
             self.greet((sender,))
             return
         peer.round_s = heartbeat.round_s
-        self._liveness.note_heartbeat(peer, record)
+        self._note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
@@ -470,7 +506,7 @@
         if isinstance(message, messages.Heartbeat):
             self._on_heartbeat(message)
         elif isinstance(message, messages.Records):
-            self._on_records(message)
+            self._on_records(message, sender[0])
         elif isinstance(message, messages.Digests):
             self._on_digests(message, sender[0])
         elif isinstance(message, messages.ConfirmationRequest):
@@ -489,9 +525,10 @@
         if not self._membership.should_keep(record):
             return
         is_new = record.incarnation > peer.incarnation
-        peer.incarnation = record.incarnation
+        if is_new:
+            peer.note_incarnation(record.incarnation, clock.now())
         self._liveness.set_peer(record.instance, peer)
-        self._liveness.note_heartbeat(peer, record)
+        self._note_heartbeat(peer, record)
         self._merge_heard(record)
         state = message.configuration
         age_s = self.pause_recovery.received_age_s(state.age_s)
@@ -504,6 +541,12 @@
         if is_new:
             self._on_peer_started(peer, record)
 
+    def _note_heartbeat(
+        self, peer: peers.Peer, record: members.InstanceRecord
+    ) -> None:
+        self._liveness.note_heartbeat(peer, record)
+        self._expiry.note_heard(record.instance)
+
     def _merge_heard(self, record: members.InstanceRecord) -> None:
         """Merge the record of an instance that has just been heard."""
         if record != self.registry.get(record.instance):
@@ -548,7 +591,7 @@
             with_changes=routes_version < self._configuration.routes_version,
         )
         reply = reply._replace(receiver_was_draining=peer.was_draining)
-        self.send(messages.encode(reply), record.address)
+        self._send_with_uptime(messages.encode(reply), record.address)
 
     def _tell_former_record(self, record: members.InstanceRecord) -> None:
         """Tell an instance that its former record outranks its own.
@@ -590,9 +633,25 @@
             self.on_draining_reported()
         self.pause_recovery.handle_confirmation(message, record.instance)
 
-    def _on_records(self, message: messages.Records) -> None:
+    def _on_records(self, message: messages.Records, sender: str) -> None:
         for record in message.records:
             self.learn_record(record)
+        self._expiry.query_refused(message.records, sender)
+
+    def _on_uptime(self, datagram: bytes, sender: str) -> None:
+        peer = self._liveness.peer(self.instance_at(sender))
+        uptime = frame.unpack_uptime(datagram)
+        if peer is not None and uptime is not None:
+            peer.note_uptime(uptime, clock.now())
+
+    def _on_names(self, kind: int, datagram: bytes, sender: str) -> None:
+        """Handle a query whether instances are heard, or its answer."""
+        if not self.instance_at(sender):
+            self.greet((sender,))
+        elif kind == frame.KIND_HEARD_QUERY:
+            self._expiry.on_query(datagram, sender)
+        else:
+            self._expiry.on_heard(datagram)
 
     def _on_record(
         self,
@@ -703,12 +762,25 @@
         except exceptions.DocumentRejectedError as error:
             _LOGGER.warning('routes refused', peer=source, error=error)
 
-    def _expire_peer(self, instance: str) -> None:
-        record = self.registry.get(instance)
-        self._membership.forget(instance)
-        if record is not None:
-            self._release_address(record)
-            self.on_peer_expired(record)
+    def _expire_members(self, round_number: int) -> None:
+        """Remove the members that no process has heard for a while."""
+        self._expiry.query_doubtful(round_number)
+        for instance in self._liveness.expire_silent():
+            silent = self.registry.get(instance)
+            if silent is not None and not self._expiry.should_keep(instance):
+                self._expire(silent)
+        for record in self._expiry.due():
+            self._liveness.lines.warning(
+                'instance never heard', peer=record.instance
+            )
+            self._expire(record)
+        self._membership.expire()
+
+    def _expire(self, record: members.InstanceRecord) -> None:
+        self._membership.forget(record.instance)
+        self._expiry.expire(record)
+        self._release_address(record)
+        self.on_peer_expired(record)
 
     def _release_address(self, record: members.InstanceRecord) -> None:
         if self._instance_by_address.get(record.address) == record.instance:
