Let agents deny lost flows when backend servers start with them

After a loss of power that took the backend servers too, these started 0.18 s before their agents.

If most instances have just started together, no earlier agent has passed flows to a backend server that started with them, and the agent says so at once. The start time by the host's clock counts only then.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -193,6 +193,7 @@
 
     async def _async_watch_backend_server(self) -> None:
         while not self.should_stop:
+            self._datapath.check_mass_restart()
             if self._datapath.backend_server.should_check_presence():
                 await self._async_check_presence()
             await self.sleep(const.PRESENCE_POLL_S)
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -22,6 +22,7 @@
     backend_server,
     decision_log,
     known_configuration,
+    mass_restart,
     mesh,
     messages,
     models,
@@ -85,6 +86,7 @@
         self._log = decision_log.DecisionLog(_LOGGER, codec.format_flow)
         self._knows_all_flows = False
         self._started_at = clock.now()
+        self._stated_server_start = -math.inf
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
 
@@ -191,6 +193,7 @@
         it does not hold them.
         """
         self._flows.outcomes.clear()
+        self._stated_server_start = incarnation.stated_start
         if incarnation.started_after >= self._started_at:
             # All flows of this incarnation have passed through this process.
             self._mark_all_flows_known()
@@ -231,6 +234,23 @@
             self._reset_flows_until(checked_at, 'backend_server_gone')
         return is_gone
 
+    def check_mass_restart(self) -> None:
+        """Mark all flows as known if the backend server started with the agents.
+
+        After a loss of power of all hosts a backend server may start before its
+        agent. No earlier agent has passed flows to it, since all processes had
+        ended before. Its start time is by the clock of this host, which may
+        have been set meanwhile; that counts only after a mass restart, which no
+        planned work causes.
+        """
+        if self._knows_all_flows or math.isinf(self._stated_server_start):
+            return
+        first_start = mass_restart.first_start(self._mesh.starts(), clock.now())
+        if first_start is None:
+            return
+        if self._stated_server_start > first_start - mass_restart.MIN_OUTAGE_S:
+            self._mark_all_flows_known()
+
     def _mark_all_flows_known(self) -> None:
         """Mark all flows as known and answer the pending queries.
 
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -54,10 +54,13 @@
         previous_heartbeat_at: Monotonic seconds of the last heartbeat of the
             previous incarnation, which may have been late; minus infinity if
             there was none.
+        stated_start: Monotonic seconds of the start time that it states by the
+            clock of its host; minus infinity if it states none.
     """
 
     started_after: float
     previous_heartbeat_at: float
+    stated_start: float = -math.inf
 
 
 class BackendServer:
@@ -163,6 +166,7 @@
         return NewIncarnation(
             now - self._max_uptime_s(report, previous_heartbeat_at),
             previous_heartbeat_at,
+            now - _stated_age_s(report),
         )
 
     def is_current(self, report: models.BackendServerReport) -> bool:
@@ -332,8 +336,7 @@
             later_heartbeats * MAX_PERIODS_PER_HEARTBEAT * self.heartbeat_s
         )
         if report.born_ms:
-            age_s = (clock.unix_ms() - report.born_ms) / _MS_PER_S
-            return max(counted_s, age_s)
+            return max(counted_s, _stated_age_s(report))
         if math.isinf(previous_heartbeat_at):
             return math.inf
         return counted_s
@@ -472,6 +475,13 @@
     return current.born_ms == report.born_ms
 
 
+def _stated_age_s(report: models.BackendServerReport) -> float:
+    """Return the seconds since the stated start, infinity if none is stated."""
+    if not report.born_ms:
+        return math.inf
+    return (clock.unix_ms() - report.born_ms) / _MS_PER_S
+
+
 def _started_earlier(
     report: models.BackendServerReport, current: models.BackendServerReport
 ) -> bool:
--- a/kumquatport/process/packets/mass_restart.py
+++ b/kumquatport/process/packets/mass_restart.py
@@ -16,6 +16,10 @@
 # platform starts all at the same moment, but some hosts are slower.
 MAX_SPAN_S: typing.Final = 1.0
 
+# Seconds by which all processes had ended before the first of them started
+# again: half of the shortest delay of a restart and the time to load a program.
+MIN_OUTAGE_S: typing.Final = 0.4
+
 # Seconds after the starts in which clients meet the loss of their flows.
 RECENT_S: typing.Final = 4.0
 
@@ -43,6 +47,19 @@
         starts: Starts of all known instances, including this one.
         now: Monotonic time in seconds.
     """
+    return first_start(starts, now) is not None
+
+
+def first_start(starts: abc.Collection[Start], now: float) -> float | None:
+    """Return when the first of most instances started, if they just have.
+
+    Args:
+        starts: Starts of all known instances, including this one.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Monotonic seconds; None if it is no mass restart.
+    """
     recent = sorted(
         one.started_at
         for one in starts
@@ -52,4 +69,7 @@
     )
     needed = max(math.ceil(MIN_SHARE * len(starts)), 2)
     first_to_last = zip(recent, recent[needed - 1 :], strict=False)
-    return any(last - first <= MAX_SPAN_S for first, last in first_to_last)
+    return next(
+        (first for first, last in first_to_last if last - first <= MAX_SPAN_S),
+        None,
+    )
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -861,3 +861,66 @@
             self.datapath.on_frame(datagram, BALANCER)
         self.forward(b'short')
         self.assertEqual((self.sent, self.delivered), ([], []))
+
+    def hear_balancers(self, uptimes_s):
+        """Receive a full heartbeat of balancers, and for how long they run."""
+        for number, uptime_s in enumerate(uptimes_s, start=1):
+            address = f'10.0.1.{number}'
+            heartbeat = messages.Heartbeat(
+                builders.record(
+                    f'front-{number}',
+                    kind=members.KIND_BALANCER,
+                    service='',
+                    address=address,
+                    incarnation=number,
+                ),
+                None,
+                self.configuration.snapshot(with_changes=False),
+                wants_reply=False,
+            )
+            uptime = frame.pack_uptime(frame.Uptime(number, uptime_s))
+            for datagram in (messages.encode(heartbeat), uptime):
+                self.mesh.on_datagram(datagram, (address, 7000))
+
+    def start_beside_backend_server(self, uptimes_s, age_s):
+        """Start an agent, and a backend server shortly before or after it.
+
+        The backend server has called the agent in vain, so the number of its
+        heartbeats tells nothing.
+
+        Args:
+            uptimes_s: Seconds for which the balancers have been running.
+            age_s: Age of the backend server when the agent has started.
+        """
+        self.make_datapath(1)
+        born_ms = self.clock.unix_ms() - round(age_s * 1000)
+        self.clock.now += 0.3
+        self.datapath.handle_report(
+            builders.report(sequence=5, born_ms=born_ms)
+        )
+        self.hear_balancers(uptimes_s)
+        packet = builders.datagram(builders.flow(40099), acknowledged=7)
+        self.forward(packet, frame.FORWARD_QUERY)
+        self.datapath.check_mass_restart()
+
+    def test_flows_lost_with_all_power_are_denied_at_once(self):
+        """Guards against searches that last until FlowTtlS.
+
+        Backend servers started 0.18 s before their agents, which then could
+        not tell whether they hold a flow; clients waited to their deadline.
+        """
+        self.start_beside_backend_server([0.3, 0.4, 0.35, 0.5], age_s=0.18)
+        self.assertTrue(self.datapath.load().knows_all_flows)
+        self.assertEqual(self.returned(), [(frame.REASON_NOT_HELD, BALANCER)])
+
+    def test_agent_restarted_alone_denies_no_flow(self):
+        """FLOW: an earlier agent has passed flows to the backend server."""
+        self.start_beside_backend_server([600.0, 600, 600, 600], age_s=0.18)
+        self.assertFalse(self.datapath.load().knows_all_flows)
+
+    def test_backend_server_that_outlived_the_agents_may_hold_flows(self):
+        """FLOW: all processes were killed, the backend servers were not."""
+        for age_s in (1.0, 30.0):
+            with self.subTest(age_s=age_s):
+                self.start_beside_backend_server([0.3, 0.4, 0.35], age_s=age_s)
+                self.assertFalse(self.datapath.load().knows_all_flows)
