Hand registered flows over when a balancer stops or starts

A registrar that stops forgets its flows. Agents register them again when it is back, but an agent that restarted in between does not know them.

A balancer that starts is told the flows of such agents by those that know them. Without that, restarts in turn lost a flow all the same: each registrar was back, and empty, when the next one stopped.

Flows are named by the digest by which directories keep them, agents by name: a receiver that has just started may know no address. Former builds ignore the kind of the frame.

--- a/kumquatport/connection/packets/flow_cache.py
+++ b/kumquatport/connection/packets/flow_cache.py
@@ -107,6 +107,12 @@
             if cached.agents == (instance,)
         ]
 
+    def sole_agents(self) -> abc.Iterator[tuple[bytes, str]]:
+        """Yield the flows whose packets go to one agent alone, and the agent."""
+        for flow, cached in self._flows.items():
+            if len(cached.agents) == 1:
+                yield flow, cached.agents[0]
+
     def expire(self, now: float, idle_s: float) -> int:
         """Remove idle flows.
 
--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -21,6 +21,8 @@
 KIND_HEARD: typing.Final = 11
 # Seconds since the start of the sender; follows its full heartbeats.
 KIND_UPTIME: typing.Final = 12
+# Registered flows that a balancer hands over to another one.
+KIND_HANDOVER: typing.Final = 13
 
 # Flags of a forwarded packet. Query: the sender does not know whether this
 # agent holds the flow, and expects an answer.
--- a/kumquatport/connection/packets/registrars.py
+++ b/kumquatport/connection/packets/registrars.py
@@ -67,7 +67,11 @@
 
     def of_flow(self, flow: bytes) -> tuple[str, ...]:
         """Return the registrars of a flow, at most ``REGISTRARS_PER_FLOW``."""
-        group = xxhash.xxh64_intdigest(flow) % FLOW_GROUPS
+        return self.of_digest(xxhash.xxh64_intdigest(flow))
+
+    def of_digest(self, digest: int) -> tuple[str, ...]:
+        """Return the registrars of a flow, given the digest of its key."""
+        group = digest % FLOW_GROUPS
         selected = self._by_group.get(group)
         if selected is None:
             selected = _select(group, self._names)
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -95,9 +95,13 @@
         )
 
     async def async_drain(self) -> None:
-        """Report not ready, and forward until the platform has noticed."""
+        """Report not ready, and forward until the platform has noticed.
+
+        Meanwhile the flows registered here are handed over to other balancers.
+        """
         self._is_leaving = True
         self._mesh.own_record.update(members_const.STATE_LEAVING, None)
+        self._forwarder.leave()
         until_kill_s = self._settings.bounds.grace_s - const.SHUTDOWN_RESERVE_S
         await asyncio.sleep(min(const.BALANCER_DRAIN_S, max(until_kill_s, 0)))
 
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -98,7 +98,7 @@
             log: Log of the decisions.
             actions: Callbacks that dispose of a packet.
         """
-        self.registrar = registrar.Registrar(settings.instance, codec, peers)
+        self.registrar = registrar.Registrar(settings, codec, peers)
         self._settings = settings
         self._mesh = peers
         self._log = log
@@ -112,6 +112,7 @@
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
         self._settings = settings
+        self.registrar.handover.apply_settings(settings)
 
     def agent_order(self, service: str, flow: bytes) -> abc.Iterator[str]:
         """Yield the agents of a service in the hash order of a flow."""
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -92,6 +92,7 @@
             frame.KIND_RETURN: self._on_return_frame,
             frame.KIND_REGISTER: self._lookup.registrar.on_register,
             frame.KIND_UNREGISTER: self._lookup.registrar.on_unregister,
+            frame.KIND_HANDOVER: self._lookup.registrar.on_handover,
             frame.KIND_LOCATE: self._lookup.registrar.on_query,
             frame.KIND_LOCATION: self._on_location,
         }
@@ -120,11 +121,16 @@
         self._lookup.apply_settings(settings)
         self.link.apply_rate(settings.link_bytes_per_s)
 
+    def leave(self) -> None:
+        """Hand the flows known here over, because this process stops."""
+        self._lookup.registrar.handover.leave(self._flows.sole_agents())
+
     def expire(self) -> None:
         """Remove expired flows and log the number of omitted log lines."""
         table = self._configuration.routes
         idle_s = table.idle_timeout_s if table else 0
         self._flows.expire(clock.now(), idle_s)
+        self._lookup.registrar.expire()
         self._log.flush()
 
     def on_client(self, datagram: bytes, _sender: tuple[str, int]) -> None:
@@ -493,8 +499,9 @@
             self._lookup.on_location(unresolved, sender, address)
 
     def on_peer_started(self, record: members.InstanceRecord) -> None:
-        """Send a restarted agent the keys of the flows that it may hold."""
+        """Send a restarted instance the flows that it may hold or keep."""
         if record.kind != members.KIND_AGENT:
+            self._lookup.registrar.handover.on_balancer_started(record)
             return
         flows = self._flows.flows_of_agent(record.instance)
         self._mesh.send_flows(frame.KIND_HELD, flows, record.address)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -23,6 +23,7 @@
     watch_timing,
 )
 from kumquatport.version import members
+from kumquatport.version.members import const as members_const
 from kumquatport.version.replication import own_record
 
 _LOGGER = structlog.get_logger(__name__)
@@ -201,6 +202,37 @@
             if record is not None and name != self._settings.instance:
                 self.send_load(record.address)
 
+    def ready_balancers(self) -> list[str]:
+        """Return the balancers that are heard and ready, and this one if so."""
+        own = self._settings.instance
+        return [
+            record.instance
+            for record in self.registry.balancers()
+            if record.state == members_const.STATE_READY
+            and (record.instance == own or not self.is_suspect(record.instance))
+        ]
+
+    def has_started_since(self, instance: str, moment: float) -> bool:
+        """Return whether a peer is known to have started after a moment.
+
+        Args:
+            instance: Name of the peer.
+            moment: Monotonic seconds.
+        """
+        peer = self._liveness.peer(instance)
+        return (
+            peer is not None
+            and peer.started_at is not None
+            and peer.started_at > moment
+        )
+
+    def call_later(
+        self, delay_s: float, callback: abc.Callable[[], None]
+    ) -> None:
+        """Call a function after some seconds, unless disconnected."""
+        if self._transport is not None:
+            self._transport.call_later(delay_s, callback)
+
     def starts(self) -> list[mass_restart.Start]:
         """Return the starts of all known instances, including this one."""
         own = self._settings.instance
--- a/tests/builders/meshes.py
+++ b/tests/builders/meshes.py
@@ -1,5 +1,7 @@
 """Meshes of several instances, connected in this process."""
 
+from collections import abc
+
 from kumquatport.process.packets import known_configuration, mesh, peers
 from kumquatport.version import members
 from tests.builders import packets
@@ -11,6 +13,7 @@
     Attributes:
         meshes: The mesh at each address.
         configurations: The configuration known to the mesh at each address.
+        scheduled: Functions that meshes have scheduled for later.
     """
 
     def __init__(self) -> None:
@@ -19,13 +22,26 @@
         self.configurations: dict[
             str, known_configuration.KnownConfiguration
         ] = {}
+        self.scheduled: list[abc.Callable[[], None]] = []
         self._datagrams: list[tuple[bytes, str, str]] = []
         self._round = 0
 
-    def start(self, instance: str, address: str, kind: str) -> mesh.Mesh:
+    def start(
+        self,
+        instance: str,
+        address: str,
+        kind: str,
+        prepare: abc.Callable[[mesh.Mesh], None] = lambda _: None,
+    ) -> mesh.Mesh:
         """Start an instance, in place of an earlier one at its address.
 
         It greets the others and is ready.
+
+        Args:
+            instance: Name of the instance.
+            address: Address of the instance.
+            kind: ``agent`` or ``balancer``.
+            prepare: Called with its mesh before the mesh is connected.
         """
         settings = packets.settings(
             instance=instance,
@@ -39,6 +55,7 @@
         if kind == members.KIND_AGENT:
             started.load = packets.load
         self.meshes[address] = started
+        prepare(started)
         started.connect(
             peers.Transport(
                 lambda datagram, endpoint: self._send(
@@ -46,7 +63,7 @@
                 ),
                 lambda call: call(),
                 lambda *_: None,
-                lambda *_: None,
+                lambda _, call: self.scheduled.append(call),
             )
         )
         started.own_record.update('ready', None)
@@ -67,6 +84,13 @@
             instance.send_heartbeats(self._round)
         self.deliver()
 
+    def run_scheduled(self) -> None:
+        """Call the functions that are scheduled, and deliver the datagrams."""
+        due, self.scheduled = self.scheduled, []
+        for call in due:
+            call()
+        self.deliver()
+
     def _send(self, datagram: bytes, sender: str, receiver: str) -> bool:
         self._datagrams.append((datagram, sender, receiver))
         return True
