Keep the open flows of a leaving backend server whose listener is closed

A backend server that has announced its exit closes its TCP listener first and serves its open flows over UDP for seconds. The agent took the refused connection for the end of the process. It reset the flows, announced itself vacant, answered pending queries with "not held", deleted its record in the store and, on SIGTERM, announced that it will not return. Class: the end of one socket is taken for the end of its process.

While a backend server drains, or once it has announced its exit, a refused connection now stops new flows only. All these conclusions wait until

* the kernel lists no UDP socket at the port (/proc/net/udp; believed only if it lists the agent's own socket at the same address), so that no process can receive packets of its flows;
* or the agent knows all flows and none is open any more, so that nothing can be lost;
* or a later incarnation starts, as before.

A bound socket proves nothing: another process may have it. A stopping agent waits for this within its grace, and leaves its record where nothing was shown: agents are also restarted on their own. A backend server that ends without a notice loses its flows at once, as before.

Evidence: test_closed_listener_of_a_leaving_server_ends_no_open_flow (six cases), _answers_no_query, test_leaving_server_without_a_socket_has_ended, test_leaving_server_whose_flows_have_ended_is_vacant, test_next_backend_server_ends_the_flows_of_a_leaving_one, test_record_stays_while_a_leaving_backend_server_has_flows and test_record_is_deleted_when_the_last_flow_has_ended failed before, with the new parameter of note_absent accepted and ignored.

test_flows_of_a_backend_server_that_exits_are_reset and test_agent_that_has_left_stays_gone took the refused connection for the end; they now report that the socket is closed too and demand the same as before. So does the emulator, where a backend server that has crashed has no socket.

--- a/kumquatport/process/ctl/explain.py
+++ b/kumquatport/process/ctl/explain.py
@@ -17,6 +17,7 @@
     'backend server silent',
     'backend server answers',
     'backend server exits',
+    'backend server listener closed',
     'backend server absent',
     'store lost',
     'store regained',
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -16,6 +16,7 @@
     models,
     node,
     presence,
+    udp_sockets,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -121,12 +122,28 @@
         drain_until = min(clock.now() + const.AGENT_DRAIN_MAX_S, deadline)
         while self._datapath.busy and clock.now() < drain_until and not is_gone:
             await asyncio.sleep(const.AGENT_DRAIN_POLL_S)
+        await self._async_wait_for_end(deadline)
         self._datapath.register_flows(is_last=True)
-        if is_gone:
+        if self._datapath.backend_server.is_gone:
             self._datapath.has_left = True
             self._announce_state()
             await self._async_withdraw_before(deadline)
 
+    async def _async_wait_for_end(self, deadline: float) -> None:
+        """Wait until a backend server with a closed listener has ended.
+
+        Meanwhile its open flows are served. The stop of this agent is no proof
+        that they have ended: agents are also restarted on their own.
+
+        Args:
+            deadline: Monotonic seconds after which it is not awaited.
+        """
+        server = self._datapath.backend_server
+        interval_s = agent_datapath.EXIT_CHECK_INTERVAL_S
+        while server.is_listener_closed and clock.now() + interval_s < deadline:
+            await asyncio.sleep(interval_s)
+            await self._async_check_presence()
+
     async def _async_withdraw_before(self, deadline: float) -> None:
         """Delete this instance's record before a deadline.
 
@@ -185,7 +202,9 @@
         server = self._datapath.backend_server
         await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
         await self._async_check_presence()
-        while server.is_exiting and not self.should_stop:
+        while (
+            server.is_exiting or server.is_listener_closed
+        ) and not self.should_stop:
             await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
             await self._async_check_presence()
         if server.is_gone and self._discovery:
@@ -201,8 +220,14 @@
         """Check whether the backend server's process exists."""
         checked_at = clock.now()
         if not await presence.async_is_absent(self._target):
+            self._datapath.backend_server.note_listening()
             return
-        if self._datapath.note_absent(checked_at):
+        read_at = clock.now()
+        has_socket = udp_sockets.is_bound(self._target, self._outbound)
+        if has_socket is False:
+            # All its packets were sent before the sockets were read.
+            checked_at = read_at
+        if self._datapath.note_absent(checked_at, has_socket=has_socket):
             self._announce_state()
 
     def _announce_state(self) -> None:
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -213,24 +213,51 @@
             if state.server_last_seen_at <= moment:
                 self._reset_lost_flow(flow, state, reason)
 
-    def note_absent(self, checked_at: float) -> bool:
-        """Record that no backend server process was running at a given time.
+    def note_absent(
+        self, checked_at: float, *, has_socket: bool | None = None
+    ) -> bool:
+        """Handle a connection that the backend server's port refused.
 
-        This agent was running at that time, so all flows of a later
-        incarnation pass through it.
+        A backend server that is leaving may have closed its listener only; it
+        keeps its open flows until something else shows that its process has
+        ended. Any other one was not running at that time. This agent was, so
+        all flows of a later incarnation pass through it.
 
         Args:
             checked_at: Monotonic seconds of the check.
+            has_socket: Whether a UDP socket is bound to the port; None if
+                unknown. Without one, no process receives packets.
 
         Returns:
             Whether this changed anything that must be announced at once.
         """
+        if self._may_serve_open_flows(has_socket):
+            was_draining = self.backend_server.is_draining
+            self.backend_server.note_listener_closed(checked_at)
+            return self.backend_server.is_draining != was_draining
         self._mark_all_flows_known()
         is_gone = self.backend_server.note_absent(checked_at)
         if is_gone:
             self._reset_flows_until(checked_at, 'backend_server_gone')
         return is_gone
 
+    def _may_serve_open_flows(self, has_socket: bool | None) -> bool:
+        """Return whether a refused connection leaves open flows possible.
+
+        A socket alone does not show that the process lives: another one may
+        have bound the port.
+
+        Args:
+            has_socket: Whether a UDP socket is bound to the port; None if
+                unknown.
+        """
+        server = self.backend_server
+        if has_socket is False or server.is_gone:
+            return False
+        if not server.may_close_listener:
+            return False
+        return not self._knows_all_flows or bool(self._flows.open_count())
+
     def _mark_all_flows_known(self) -> None:
         """Mark all flows as known and answer the pending queries.
 
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -38,6 +38,10 @@
 # an earlier start time replaces it.
 TAKEOVER_HEARTBEATS: typing.Final = 1.5
 
+# Seconds between the checks while the listener of a backend server that is
+# leaving is closed: its process may end at any moment.
+CLOSED_CHECK_INTERVAL_S: typing.Final = 0.25
+
 _MS_PER_S: typing.Final = 1000
 
 # Maximum number of identifiers of former incarnations stored to recognize late
@@ -66,6 +70,8 @@
     Attributes:
         report: Latest heartbeat; None before the first.
         is_gone: Whether its process is absent.
+        is_listener_closed: Whether its listener refused the last connection
+            although its process may still serve its open flows.
         heartbeat_s: Seconds between two heartbeats.
     """
 
@@ -77,6 +83,7 @@
         """
         self.report: models.BackendServerReport | None = None
         self.is_gone = False
+        self.is_listener_closed = False
         self._was_draining = False
         self.heartbeat_s = heartbeat_s
         self._last_active_at = clock.now()
@@ -99,6 +106,7 @@
         self._has_bounced = False
         self._absent_at = math.inf
         self._exit_noticed_at = math.inf
+        self._has_announced_exit = False
 
     @property
     def is_exiting(self) -> bool:
@@ -108,10 +116,32 @@
     @property
     def is_draining(self) -> bool:
         """Return whether it is draining, exiting or gone."""
+        if self.is_listener_closed:
+            return True
         if self.report is None:
             return self._was_draining
         return self.is_gone or self.is_exiting or self.report.is_draining
 
+    @property
+    def may_close_listener(self) -> bool:
+        """Return whether it may serve flows after it closed its listener.
+
+        It may once it drains or has said that it exits, also if heartbeats
+        have revoked that: the notice was its own or one of an earlier start.
+        """
+        if self.report is None:
+            return self._was_draining
+        return (
+            self._has_announced_exit
+            or self.is_listener_closed
+            or self.report.is_draining
+        )
+
+    @property
+    def last_active_at(self) -> float:
+        """Return the monotonic seconds of its last heartbeat or packet."""
+        return self._last_active_at
+
     @property
     def is_cold(self) -> bool:
         """Return whether it accepts only a limited rate of new flows."""
@@ -158,6 +188,8 @@
             self._revoke_end(now)
             return None
         self._clear_end()
+        self.is_listener_closed = False
+        self._has_announced_exit = False
         if current is not None:
             self._note_former(current.identifier, current.born_ms)
         return NewIncarnation(
@@ -224,27 +256,59 @@
             self._note_former(identifier, self.report.born_ms)
             return False
         self._exit_noticed_at = clock.now()
+        self._has_announced_exit = True
         _LOGGER.info('backend server exits', backend_server=identifier)
         return True
 
     def should_check_presence(self) -> bool:
         """Return whether to check now that its process exists.
 
-        It may have ended if it has not reported yet, is silent, or has bounced
-        packets. True is returned at most once per heartbeat period and counts
+        It may have ended if it has not reported yet, is silent, has bounced
+        packets, or has closed its listener. True is returned at most once per
+        heartbeat period, more often after the listener was closed, and counts
         as a check.
         """
         now = clock.now()
-        if self.is_gone or now - self._presence_checked_at < self.heartbeat_s:
+        period_s = (
+            CLOSED_CHECK_INTERVAL_S
+            if self.is_listener_closed
+            else self.heartbeat_s
+        )
+        if self.is_gone or now - self._presence_checked_at < period_s:
             return False
         may_have_ended = (
-            self.report is None or self._has_bounced or not self.is_responsive()
+            self.is_listener_closed
+            or self.report is None
+            or self._has_bounced
+            or not self.is_responsive()
         )
         if may_have_ended:
             self._presence_checked_at = now
             self._has_bounced = False
         return may_have_ended
 
+    def note_listening(self) -> None:
+        """Record that its listener has not refused a connection."""
+        self.is_listener_closed = False
+
+    def note_listener_closed(self, checked_at: float) -> None:
+        """Record that its listener is closed while it is leaving.
+
+        It opens no new flows, and its open flows are kept.
+
+        Args:
+            checked_at: Monotonic seconds of the check.
+        """
+        if self.is_listener_closed or self._last_report_at > checked_at:
+            return
+        self.is_listener_closed = True
+        _LOGGER.info(
+            'backend server listener closed',
+            backend_server=self.report and self.report.identifier,
+            exiting=self.is_exiting,
+            silent_s=round(clock.now() - self._last_active_at, 3),
+        )
+
     def note_absent(self, checked_at: float) -> bool:
         """Mark it as gone, unless it has reported since it was found absent.
 
@@ -258,6 +322,7 @@
             return False
         now = clock.now()
         self.is_gone = True
+        self.is_listener_closed = False
         # No heartbeat revokes an exit that it has announced.
         self._absent_at = math.inf if self.is_exiting else now
         self._exit_noticed_at = math.inf
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -306,7 +306,7 @@
         """Check whether the backend server runs, if its agent is in doubt."""
         is_in_doubt = datapath.backend_server.should_check_presence()
         is_absent = is_in_doubt and not self.backend_servers[address].is_up
-        if is_absent and datapath.note_absent(self.sim.time):
+        if is_absent and datapath.note_absent(self.sim.time, has_socket=False):
             self._announce_state(address)
 
     def _confirm_exit(self, address: str) -> None:
@@ -315,7 +315,7 @@
             process is not None
             and process.datapath is not None
             and not self.backend_servers[address].is_up
-            and process.datapath.note_absent(self.sim.time)
+            and process.datapath.note_absent(self.sim.time, has_socket=False)
         ):
             self._announce_state(address)
 
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from kumquatport import exceptions
+from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     agent,
     agent_datapath,
@@ -15,6 +16,7 @@
     metrics,
     models,
 )
+from kumquatport.version.members import const as members_const
 from tests.builders import memberships
 from tests.builders import packets as builders
 
@@ -174,6 +176,46 @@
             await self._async_until(lambda: KEY not in self.store.objects)
         self.assertTrue(datapath.backend_server.is_gone)
 
+    async def test_record_stays_while_a_leaving_backend_server_has_flows(self):
+        """FLOW: without it, balancers reset the flows after a lookup.
+
+        The stop of the agent does not show that its backend server has ended:
+        agents are restarted on their own too.
+        """
+        datapath = self.agent._datapath
+        self.report(report())
+        datapath._flows.add_open(builders.flow(), clock.now())
+        sockets = 'kumquatport.process.packets.udp_sockets.is_bound'
+        settings = self.agent._settings
+        bounds = settings.bounds._replace(grace_s=SHORT_GRACE_S)
+        self.agent.apply_settings(settings._replace(bounds=bounds))
+        with mock.patch(sockets, return_value=None) as is_bound:
+            self.leave('i-1')
+            await asyncio.sleep(3 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await self.agent.async_drain()
+            self.assertIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_LEAVING)
+            # It ends while the agent stops.
+            is_bound.return_value = False
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await self.agent.async_drain()
+            self.assertNotIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_GONE)
+
+    async def test_record_is_deleted_when_the_last_flow_has_ended(self):
+        datapath = self.agent._datapath
+        self.report(report(born_ms=clock.unix_ms()))
+        flow = builders.flow()
+        datapath._flows.add_open(flow, clock.now())
+        sockets = 'kumquatport.process.packets.udp_sockets.is_bound'
+        with mock.patch(sockets, return_value=None):
+            self.leave('i-1')
+            await asyncio.sleep(2 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            self.assertIn(KEY, self.store.objects)
+            datapath._flows.remove(flow)
+            await self._async_until(lambda: KEY not in self.store.objects)
+
     async def test_record_is_restored_with_the_next_backend_server(self):
         self.report(report())
         self.leave('i-1')
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -727,7 +727,7 @@
         self.assertTrue(self.datapath.load().accepts)
         self.assertTrue(server.note_exit('i-1'))
         self.assertFalse(self.datapath.load().accepts)
-        self.assertTrue(self.report_absent())
+        self.assertTrue(self.report_absent(has_socket=False))
         self.assertEqual(self.resets(), [builders.CLIENT])
         self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
         # It has said so itself, so no later heartbeat revokes it.
@@ -755,10 +755,133 @@
         self.forward(builders.datagram(flow, acknowledged=501))
         self.assertEqual(len(self.delivered), 1)
 
-    def report_absent(self):
-        """Report that no backend server process exists."""
+    def report_absent(self, has_socket=None):
+        """Report that the port of the backend server refused a connection.
+
+        Args:
+            has_socket: Whether a UDP socket is bound to the port; None if
+                unknown.
+        """
         self.sent.clear()
-        return self.datapath.note_absent(self.clock.now)
+        return self.datapath.note_absent(self.clock.now, has_socket=has_socket)
+
+    def leave(self, way):
+        """Let the backend server leave, by the name of what it says."""
+        server = self.datapath.backend_server
+        if way == 'draining':
+            report = builders.report(sequence=2, is_draining=True)
+            self.datapath.handle_report(report)
+        else:
+            server.note_exit('i-1')
+        if way == 'heartbeats go on':
+            for sequence in (2, 3):
+                self.clock.now += server.heartbeat_s
+                self.datapath.handle_report(builders.report(sequence=sequence))
+
+    def test_closed_listener_of_a_leaving_server_ends_no_open_flow(self):
+        """FLOW: it is closed first, while open flows are still served."""
+        for way in ('draining', 'exiting', 'heartbeats go on'):
+            for has_socket in (None, True):
+                with self.subTest(way=way, has_socket=has_socket):
+                    self.make_datapath(1)
+                    self.datapath.handle_report(builders.report())
+                    flow = self.open()
+                    self.leave(way)
+                    self.clock.now += 8.4
+                    self.report_absent(has_socket)
+                    self.assertEqual(self.resets(), [])
+                    self.assert_serves_only(flow)
+                    # Its later heartbeats do not open it for new flows.
+                    self.datapath.handle_report(
+                        builders.report(sequence=4, is_draining=True)
+                    )
+                    self.assert_serves_only(flow)
+
+    def assert_serves_only(self, flow):
+        """Check that an open flow is served and no new one is opened."""
+        self.forward(builders.datagram(flow, acknowledged=501))
+        self.assertEqual(len(self.delivered), 1)
+        self.sent.clear()
+        self.from_server(flow, data=b'x')
+        self.assertEqual(self.sent[-1][1], (builders.CLIENT, 9000))
+        self.assertEqual(self.datapath.state, members_const.STATE_READY)
+        self.assertFalse(self.datapath.load().accepts)
+        self.forward(builders.datagram(builders.flow(40077), builders.SYN))
+        self.assertEqual(self.delivered, [])
+        self.assertEqual(
+            self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
+        )
+
+    def test_closed_listener_of_a_leaving_server_answers_no_query(self):
+        """FLOW: it may hold flows that a restarted agent has not seen."""
+        live = builders.report(
+            sequence=30, born_ms=self.clock.unix_ms() - 30_000
+        )
+        self.datapath.handle_report(live._replace(is_draining=True))
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.FORWARD_QUERY)
+        self.report_absent()
+        self.assertEqual(self.returned(), [])
+        self.assert_may_hold_others()
+
+    def test_leaving_server_without_a_socket_has_ended(self):
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.report_absent(has_socket=True)
+        self.clock.now += 0.25
+        self.assertTrue(self.datapath.backend_server.should_check_presence())
+        self.assertTrue(self.report_absent(has_socket=False))
+        self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
+
+    def test_leaving_server_whose_flows_have_ended_is_vacant(self):
+        """Otherwise it delays the lookups of lost flows."""
+        for has_socket in (None, True):
+            with self.subTest(has_socket=has_socket):
+                self.make_datapath(1)
+                born_ms = self.clock.unix_ms()
+                self.datapath.handle_report(builders.report(born_ms=born_ms))
+                flow = self.open()
+                self.leave('exiting')
+                self.assertFalse(self.report_absent(has_socket))
+                self.from_server(flow, builders.ACK | builders.FIN)
+                self.assertFalse(self.report_absent(has_socket))
+                self.forward(builders.datagram(flow, builders.FIN))
+                self.assertTrue(self.report_absent(has_socket))
+                self.assertEqual(self.resets(), [])
+                self.assertEqual(
+                    self.datapath.state, members_const.STATE_VACANT
+                )
+
+    def test_listener_that_is_open_again_opens_flows(self):
+        """Otherwise a late exit notice would stop new flows for good."""
+        server = self.datapath.backend_server
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.report_absent()
+        for sequence in (2, 3):
+            self.clock.now += server.heartbeat_s
+            self.datapath.handle_report(builders.report(sequence=sequence))
+        self.assertFalse(self.datapath.load().accepts)
+        server.note_listening()
+        self.assertTrue(self.datapath.load().accepts)
+
+    def test_next_backend_server_ends_the_flows_of_a_leaving_one(self):
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.clock.now += 1
+        self.report_absent()
+        self.clock.now += 3
+        following = builders.report(
+            identifier='i-2', born_ms=self.clock.unix_ms() - 100
+        )
+        self.sent.clear()
+        self.assertTrue(self.datapath.handle_report(following))
+        self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertTrue(self.datapath.load().accepts)
 
     def test_an_absent_backend_server_holds_nothing(self):
         """An agent that does not know all flows delays all lookups."""
@@ -817,12 +940,12 @@
         """The delayed reset after its backend server's exit keeps the state."""
         self.datapath.handle_report(builders.report())
         self.datapath.backend_server.note_exit('i-1')
-        self.report_absent()
+        self.report_absent(has_socket=False)
         self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
         self.datapath.is_leaving = True
         self.assertEqual(self.datapath.state, members_const.STATE_LEAVING)
         self.datapath.has_left = True
-        self.report_absent()
+        self.report_absent(has_socket=False)
         self.assertEqual(self.datapath.state, members_const.STATE_GONE)
 
     def test_presence_is_checked_in_doubt_and_rarely(self):
