Reset the flows whose data a leaving backend server leaves unanswered

A running backend server acknowledges data within milliseconds, on the same host. While its listener is closed, data on an open flow is now tracked until the backend server sends anything, on any flow, or a heartbeat. After 0.5 s and three checks without that, this flow alone is reset (reason `unanswered`); idle flows stay open. 0.5 s lies far above a running server's answer and below the 1.4 s of a client's attempt. The checks count because a pause of the whole host lets time pass in which the backend server could not answer. A check does not count while the backend server's socket holds packets that its process has not read: a frozen process, or one on a busy host, has not ignored them.

Evidence: test_unanswered_data_ends_the_flow_of_a_leaving_server failed before (no reset), as did the ends of test_pause_of_the_host_is_no_silence_of_a_leaving_server and test_leaving_server_that_gets_no_processor_keeps_its_flows. test_any_sign_of_life_keeps_the_flows_of_a_leaving_server and test_only_data_is_acknowledged guard against resets that are too early; they passed before, when there was no such reset. note_absent now takes the state of the socket in place of has_socket.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -223,11 +223,11 @@
             self._datapath.backend_server.note_listening()
             return
         read_at = clock.now()
-        has_socket = udp_sockets.is_bound(self._target, self._outbound)
-        if has_socket is False:
+        udp_socket = udp_sockets.read_state(self._target, self._outbound)
+        if udp_socket is not None and not udp_socket.is_bound:
             # All its packets were sent before the sockets were read.
             checked_at = read_at
-        if self._datapath.note_absent(checked_at, has_socket=has_socket):
+        if self._datapath.note_absent(checked_at, udp_socket):
             self._announce_state()
 
     def _announce_state(self) -> None:
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -15,6 +15,7 @@
     pending_queries,
     registrars,
     registration,
+    unanswered_data,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -25,6 +26,7 @@
     mesh,
     messages,
     models,
+    udp_sockets,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -87,6 +89,7 @@
         self._started_at = clock.now()
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
+        self._unanswered_data = unanswered_data.UnansweredData()
 
     @property
     def state(self) -> str:
@@ -191,6 +194,7 @@
         it does not hold them.
         """
         self._flows.outcomes.clear()
+        self._unanswered_data.clear()
         if incarnation.started_after >= self._started_at:
             # All flows of this incarnation have passed through this process.
             self._mark_all_flows_known()
@@ -214,7 +218,9 @@
                 self._reset_lost_flow(flow, state, reason)
 
     def note_absent(
-        self, checked_at: float, *, has_socket: bool | None = None
+        self,
+        checked_at: float,
+        udp_socket: udp_sockets.SocketState | None = None,
     ) -> bool:
         """Handle a connection that the backend server's port refused.
 
@@ -225,15 +231,17 @@
 
         Args:
             checked_at: Monotonic seconds of the check.
-            has_socket: Whether a UDP socket is bound to the port; None if
-                unknown. Without one, no process receives packets.
+            udp_socket: State of the UDP socket at the port; None if unknown.
+                If none is bound, no process receives packets.
 
         Returns:
             Whether this changed anything that must be announced at once.
         """
-        if self._may_serve_open_flows(has_socket):
+        if self._may_serve_open_flows(udp_socket):
             was_draining = self.backend_server.is_draining
             self.backend_server.note_listener_closed(checked_at)
+            if udp_socket is None or not udp_socket.has_unread:
+                self._reset_unanswered_flows()
             return self.backend_server.is_draining != was_draining
         self._mark_all_flows_known()
         is_gone = self.backend_server.note_absent(checked_at)
@@ -241,23 +249,34 @@
             self._reset_flows_until(checked_at, 'backend_server_gone')
         return is_gone
 
-    def _may_serve_open_flows(self, has_socket: bool | None) -> bool:
+    def _may_serve_open_flows(
+        self, udp_socket: udp_sockets.SocketState | None
+    ) -> bool:
         """Return whether a refused connection leaves open flows possible.
 
         A socket alone does not show that the process lives: another one may
         have bound the port.
 
         Args:
-            has_socket: Whether a UDP socket is bound to the port; None if
-                unknown.
+            udp_socket: State of the UDP socket at the port; None if unknown.
         """
         server = self.backend_server
-        if has_socket is False or server.is_gone:
+        if server.is_gone or not server.may_close_listener:
             return False
-        if not server.may_close_listener:
+        if udp_socket is not None and not udp_socket.is_bound:
             return False
         return not self._knows_all_flows or bool(self._flows.open_count())
 
+    def _reset_unanswered_flows(self) -> None:
+        """Reset the flows whose data a leaving backend server ignores."""
+        due = self._unanswered_data.check(
+            clock.now(), self.backend_server.last_active_at
+        )
+        for flow in due:
+            state = self._flows.get(flow)
+            if state is not None:
+                self._reset_lost_flow(flow, state, 'unanswered')
+
     def _mark_all_flows_known(self) -> None:
         """Mark all flows as known and answer the pending queries.
 
@@ -438,6 +457,10 @@
         if is_query:
             reply = frame.pack_flows(frame.KIND_HELD, (packet.flow,))
             self._mesh.send(reply, sender)
+        if packet.length and self.backend_server.is_listener_closed:
+            self._unanswered_data.add(
+                packet.flow, clock.now(), self.backend_server.last_active_at
+            )
         self._deliver(packet, sender)
 
     def _handle_unknown(
--- a/kumquatport/process/packets/udp_sockets.py
+++ b/kumquatport/process/packets/udp_sockets.py
@@ -1,6 +1,7 @@
 """Bound UDP sockets, as the kernel lists them."""
 
 import pathlib
+import re
 import socket
 import sys
 import typing
@@ -12,12 +13,35 @@
     pathlib.Path('/proc/net/udp6'),
 )
 
+# Number, local address, remote address, state, and the bytes in both queues.
+_LINE: typing.Final = re.compile(
+    r'\s*\d+: (?P<address>[0-9A-F]+):(?P<port>[0-9A-F]{4}) \S+ \S+'
+    ' [0-9A-F]+:(?P<unread>[0-9A-F]+)'
+)
+
 _ANY_ADDRESS: typing.Final = '00000000'
 _MAPPED_PREFIX: typing.Final = '0000000000000000FFFF0000'
 
 
-def is_bound(endpoint: tuple[str, int], own: tuple[str, int]) -> bool | None:
-    """Return whether a UDP socket on this host receives at an endpoint.
+class SocketState(typing.NamedTuple):
+    """State of the sockets that receive at an endpoint.
+
+    Attributes:
+        is_bound: Whether there is one.
+        has_unread: Whether one holds datagrams that its process has not read.
+    """
+
+    is_bound: bool
+    has_unread: bool
+
+
+CLOSED: typing.Final = SocketState(is_bound=False, has_unread=False)
+
+
+def read_state(
+    endpoint: tuple[str, int], own: tuple[str, int]
+) -> SocketState | None:
+    """Return the state of the UDP sockets that receive at an endpoint.
 
     The lists hold the sockets of one network namespace only. They tell if the
     endpoint is at an address to which this process is bound itself, and its
@@ -36,10 +60,13 @@
         address = _listed_address(endpoint[0])
     except OSError:
         return None
-    bound = _bound_ports(address)
-    if own[1] not in bound:
+    unread_by_port = _unread_by_port(address)
+    if own[1] not in unread_by_port:
         return None
-    return endpoint[1] in bound
+    unread = unread_by_port.get(endpoint[1])
+    if unread is None:
+        return CLOSED
+    return SocketState(is_bound=True, has_unread=unread > 0)
 
 
 def _listed_address(address: str) -> str:
@@ -48,8 +75,8 @@
     return f'{number:08X}'
 
 
-def _bound_ports(address: str) -> set[int]:
-    """Return the ports of the sockets that receive at an address.
+def _unread_by_port(address: str) -> dict[int, int]:
+    """Return the unread bytes of the sockets that receive at an address.
 
     Args:
         address: Address in the form of the lists.
@@ -60,15 +87,15 @@
         _ANY_ADDRESS,
         _ANY_ADDRESS * 4,
     }
-    ports = set()
+    unread_by_port: dict[int, int] = {}
     for line in _lines():
-        fields = line.split()
-        if len(fields) < 2 or ':' not in fields[1]:
+        match = _LINE.match(line)
+        if match is None or match['address'] not in receiving:
             continue
-        listed, _, port = fields[1].partition(':')
-        if listed in receiving:
-            ports.add(int(port, 16))
-    return ports
+        port = int(match['port'], 16)
+        unread = unread_by_port.get(port, 0) + int(match['unread'], 16)
+        unread_by_port[port] = unread
+    return unread_by_port
 
 
 def _lines() -> abc.Iterator[str]:
@@ -78,4 +105,4 @@
         except OSError:
             # Another system, or one without IPv6.
             continue
-        yield from text.splitlines()[1:]
+        yield from text.splitlines()
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -13,6 +13,7 @@
     mesh,
     models,
     peers,
+    udp_sockets,
     watch_timing,
 )
 from kumquatport.version import members, routes
@@ -306,7 +307,9 @@
         """Check whether the backend server runs, if its agent is in doubt."""
         is_in_doubt = datapath.backend_server.should_check_presence()
         is_absent = is_in_doubt and not self.backend_servers[address].is_up
-        if is_absent and datapath.note_absent(self.sim.time, has_socket=False):
+        if is_absent and datapath.note_absent(
+            self.sim.time, udp_sockets.CLOSED
+        ):
             self._announce_state(address)
 
     def _confirm_exit(self, address: str) -> None:
@@ -315,7 +318,7 @@
             process is not None
             and process.datapath is not None
             and not self.backend_servers[address].is_up
-            and process.datapath.note_absent(self.sim.time, has_socket=False)
+            and process.datapath.note_absent(self.sim.time, udp_sockets.CLOSED)
         ):
             self._announce_state(address)
 
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -15,6 +15,7 @@
     http_services,
     metrics,
     models,
+    udp_sockets,
 )
 from kumquatport.version.members import const as members_const
 from tests.builders import memberships
@@ -185,11 +186,11 @@
         datapath = self.agent._datapath
         self.report(report())
         datapath._flows.add_open(builders.flow(), clock.now())
-        sockets = 'kumquatport.process.packets.udp_sockets.is_bound'
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
         settings = self.agent._settings
         bounds = settings.bounds._replace(grace_s=SHORT_GRACE_S)
         self.agent.apply_settings(settings._replace(bounds=bounds))
-        with mock.patch(sockets, return_value=None) as is_bound:
+        with mock.patch(sockets, return_value=None) as read_state:
             self.leave('i-1')
             await asyncio.sleep(3 * agent_datapath.EXIT_CHECK_INTERVAL_S)
             async with asyncio.timeout(SHORT_GRACE_S):
@@ -197,7 +198,7 @@
             self.assertIn(KEY, self.store.objects)
             self.assertEqual(datapath.state, members_const.STATE_LEAVING)
             # It ends while the agent stops.
-            is_bound.return_value = False
+            read_state.return_value = udp_sockets.CLOSED
             async with asyncio.timeout(SHORT_GRACE_S):
                 await self.agent.async_drain()
             self.assertNotIn(KEY, self.store.objects)
@@ -208,7 +209,7 @@
         self.report(report(born_ms=clock.unix_ms()))
         flow = builders.flow()
         datapath._flows.add_open(flow, clock.now())
-        sockets = 'kumquatport.process.packets.udp_sockets.is_bound'
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
         with mock.patch(sockets, return_value=None):
             self.leave('i-1')
             await asyncio.sleep(2 * agent_datapath.EXIT_CHECK_INTERVAL_S)
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -13,6 +13,7 @@
     mesh,
     messages,
     peers,
+    udp_sockets,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -755,15 +756,19 @@
         self.forward(builders.datagram(flow, acknowledged=501))
         self.assertEqual(len(self.delivered), 1)
 
-    def report_absent(self, has_socket=None):
+    def report_absent(self, has_socket=None, *, has_unread=False):
         """Report that the port of the backend server refused a connection.
 
         Args:
             has_socket: Whether a UDP socket is bound to the port; None if
                 unknown.
+            has_unread: Whether the socket holds packets that are not read.
         """
         self.sent.clear()
-        return self.datapath.note_absent(self.clock.now, has_socket=has_socket)
+        state = None
+        if has_socket is not None:
+            state = udp_sockets.SocketState(has_socket, has_unread)
+        return self.datapath.note_absent(self.clock.now, state)
 
     def leave(self, way):
         """Let the backend server leave, by the name of what it says."""
@@ -868,6 +873,91 @@
         server.note_listening()
         self.assertTrue(self.datapath.load().accepts)
 
+    def deliver_after_closing(self):
+        """Deliver data to a leaving server; return the idle and this flow."""
+        self.datapath.handle_report(builders.report())
+        idle, flow = self.open(40001), self.open(40002)
+        self.leave('exiting')
+        self.report_absent()
+        self.clock.now += 0.25
+        self.forward(builders.datagram(flow, acknowledged=501, data=b'x'))
+        return idle, flow
+
+    def test_unanswered_data_ends_the_flow_of_a_leaving_server(self):
+        """Its client would wait until its deadline; idle flows stay open."""
+        for has_socket in (None, True):
+            with self.subTest(has_socket=has_socket):
+                self.make_datapath(1)
+                idle, flow = self.deliver_after_closing()
+                for _ in range(2):
+                    self.clock.now += 0.25
+                    self.report_absent(has_socket)
+                    self.assertEqual(self.resets(), [])
+                # The client's retransmissions do not begin the time again.
+                self.forward(
+                    builders.datagram(flow, acknowledged=501, data=b'x')
+                )
+                self.clock.now += 0.25
+                self.report_absent(has_socket)
+                self.assertEqual(self.resets(), [builders.CLIENT])
+                self.assertEqual(self.datapath.counts['flow lost'], 1)
+                self.forward(builders.datagram(idle, acknowledged=501))
+                self.assertEqual(len(self.delivered), 1)
+
+    def test_any_sign_of_life_keeps_the_flows_of_a_leaving_server(self):
+        """FLOW: it may serve another flow first."""
+        for sign in ('packet', 'heartbeat'):
+            with self.subTest(sign=sign):
+                self.make_datapath(1)
+                idle, flow = self.deliver_after_closing()
+                for number in range(8):
+                    self.clock.now += 0.25
+                    if sign == 'packet' and number % 2:
+                        self.from_server(idle)
+                    elif number % 2:
+                        report = builders.report(sequence=number + 2)
+                        self.datapath.handle_report(report)
+                    self.report_absent()
+                    self.assertEqual(self.resets(), [])
+                    self.forward(
+                        builders.datagram(flow, acknowledged=501, data=b'x')
+                    )
+
+    def test_only_data_is_acknowledged(self):
+        """FLOW: a backend server does not answer an acknowledgement."""
+        self.datapath.handle_report(builders.report())
+        flow = self.open()
+        self.leave('exiting')
+        for _ in range(8):
+            self.report_absent()
+            self.assertEqual(self.resets(), [])
+            self.clock.now += 0.25
+            self.forward(builders.datagram(flow, acknowledged=501))
+
+    def test_pause_of_the_host_is_no_silence_of_a_leaving_server(self):
+        """FLOW: after a pause it has had no time to answer."""
+        self.deliver_after_closing()
+        self.clock.now += 0.01
+        self.report_absent()
+        self.clock.now += 10
+        for interval_s, count in ((0, 0), (0.01, 0), (0.01, 0), (0.25, 1)):
+            self.clock.now += interval_s
+            self.report_absent()
+            self.assertEqual(len(self.resets()), count)
+
+    def test_leaving_server_that_gets_no_processor_keeps_its_flows(self):
+        """FLOW: a frozen one, or one on a busy host, reads nothing."""
+        self.deliver_after_closing()
+        for _ in range(8):
+            self.clock.now += 0.25
+            self.report_absent(has_socket=True, has_unread=True)
+            self.assertEqual(self.resets(), [])
+        # It reads again, but needs time to answer.
+        for count in (0, 0, 1):
+            self.clock.now += 0.25
+            self.report_absent(has_socket=True)
+            self.assertEqual(len(self.resets()), count)
+
     def test_next_backend_server_ends_the_flows_of_a_leaving_one(self):
         self.datapath.handle_report(builders.report())
         self.open()
--- a/tests/unit/process/packets/test_udp_sockets.py
+++ b/tests/unit/process/packets/test_udp_sockets.py
@@ -25,7 +25,8 @@
         return bound
 
     def is_bound(self, endpoint):
-        return udp_sockets.is_bound(endpoint, self.own.getsockname())
+        state = udp_sockets.read_state(endpoint, self.own.getsockname())
+        return state and state.is_bound
 
     def test_bound_until_it_is_closed(self):
         endpoint = self.other.getsockname()
@@ -33,6 +34,20 @@
         self.other.close()
         self.assertIs(self.is_bound(endpoint), False)
 
+    def test_unread_until_its_process_reads(self):
+        """A process that gets no processor reads nothing."""
+        endpoint = self.other.getsockname()
+
+        def has_unread():
+            own = self.own.getsockname()
+            return udp_sockets.read_state(endpoint, own).has_unread
+
+        self.assertFalse(has_unread())
+        self.own.sendto(b'x', endpoint)
+        self.assertTrue(has_unread())
+        self.other.recv(1)
+        self.assertFalse(has_unread())
+
     def test_bound_to_all_addresses(self):
         bound = self.bind('0.0.0.0')
         endpoint = (ADDRESS, bound.getsockname()[1])
@@ -54,8 +69,8 @@
             with self.subTest(listed=listed):
                 text = (
                     'sl local_address rem_address\n'
-                    f' 1: {number}:{own_port:04X} 00000000:0000 07\n'
-                    f' 2: {listed}:0009 00000000:0000 07\n'
+                    f' 1: {number}:{own_port:04X} 0:0 07 0:0 0\n'
+                    f' 2: {listed}:0009 0:0 07 0:0 0\n'
                 )
                 with mock.patch.object(
                     pathlib.Path, 'read_text', return_value=text
@@ -65,7 +80,7 @@
     def test_another_address_tells_nothing(self):
         """It may belong to another network namespace."""
         self.assertIsNone(self.is_bound(('127.0.66.5', 9)))
-        self.assertIsNone(udp_sockets.is_bound(('name', 9), ('name', 8)))
+        self.assertIsNone(udp_sockets.read_state(('name', 9), ('name', 8)))
 
     def test_list_without_the_own_socket_tells_nothing(self):
         endpoint = self.other.getsockname()
