Let a restarted agent beside a leaving server deny no flows

A flow of a leaving backend server could be reset by a balancer (`not_held`): its agent had restarted, so it did not know that the backend server was leaving, took the closed listener for the end of the process, and said that it holds no flow and that it knows all. Once all agents have said so, balancers reset the flow.

An exit notice before the first heartbeat counted for nothing, and the record was deleted after it; a peer's report of the drain that came after the first look at the listener changed nothing. The notice is now remembered, for the incarnation with its identifier. A report of the drain takes back an absence of which the closed listener was the only sign; it stands if the kernel listed no UDP socket either, so after a loss of power the answers come as early as before.

Evidence: test_exit_notice_before_the_first_heartbeat_is_remembered, test_exit_notice_after_a_restart_of_the_agent, and the cases "told after" and "exit notice" of test_restarted_agent_beside_a_leaving_server_answers_no_query failed before; the case "told before" has been mended with the first of these changes.

What remains: without a word of the peers or the backend server, and where the sockets cannot be read, a restarted agent still takes a closed listener for the end, since answers after a loss of power depend on it.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -58,9 +58,7 @@
         self._mesh.on_frame = self._datapath.on_frame
         self._mesh.on_peer_started = self._datapath.on_peer_started
         self._mesh.load = self._datapath.load
-        self._mesh.on_draining_reported = (
-            self._datapath.backend_server.note_reported_draining
-        )
+        self._mesh.on_draining_reported = self._handle_draining_reported
         self._discovery: discovery.Discovery | None = None
 
     async def on_start(self) -> None:
@@ -185,9 +183,14 @@
                 self.add_future(self._discovery.async_restore())
         return self._datapath.backend_server.is_current(report)
 
+    def _handle_draining_reported(self) -> None:
+        if self._datapath.note_reported_draining():
+            self._announce_state()
+
     def _handle_exit(self, identifier: str) -> None:
         server = self._datapath.backend_server
         if server.report is None:
+            server.note_exit(identifier)
             self.add_future(self._async_confirm_exit())
         elif server.note_exit(identifier):
             self._announce_state()
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -244,11 +244,28 @@
                 self._reset_unanswered_flows()
             return self.backend_server.is_draining != was_draining
         self._mark_all_flows_known()
-        is_gone = self.backend_server.note_absent(checked_at)
+        is_gone = self.backend_server.note_absent(
+            checked_at, is_assumed=udp_socket is None or udp_socket.is_bound
+        )
         if is_gone:
             self._reset_flows_until(checked_at, 'backend_server_gone')
         return is_gone
 
+    def note_reported_draining(self) -> bool:
+        """Handle a peer's report that the backend server was draining.
+
+        This process has restarted since then. If it has already taken a closed
+        listener for the end of the backend server, it takes that back: the
+        backend server may hold flows that this process has not seen.
+
+        Returns:
+            Whether this changed anything that must be announced at once.
+        """
+        if not self.backend_server.note_reported_draining():
+            return False
+        self._knows_all_flows = False
+        return True
+
     def _may_serve_open_flows(
         self, udp_socket: udp_sockets.SocketState | None
     ) -> bool:
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -106,7 +106,9 @@
         self._has_bounced = False
         self._absent_at = math.inf
         self._exit_noticed_at = math.inf
-        self._has_announced_exit = False
+        # Identifier of the last exit notice that may be its own.
+        self._exit_announced_by = ''
+        self._is_absence_assumed = False
 
     @property
     def is_exiting(self) -> bool:
@@ -129,11 +131,12 @@
         It may once it drains or has said that it exits, also if heartbeats
         have revoked that: the notice was its own or one of an earlier start.
         """
+        if self.is_listener_closed:
+            return True
         if self.report is None:
-            return self._was_draining
+            return self._was_draining or bool(self._exit_announced_by)
         return (
-            self._has_announced_exit
-            or self.is_listener_closed
+            self._exit_announced_by == self.report.identifier
             or self.report.is_draining
         )
 
@@ -189,8 +192,8 @@
             return None
         self._clear_end()
         self.is_listener_closed = False
-        self._has_announced_exit = False
         if current is not None:
+            self._exit_announced_by = ''
             self._note_former(current.identifier, current.born_ms)
         return NewIncarnation(
             now - self._max_uptime_s(report, previous_heartbeat_at),
@@ -203,15 +206,25 @@
             self.report, report
         )
 
-    def note_reported_draining(self) -> None:
+    def note_reported_draining(self) -> bool:
         """Mark it as draining because a peer reports that it was.
 
         The agent has restarted since then. Once the backend server has
         reported, its own heartbeats decide.
+
+        Returns:
+            Whether this revokes its absence, of which its closed listener was
+            the only sign.
         """
-        if self.report is None and not self._was_draining:
-            self._was_draining = True
-            _LOGGER.info('peers report that the backend server was draining')
+        if self.report is not None or self._was_draining:
+            return False
+        self._was_draining = True
+        _LOGGER.info('peers report that the backend server was draining')
+        if not self._is_absence_assumed:
+            return False
+        self._clear_end()
+        self.is_listener_closed = True
+        return True
 
     def note_other_service(self, report: models.BackendServerReport) -> None:
         """Handle a heartbeat that names another service.
@@ -251,12 +264,13 @@
             Whether the current incarnation has this identifier.
         """
         if self.report is None:
+            self._exit_announced_by = identifier
             return False
         if identifier != self.report.identifier:
             self._note_former(identifier, self.report.born_ms)
             return False
         self._exit_noticed_at = clock.now()
-        self._has_announced_exit = True
+        self._exit_announced_by = identifier
         _LOGGER.info('backend server exits', backend_server=identifier)
         return True
 
@@ -309,11 +323,14 @@
             silent_s=round(clock.now() - self._last_active_at, 3),
         )
 
-    def note_absent(self, checked_at: float) -> bool:
+    def note_absent(
+        self, checked_at: float, *, is_assumed: bool = False
+    ) -> bool:
         """Mark it as gone, unless it has reported since it was found absent.
 
         Args:
             checked_at: Monotonic seconds at which its process was absent.
+            is_assumed: Whether its closed listener is the only sign of that.
 
         Returns:
             Whether it is gone.
@@ -322,6 +339,7 @@
             return False
         now = clock.now()
         self.is_gone = True
+        self._is_absence_assumed = is_assumed
         self.is_listener_closed = False
         # No heartbeat revokes an exit that it has announced.
         self._absent_at = math.inf if self.is_exiting else now
@@ -416,6 +434,7 @@
 
     def _clear_end(self) -> None:
         self.is_gone = False
+        self._is_absence_assumed = False
         self._absent_at = math.inf
         self._exit_noticed_at = math.inf
 
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -410,9 +410,7 @@
         process.mesh.on_frame = datapath.on_frame
         process.mesh.on_peer_started = datapath.on_peer_started
         process.mesh.load = datapath.load
-        process.mesh.on_draining_reported = (
-            datapath.backend_server.note_reported_draining
-        )
+        process.mesh.on_draining_reported = datapath.note_reported_draining
 
     def _deliver(self, address: str, datagram: bytes) -> None:
         """Deliver a packet from an agent to its local backend server."""
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -134,6 +134,22 @@
             self.leave('i-1')
             await self._async_until(lambda: KEY not in self.store.objects)
 
+    async def test_exit_notice_after_a_restart_of_the_agent(self):
+        """FLOW: the backend server may serve on with its listener closed."""
+        datapath = self.agent._datapath
+        # The backend server has started before the agent.
+        datapath.backend_server.is_gone = False
+        datapath._knows_all_flows = False
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
+        with mock.patch(sockets, return_value=None) as read_state:
+            self.leave('i-1')
+            await asyncio.sleep(3 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            self.assertIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_READY)
+            self.assertFalse(datapath.load().knows_all_flows)
+            read_state.return_value = udp_sockets.CLOSED
+            await self._async_until(lambda: KEY not in self.store.objects)
+
     async def test_unheard_leave_is_not_acknowledged(self):
         """DRAIN: the rule counts from the acknowledgement."""
         self.assertTrue(self.report(report(born_ms=9000)))
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -458,7 +458,7 @@
         self.assertTrue(greeting.wants_reply)
 
     def test_draining_reported_by_peers_after_a_restart(self):
-        self.datapath.backend_server.note_reported_draining()
+        self.datapath.note_reported_draining()
         self.forward(builders.datagram(self.flow, builders.SYN))
         self.assertEqual(
             self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
@@ -958,6 +958,63 @@
             self.report_absent(has_socket=True)
             self.assertEqual(len(self.resets()), count)
 
+    def test_restarted_agent_beside_a_leaving_server_answers_no_query(self):
+        """FLOW: once all agents have said no, balancers reset the flow.
+
+        Peers may tell of the drain after the first look at the listener.
+        """
+        for way in ('told before', 'told after', 'exit notice'):
+            for has_socket in (None, True):
+                with self.subTest(way=way, has_socket=has_socket):
+                    self.make_datapath(1)
+                    server = self.datapath.backend_server
+                    if way == 'told before':
+                        self.datapath.note_reported_draining()
+                    elif way == 'exit notice':
+                        server.note_exit('i-1')
+                    self.report_absent(has_socket)
+                    if way == 'told after':
+                        self.assertTrue(self.datapath.note_reported_draining())
+                    self.assert_may_hold_others()
+                    self.assert_serves_only_unseen()
+                    self.clock.now += 0.25
+                    self.assertTrue(server.should_check_presence())
+                    self.assertTrue(self.report_absent(has_socket=False))
+                    self.assertEqual(
+                        self.returned(), [(frame.REASON_NOT_HELD, BALANCER)]
+                    )
+                    self.assertFalse(self.datapath.note_reported_draining())
+                    self.assertEqual(
+                        self.datapath.state, members_const.STATE_VACANT
+                    )
+
+    def assert_serves_only_unseen(self):
+        """Check that an unseen flow is served and no new one is opened."""
+        flow = builders.flow(40055)
+        self.sent.clear()
+        self.from_server(flow, data=b'x')
+        self.assertEqual(self.sent[-1][1], (builders.CLIENT, 9000))
+        self.assert_serves_only(flow)
+
+    def test_exit_notice_before_the_first_heartbeat_is_remembered(self):
+        """FLOW: the notice reaches a restarted agent before a heartbeat."""
+        self.datapath.backend_server.note_exit('i-1')
+        self.datapath.handle_report(
+            builders.report(sequence=30, born_ms=self.clock.unix_ms() - 30_000)
+        )
+        self.open()
+        self.report_absent()
+        self.assertEqual(self.resets(), [])
+
+    def test_restarted_agent_without_a_backend_server_holds_nothing(self):
+        """After a loss of power its answer ends the lookups of lost flows.
+
+        A report of an earlier drain does not change what the kernel says.
+        """
+        self.assertTrue(self.report_absent(has_socket=False))
+        self.assertFalse(self.datapath.note_reported_draining())
+        self.assertTrue(self.datapath.load().knows_all_flows)
+
     def test_next_backend_server_ends_the_flows_of_a_leaving_one(self):
         self.datapath.handle_report(builders.report())
         self.open()
--- a/tests/unit/process/packets/test_pause_recovery.py
+++ b/tests/unit/process/packets/test_pause_recovery.py
@@ -42,9 +42,7 @@
             self.mesh,
             self.delivered.append,
         )
-        self.mesh.on_draining_reported = (
-            self.datapath.backend_server.note_reported_draining
-        )
+        self.mesh.on_draining_reported = self.datapath.note_reported_draining
         self.balancer = balancers.make(self._keep_for_agent)
         self.configuration.update_routes(
             routes.encode(builders.table()), 'test'
