Emulator: backend servers that serve on after their exit notice

A leaving backend server of the emulator ended in the instant of its exit notice, so no history could show that a closed listener is not the end of the process. Every other one now closes its listener, sends no more heartbeats and serves its open flows for 2 s; the others end at once, as before.

--- a/tests/emulator/backend_server.py
+++ b/tests/emulator/backend_server.py
@@ -47,6 +47,8 @@
         deliveries: Packets of the open flows of this backend server, at
             whichever backend server they arrived: time in seconds, flow and
             whether it was this one.
+        is_listening: Whether its TCP port accepts connections; it closes first
+            when the process exits.
         busy_slots: Slots in use.
         closes_when_draining: Whether it closes each flow after the next answer
             once it drains.
@@ -66,6 +68,7 @@
         self.service = service
         self.domain = domain
         self.is_up = False
+        self.is_listening = False
         self.is_draining = False
         self.started_at = 0.0
         self.incarnation = 0
@@ -97,6 +100,7 @@
         """
         self._identifier = identifier
         self.is_up = True
+        self.is_listening = True
         self.is_draining = False
         self.started_at = self.sim.time
         self.incarnation += 1
@@ -106,6 +110,7 @@
 
     def crash(self) -> None:
         self.is_up = False
+        self.is_listening = False
         self.on_up_changed(False)
         self.crashed_at = self.sim.time
         self.connections.clear()
--- a/tests/emulator/deployment.py
+++ b/tests/emulator/deployment.py
@@ -1,6 +1,7 @@
 """Simulated deployment of balancers, agents, backend servers and clients."""
 
 import ipaddress
+import itertools
 import typing
 import zlib
 from collections import abc
@@ -31,6 +32,9 @@
 COLD_FACTOR = 1.5
 COLD_SLACK = 5
 DRAIN_S = 3.0
+# Seconds for which a backend server serves open flows after its exit notice,
+# in turn.
+SERVE_ON_S = (2.0, 0.0)
 BOUNDS = models.Bounds(
     cold_factor=COLD_FACTOR,
     cold_slack=COLD_SLACK,
@@ -122,6 +126,7 @@
         self.probe_failures: dict[str, int] = {}
         self.clients: list[client.Client] = []
         self._settings: dict[str, models.Settings] = {}
+        self._serve_on_s = itertools.cycle(SERVE_ON_S)
         for number in range(plan.balancers):
             self._add_balancer(number)
         agents = ['store'] * plan.store_agents
@@ -260,9 +265,17 @@
                         agent_datapath.EXIT_CHECK_INTERVAL_S,
                         lambda: self._confirm_exit(address),
                     )
-            self.draining_since.pop(address, None)
-            server.crash()
-            self.sim.call_later(1.0, server.start)
+            server.is_listening = False
+            incarnation = server.incarnation
+            self.sim.call_later(
+                next(self._serve_on_s), lambda: end_process(incarnation)
+            )
+
+        def end_process(incarnation: int) -> None:
+            if server.is_up and server.incarnation == incarnation:
+                self.draining_since.pop(address, None)
+                server.crash()
+                self.sim.call_later(1.0, server.start)
 
         self.sim.call_later(DRAIN_S + 1.0, exit_process)
 
@@ -306,21 +319,25 @@
     ) -> None:
         """Check whether the backend server runs, if its agent is in doubt."""
         is_in_doubt = datapath.backend_server.should_check_presence()
-        is_absent = is_in_doubt and not self.backend_servers[address].is_up
-        if is_absent and datapath.note_absent(
-            self.sim.time, udp_sockets.CLOSED
-        ):
+        if is_in_doubt:
+            self._check_listener(address, datapath)
+
+    def _check_listener(
+        self, address: str, datapath: agent_datapath.AgentDatapath
+    ) -> None:
+        """Check whether the backend server's port refuses connections."""
+        server = self.backend_servers[address]
+        if server.is_listening:
+            datapath.backend_server.note_listening()
+            return
+        state = udp_sockets.SocketState(server.is_up, has_unread=False)
+        if datapath.note_absent(self.sim.time, state):
             self._announce_state(address)
 
     def _confirm_exit(self, address: str) -> None:
         process = self.processes.get(address)
-        if (
-            process is not None
-            and process.datapath is not None
-            and not self.backend_servers[address].is_up
-            and process.datapath.note_absent(self.sim.time, udp_sockets.CLOSED)
-        ):
-            self._announce_state(address)
+        if process is not None and process.datapath is not None:
+            self._check_listener(address, process.datapath)
 
     def _announce_state(self, address: str) -> None:
         process = self.processes.get(address)
@@ -374,7 +391,10 @@
     def _report_heartbeat(self, address: str) -> None:
         server = self.backend_servers[address]
         process = self.processes.get(address)
-        if not server.is_up or process is None or process.datapath is None:
+        if process is None or process.datapath is None:
+            return
+        if not server.is_listening:
+            # It sends no heartbeats after its exit notice.
             return
         if self.sim.node(address).frozen_until > self.sim.time:
             return
