--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -16,6 +16,7 @@
     models,
     node,
     presence,
+    udp_sockets,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -57,9 +58,7 @@
         self._mesh.on_frame = self._datapath.on_frame
         self._mesh.on_peer_started = self._datapath.on_peer_started
         self._mesh.load = self._datapath.load
-        self._mesh.on_draining_reported = (
-            self._datapath.backend_server.note_reported_draining
-        )
+        self._mesh.on_draining_reported = self._handle_draining_reported
         self._discovery: discovery.Discovery | None = None
 
     async def on_start(self) -> None:
@@ -121,12 +120,28 @@
         drain_until = min(clock.now() + const.AGENT_DRAIN_MAX_S, deadline)
         while self._datapath.busy and clock.now() < drain_until and not is_gone:
             await asyncio.sleep(const.AGENT_DRAIN_POLL_S)
+        await self._async_wait_for_end(deadline)
         self._datapath.register_flows(is_last=True)
-        if is_gone:
+        if self._datapath.backend_server.is_gone:
             self._datapath.has_left = True
             self._announce_state()
             await self._async_withdraw_before(deadline)
 
+    async def _async_wait_for_end(self, deadline: float) -> None:
+        """Wait until a backend server with a closed listener has ended.
+
+        Meanwhile its open flows are served. The stop of this agent is no proof
+        that they have ended: agents are also restarted on their own.
+
+        Args:
+            deadline: Monotonic seconds after which it is not awaited.
+        """
+        server = self._datapath.backend_server
+        interval_s = agent_datapath.EXIT_CHECK_INTERVAL_S
+        while server.is_listener_closed and clock.now() + interval_s < deadline:
+            await asyncio.sleep(interval_s)
+            await self._async_check_presence()
+
     async def _async_withdraw_before(self, deadline: float) -> None:
         """Delete this instance's record before a deadline.
 
@@ -168,9 +183,14 @@
                 self.add_future(self._discovery.async_restore())
         return self._datapath.backend_server.is_current(report)
 
+    def _handle_draining_reported(self) -> None:
+        if self._datapath.note_reported_draining():
+            self._announce_state()
+
     def _handle_exit(self, identifier: str) -> None:
         server = self._datapath.backend_server
         if server.report is None:
+            server.note_exit(identifier)
             self.add_future(self._async_confirm_exit())
         elif server.note_exit(identifier):
             self._announce_state()
@@ -185,7 +205,9 @@
         server = self._datapath.backend_server
         await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
         await self._async_check_presence()
-        while server.is_exiting and not self.should_stop:
+        while (
+            server.is_exiting or server.is_listener_closed
+        ) and not self.should_stop:
             await self.sleep(agent_datapath.EXIT_CHECK_INTERVAL_S)
             await self._async_check_presence()
         if server.is_gone and self._discovery:
@@ -202,8 +224,14 @@
         """Check whether the backend server's process exists."""
         checked_at = clock.now()
         if not await presence.async_is_absent(self._target):
+            self._datapath.backend_server.note_listening()
             return
-        if self._datapath.note_absent(checked_at):
+        read_at = clock.now()
+        udp_socket = udp_sockets.read_state(self._target, self._outbound)
+        if udp_socket is not None and not udp_socket.is_bound:
+            # All its packets were sent before the sockets were read.
+            checked_at = read_at
+        if self._datapath.note_absent(checked_at, udp_socket):
             self._announce_state()
 
     def _announce_state(self) -> None:
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -15,6 +15,7 @@
     pending_queries,
     registrars,
     registration,
+    unanswered_data,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -26,6 +27,7 @@
     mesh,
     messages,
     models,
+    udp_sockets,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -89,6 +91,7 @@
         self._stated_server_start = -math.inf
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
+        self._unanswered_data = unanswered_data.UnansweredData()
 
     @property
     def state(self) -> str:
@@ -194,6 +197,7 @@
         """
         self._flows.outcomes.clear()
         self._stated_server_start = incarnation.stated_start
+        self._unanswered_data.clear()
         if incarnation.started_after >= self._started_at:
             # All flows of this incarnation have passed through this process.
             self._mark_all_flows_known()
@@ -216,20 +220,36 @@
             if state.server_last_seen_at <= moment:
                 self._reset_lost_flow(flow, state, reason)
 
-    def note_absent(self, checked_at: float) -> bool:
-        """Record that no backend server process was running at a given time.
+    def note_absent(
+        self,
+        checked_at: float,
+        udp_socket: udp_sockets.SocketState | None = None,
+    ) -> bool:
+        """Handle a connection that the backend server's port refused.
 
-        This agent was running at that time, so all flows of a later
-        incarnation pass through it.
+        A backend server that is leaving may have closed its listener only; it
+        keeps its open flows until something else shows that its process has
+        ended. Any other one was not running at that time. This agent was, so
+        all flows of a later incarnation pass through it.
 
         Args:
             checked_at: Monotonic seconds of the check.
+            udp_socket: State of the UDP socket at the port; None if unknown.
+                If none is bound, no process receives packets.
 
         Returns:
             Whether this changed anything that must be announced at once.
         """
+        if self._may_serve_open_flows(udp_socket):
+            was_draining = self.backend_server.is_draining
+            self.backend_server.note_listener_closed(checked_at)
+            if udp_socket is None or not udp_socket.has_unread:
+                self._reset_unanswered_flows()
+            return self.backend_server.is_draining != was_draining
         self._mark_all_flows_known()
-        is_gone = self.backend_server.note_absent(checked_at)
+        is_gone = self.backend_server.note_absent(
+            checked_at, is_assumed=udp_socket is None or udp_socket.is_bound
+        )
         if is_gone:
             self._reset_flows_until(checked_at, 'backend_server_gone')
         return is_gone
@@ -251,6 +271,49 @@
         if self._stated_server_start > first_start - mass_restart.MIN_OUTAGE_S:
             self._mark_all_flows_known()
 
+    def note_reported_draining(self) -> bool:
+        """Handle a peer's report that the backend server was draining.
+
+        This process has restarted since then. If it has already taken a closed
+        listener for the end of the backend server, it takes that back: the
+        backend server may hold flows that this process has not seen.
+
+        Returns:
+            Whether this changed anything that must be announced at once.
+        """
+        if not self.backend_server.note_reported_draining():
+            return False
+        self._knows_all_flows = False
+        return True
+
+    def _may_serve_open_flows(
+        self, udp_socket: udp_sockets.SocketState | None
+    ) -> bool:
+        """Return whether a refused connection leaves open flows possible.
+
+        A socket alone does not show that the process lives: another one may
+        have bound the port.
+
+        Args:
+            udp_socket: State of the UDP socket at the port; None if unknown.
+        """
+        server = self.backend_server
+        if server.is_gone or not server.may_close_listener:
+            return False
+        if udp_socket is not None and not udp_socket.is_bound:
+            return False
+        return not self._knows_all_flows or bool(self._flows.open_count())
+
+    def _reset_unanswered_flows(self) -> None:
+        """Reset the flows whose data a leaving backend server ignores."""
+        due = self._unanswered_data.check(
+            clock.now(), self.backend_server.last_active_at
+        )
+        for flow in due:
+            state = self._flows.get(flow)
+            if state is not None:
+                self._reset_lost_flow(flow, state, 'unanswered')
+
     def _mark_all_flows_known(self) -> None:
         """Mark all flows as known and answer the pending queries.
 
@@ -431,6 +494,10 @@
         if is_query:
             reply = frame.pack_flows(frame.KIND_HELD, (packet.flow,))
             self._mesh.send(reply, sender)
+        if packet.length and self.backend_server.is_listener_closed:
+            self._unanswered_data.add(
+                packet.flow, clock.now(), self.backend_server.last_active_at
+            )
         self._deliver(packet, sender)
 
     def _handle_unknown(
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -38,6 +38,10 @@
 # an earlier start time replaces it.
 TAKEOVER_HEARTBEATS: typing.Final = 1.5
 
+# Seconds between the checks while the listener of a backend server that is
+# leaving is closed: its process may end at any moment.
+CLOSED_CHECK_INTERVAL_S: typing.Final = 0.25
+
 _MS_PER_S: typing.Final = 1000
 
 # Maximum number of identifiers of former incarnations stored to recognize late
@@ -69,6 +73,8 @@
     Attributes:
         report: Latest heartbeat; None before the first.
         is_gone: Whether its process is absent.
+        is_listener_closed: Whether its listener refused the last connection
+            although its process may still serve its open flows.
         heartbeat_s: Seconds between two heartbeats.
     """
 
@@ -80,6 +86,7 @@
         """
         self.report: models.BackendServerReport | None = None
         self.is_gone = False
+        self.is_listener_closed = False
         self._was_draining = False
         self.heartbeat_s = heartbeat_s
         self._last_active_at = clock.now()
@@ -102,6 +109,9 @@
         self._has_bounced = False
         self._absent_at = math.inf
         self._exit_noticed_at = math.inf
+        # Identifier of the last exit notice that may be its own.
+        self._exit_announced_by = ''
+        self._is_absence_assumed = False
 
     @property
     def is_exiting(self) -> bool:
@@ -111,10 +121,33 @@
     @property
     def is_draining(self) -> bool:
         """Return whether it is draining, exiting or gone."""
+        if self.is_listener_closed:
+            return True
         if self.report is None:
             return self._was_draining
         return self.is_gone or self.is_exiting or self.report.is_draining
 
+    @property
+    def may_close_listener(self) -> bool:
+        """Return whether it may serve flows after it closed its listener.
+
+        It may once it drains or has said that it exits, also if heartbeats
+        have revoked that: the notice was its own or one of an earlier start.
+        """
+        if self.is_listener_closed:
+            return True
+        if self.report is None:
+            return self._was_draining or bool(self._exit_announced_by)
+        return (
+            self._exit_announced_by == self.report.identifier
+            or self.report.is_draining
+        )
+
+    @property
+    def last_active_at(self) -> float:
+        """Return the monotonic seconds of its last heartbeat or packet."""
+        return self._last_active_at
+
     @property
     def is_cold(self) -> bool:
         """Return whether it accepts only a limited rate of new flows."""
@@ -161,7 +194,9 @@
             self._revoke_end(now)
             return None
         self._clear_end()
+        self.is_listener_closed = False
         if current is not None:
+            self._exit_announced_by = ''
             self._note_former(current.identifier, current.born_ms)
         return NewIncarnation(
             now - self._max_uptime_s(report, previous_heartbeat_at),
@@ -175,15 +210,25 @@
             self.report, report
         )
 
-    def note_reported_draining(self) -> None:
+    def note_reported_draining(self) -> bool:
         """Mark it as draining because a peer reports that it was.
 
         The agent has restarted since then. Once the backend server has
         reported, its own heartbeats decide.
+
+        Returns:
+            Whether this revokes its absence, of which its closed listener was
+            the only sign.
         """
-        if self.report is None and not self._was_draining:
-            self._was_draining = True
-            _LOGGER.info('peers report that the backend server was draining')
+        if self.report is not None or self._was_draining:
+            return False
+        self._was_draining = True
+        _LOGGER.info('peers report that the backend server was draining')
+        if not self._is_absence_assumed:
+            return False
+        self._clear_end()
+        self.is_listener_closed = True
+        return True
 
     def note_other_service(self, report: models.BackendServerReport) -> None:
         """Handle a heartbeat that names another service.
@@ -223,37 +268,73 @@
             Whether the current incarnation has this identifier.
         """
         if self.report is None:
+            self._exit_announced_by = identifier
             return False
         if identifier != self.report.identifier:
             self._note_former(identifier, self.report.born_ms)
             return False
         self._exit_noticed_at = clock.now()
+        self._exit_announced_by = identifier
         _LOGGER.info('backend server exits', backend_server=identifier)
         return True
 
     def should_check_presence(self) -> bool:
         """Return whether to check now that its process exists.
 
-        It may have ended if it has not reported yet, is silent, or has bounced
-        packets. True is returned at most once per heartbeat period and counts
+        It may have ended if it has not reported yet, is silent, has bounced
+        packets, or has closed its listener. True is returned at most once per
+        heartbeat period, more often after the listener was closed, and counts
         as a check.
         """
         now = clock.now()
-        if self.is_gone or now - self._presence_checked_at < self.heartbeat_s:
+        period_s = (
+            CLOSED_CHECK_INTERVAL_S
+            if self.is_listener_closed
+            else self.heartbeat_s
+        )
+        if self.is_gone or now - self._presence_checked_at < period_s:
             return False
         may_have_ended = (
-            self.report is None or self._has_bounced or not self.is_responsive()
+            self.is_listener_closed
+            or self.report is None
+            or self._has_bounced
+            or not self.is_responsive()
         )
         if may_have_ended:
             self._presence_checked_at = now
             self._has_bounced = False
         return may_have_ended
 
-    def note_absent(self, checked_at: float) -> bool:
+    def note_listening(self) -> None:
+        """Record that its listener has not refused a connection."""
+        self.is_listener_closed = False
+
+    def note_listener_closed(self, checked_at: float) -> None:
+        """Record that its listener is closed while it is leaving.
+
+        It opens no new flows, and its open flows are kept.
+
+        Args:
+            checked_at: Monotonic seconds of the check.
+        """
+        if self.is_listener_closed or self._last_report_at > checked_at:
+            return
+        self.is_listener_closed = True
+        _LOGGER.info(
+            'backend server listener closed',
+            backend_server=self.report and self.report.identifier,
+            exiting=self.is_exiting,
+            silent_s=round(clock.now() - self._last_active_at, 3),
+        )
+
+    def note_absent(
+        self, checked_at: float, *, is_assumed: bool = False
+    ) -> bool:
         """Mark it as gone, unless it has reported since it was found absent.
 
         Args:
             checked_at: Monotonic seconds at which its process was absent.
+            is_assumed: Whether its closed listener is the only sign of that.
 
         Returns:
             Whether it is gone.
@@ -262,6 +343,8 @@
             return False
         now = clock.now()
         self.is_gone = True
+        self._is_absence_assumed = is_assumed
+        self.is_listener_closed = False
         # No heartbeat revokes an exit that it has announced.
         self._absent_at = math.inf if self.is_exiting else now
         self._exit_noticed_at = math.inf
@@ -354,6 +437,7 @@
 
     def _clear_end(self) -> None:
         self.is_gone = False
+        self._is_absence_assumed = False
         self._absent_at = math.inf
         self._exit_noticed_at = math.inf
 
--- a/tests/unit/process/packets/test_agent.py
+++ b/tests/unit/process/packets/test_agent.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from kumquatport import exceptions
+from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     agent,
     agent_datapath,
@@ -14,7 +15,9 @@
     http_services,
     metrics,
     models,
+    udp_sockets,
 )
+from kumquatport.version.members import const as members_const
 from tests.builders import memberships
 from tests.builders import packets as builders
 
@@ -131,6 +134,22 @@
             self.leave('i-1')
             await self._async_until(lambda: KEY not in self.store.objects)
 
+    async def test_exit_notice_after_a_restart_of_the_agent(self):
+        """FLOW: the backend server may serve on with its listener closed."""
+        datapath = self.agent._datapath
+        # The backend server has started before the agent.
+        datapath.backend_server.is_gone = False
+        datapath._knows_all_flows = False
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
+        with mock.patch(sockets, return_value=None) as read_state:
+            self.leave('i-1')
+            await asyncio.sleep(3 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            self.assertIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_READY)
+            self.assertFalse(datapath.load().knows_all_flows)
+            read_state.return_value = udp_sockets.CLOSED
+            await self._async_until(lambda: KEY not in self.store.objects)
+
     async def test_unheard_leave_is_not_acknowledged(self):
         """DRAIN: the rule counts from the acknowledgement."""
         self.assertTrue(self.report(report(born_ms=9000)))
@@ -174,6 +193,46 @@
             await self._async_until(lambda: KEY not in self.store.objects)
         self.assertTrue(datapath.backend_server.is_gone)
 
+    async def test_record_stays_while_a_leaving_backend_server_has_flows(self):
+        """FLOW: without it, balancers reset the flows after a lookup.
+
+        The stop of the agent does not show that its backend server has ended:
+        agents are restarted on their own too.
+        """
+        datapath = self.agent._datapath
+        self.report(report())
+        datapath._flows.add_open(builders.flow(), clock.now())
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
+        settings = self.agent._settings
+        bounds = settings.bounds._replace(grace_s=SHORT_GRACE_S)
+        self.agent.apply_settings(settings._replace(bounds=bounds))
+        with mock.patch(sockets, return_value=None) as read_state:
+            self.leave('i-1')
+            await asyncio.sleep(3 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await self.agent.async_drain()
+            self.assertIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_LEAVING)
+            # It ends while the agent stops.
+            read_state.return_value = udp_sockets.CLOSED
+            async with asyncio.timeout(SHORT_GRACE_S):
+                await self.agent.async_drain()
+            self.assertNotIn(KEY, self.store.objects)
+            self.assertEqual(datapath.state, members_const.STATE_GONE)
+
+    async def test_record_is_deleted_when_the_last_flow_has_ended(self):
+        datapath = self.agent._datapath
+        self.report(report(born_ms=clock.unix_ms()))
+        flow = builders.flow()
+        datapath._flows.add_open(flow, clock.now())
+        sockets = 'kumquatport.process.packets.udp_sockets.read_state'
+        with mock.patch(sockets, return_value=None):
+            self.leave('i-1')
+            await asyncio.sleep(2 * agent_datapath.EXIT_CHECK_INTERVAL_S)
+            self.assertIn(KEY, self.store.objects)
+            datapath._flows.remove(flow)
+            await self._async_until(lambda: KEY not in self.store.objects)
+
     async def test_record_is_restored_with_the_next_backend_server(self):
         self.report(report())
         self.leave('i-1')
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -13,6 +13,7 @@
     mesh,
     messages,
     peers,
+    udp_sockets,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -457,7 +458,7 @@
         self.assertTrue(greeting.wants_reply)
 
     def test_draining_reported_by_peers_after_a_restart(self):
-        self.datapath.backend_server.note_reported_draining()
+        self.datapath.note_reported_draining()
         self.forward(builders.datagram(self.flow, builders.SYN))
         self.assertEqual(
             self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
@@ -727,7 +728,7 @@
         self.assertTrue(self.datapath.load().accepts)
         self.assertTrue(server.note_exit('i-1'))
         self.assertFalse(self.datapath.load().accepts)
-        self.assertTrue(self.report_absent())
+        self.assertTrue(self.report_absent(has_socket=False))
         self.assertEqual(self.resets(), [builders.CLIENT])
         self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
         # It has said so itself, so no later heartbeat revokes it.
@@ -755,10 +756,279 @@
         self.forward(builders.datagram(flow, acknowledged=501))
         self.assertEqual(len(self.delivered), 1)
 
-    def report_absent(self):
-        """Report that no backend server process exists."""
+    def report_absent(self, has_socket=None, *, has_unread=False):
+        """Report that the port of the backend server refused a connection.
+
+        Args:
+            has_socket: Whether a UDP socket is bound to the port; None if
+                unknown.
+            has_unread: Whether the socket holds packets that are not read.
+        """
+        self.sent.clear()
+        state = None
+        if has_socket is not None:
+            state = udp_sockets.SocketState(has_socket, has_unread)
+        return self.datapath.note_absent(self.clock.now, state)
+
+    def leave(self, way):
+        """Let the backend server leave, by the name of what it says."""
+        server = self.datapath.backend_server
+        if way == 'draining':
+            report = builders.report(sequence=2, is_draining=True)
+            self.datapath.handle_report(report)
+        else:
+            server.note_exit('i-1')
+        if way == 'heartbeats go on':
+            for sequence in (2, 3):
+                self.clock.now += server.heartbeat_s
+                self.datapath.handle_report(builders.report(sequence=sequence))
+
+    def test_closed_listener_of_a_leaving_server_ends_no_open_flow(self):
+        """FLOW: it is closed first, while open flows are still served."""
+        for way in ('draining', 'exiting', 'heartbeats go on'):
+            for has_socket in (None, True):
+                with self.subTest(way=way, has_socket=has_socket):
+                    self.make_datapath(1)
+                    self.datapath.handle_report(builders.report())
+                    flow = self.open()
+                    self.leave(way)
+                    self.clock.now += 8.4
+                    self.report_absent(has_socket)
+                    self.assertEqual(self.resets(), [])
+                    self.assert_serves_only(flow)
+                    # Its later heartbeats do not open it for new flows.
+                    self.datapath.handle_report(
+                        builders.report(sequence=4, is_draining=True)
+                    )
+                    self.assert_serves_only(flow)
+
+    def assert_serves_only(self, flow):
+        """Check that an open flow is served and no new one is opened."""
+        self.forward(builders.datagram(flow, acknowledged=501))
+        self.assertEqual(len(self.delivered), 1)
+        self.sent.clear()
+        self.from_server(flow, data=b'x')
+        self.assertEqual(self.sent[-1][1], (builders.CLIENT, 9000))
+        self.assertEqual(self.datapath.state, members_const.STATE_READY)
+        self.assertFalse(self.datapath.load().accepts)
+        self.forward(builders.datagram(builders.flow(40077), builders.SYN))
+        self.assertEqual(self.delivered, [])
+        self.assertEqual(
+            self.returned(), [(frame.REASON_NOT_ACCEPTING, BALANCER)]
+        )
+
+    def test_closed_listener_of_a_leaving_server_answers_no_query(self):
+        """FLOW: it may hold flows that a restarted agent has not seen."""
+        live = builders.report(
+            sequence=30, born_ms=self.clock.unix_ms() - 30_000
+        )
+        self.datapath.handle_report(live._replace(is_draining=True))
+        packet = builders.datagram(self.flow, acknowledged=5)
+        self.forward(packet, frame.FORWARD_QUERY)
+        self.report_absent()
+        self.assertEqual(self.returned(), [])
+        self.assert_may_hold_others()
+
+    def test_leaving_server_without_a_socket_has_ended(self):
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.report_absent(has_socket=True)
+        self.clock.now += 0.25
+        self.assertTrue(self.datapath.backend_server.should_check_presence())
+        self.assertTrue(self.report_absent(has_socket=False))
+        self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
+
+    def test_leaving_server_whose_flows_have_ended_is_vacant(self):
+        """Otherwise it delays the lookups of lost flows."""
+        for has_socket in (None, True):
+            with self.subTest(has_socket=has_socket):
+                self.make_datapath(1)
+                born_ms = self.clock.unix_ms()
+                self.datapath.handle_report(builders.report(born_ms=born_ms))
+                flow = self.open()
+                self.leave('exiting')
+                self.assertFalse(self.report_absent(has_socket))
+                self.from_server(flow, builders.ACK | builders.FIN)
+                self.assertFalse(self.report_absent(has_socket))
+                self.forward(builders.datagram(flow, builders.FIN))
+                self.assertTrue(self.report_absent(has_socket))
+                self.assertEqual(self.resets(), [])
+                self.assertEqual(
+                    self.datapath.state, members_const.STATE_VACANT
+                )
+
+    def test_listener_that_is_open_again_opens_flows(self):
+        """Otherwise a late exit notice would stop new flows for good."""
+        server = self.datapath.backend_server
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.report_absent()
+        for sequence in (2, 3):
+            self.clock.now += server.heartbeat_s
+            self.datapath.handle_report(builders.report(sequence=sequence))
+        self.assertFalse(self.datapath.load().accepts)
+        server.note_listening()
+        self.assertTrue(self.datapath.load().accepts)
+
+    def deliver_after_closing(self):
+        """Deliver data to a leaving server; return the idle and this flow."""
+        self.datapath.handle_report(builders.report())
+        idle, flow = self.open(40001), self.open(40002)
+        self.leave('exiting')
+        self.report_absent()
+        self.clock.now += 0.25
+        self.forward(builders.datagram(flow, acknowledged=501, data=b'x'))
+        return idle, flow
+
+    def test_unanswered_data_ends_the_flow_of_a_leaving_server(self):
+        """Its client would wait until its deadline; idle flows stay open."""
+        for has_socket in (None, True):
+            with self.subTest(has_socket=has_socket):
+                self.make_datapath(1)
+                idle, flow = self.deliver_after_closing()
+                for _ in range(2):
+                    self.clock.now += 0.25
+                    self.report_absent(has_socket)
+                    self.assertEqual(self.resets(), [])
+                # The client's retransmissions do not begin the time again.
+                self.forward(
+                    builders.datagram(flow, acknowledged=501, data=b'x')
+                )
+                self.clock.now += 0.25
+                self.report_absent(has_socket)
+                self.assertEqual(self.resets(), [builders.CLIENT])
+                self.assertEqual(self.datapath.counts['flow lost'], 1)
+                self.forward(builders.datagram(idle, acknowledged=501))
+                self.assertEqual(len(self.delivered), 1)
+
+    def test_any_sign_of_life_keeps_the_flows_of_a_leaving_server(self):
+        """FLOW: it may serve another flow first."""
+        for sign in ('packet', 'heartbeat'):
+            with self.subTest(sign=sign):
+                self.make_datapath(1)
+                idle, flow = self.deliver_after_closing()
+                for number in range(8):
+                    self.clock.now += 0.25
+                    if sign == 'packet' and number % 2:
+                        self.from_server(idle)
+                    elif number % 2:
+                        report = builders.report(sequence=number + 2)
+                        self.datapath.handle_report(report)
+                    self.report_absent()
+                    self.assertEqual(self.resets(), [])
+                    self.forward(
+                        builders.datagram(flow, acknowledged=501, data=b'x')
+                    )
+
+    def test_only_data_is_acknowledged(self):
+        """FLOW: a backend server does not answer an acknowledgement."""
+        self.datapath.handle_report(builders.report())
+        flow = self.open()
+        self.leave('exiting')
+        for _ in range(8):
+            self.report_absent()
+            self.assertEqual(self.resets(), [])
+            self.clock.now += 0.25
+            self.forward(builders.datagram(flow, acknowledged=501))
+
+    def test_pause_of_the_host_is_no_silence_of_a_leaving_server(self):
+        """FLOW: after a pause it has had no time to answer."""
+        self.deliver_after_closing()
+        self.clock.now += 0.01
+        self.report_absent()
+        self.clock.now += 10
+        for interval_s, count in ((0, 0), (0.01, 0), (0.01, 0), (0.25, 1)):
+            self.clock.now += interval_s
+            self.report_absent()
+            self.assertEqual(len(self.resets()), count)
+
+    def test_leaving_server_that_gets_no_processor_keeps_its_flows(self):
+        """FLOW: a frozen one, or one on a busy host, reads nothing."""
+        self.deliver_after_closing()
+        for _ in range(8):
+            self.clock.now += 0.25
+            self.report_absent(has_socket=True, has_unread=True)
+            self.assertEqual(self.resets(), [])
+        # It reads again, but needs time to answer.
+        for count in (0, 0, 1):
+            self.clock.now += 0.25
+            self.report_absent(has_socket=True)
+            self.assertEqual(len(self.resets()), count)
+
+    def test_restarted_agent_beside_a_leaving_server_answers_no_query(self):
+        """FLOW: once all agents have said no, balancers reset the flow.
+
+        Peers may tell of the drain after the first look at the listener.
+        """
+        for way in ('told before', 'told after', 'exit notice'):
+            for has_socket in (None, True):
+                with self.subTest(way=way, has_socket=has_socket):
+                    self.make_datapath(1)
+                    server = self.datapath.backend_server
+                    if way == 'told before':
+                        self.datapath.note_reported_draining()
+                    elif way == 'exit notice':
+                        server.note_exit('i-1')
+                    self.report_absent(has_socket)
+                    if way == 'told after':
+                        self.assertTrue(self.datapath.note_reported_draining())
+                    self.assert_may_hold_others()
+                    self.assert_serves_only_unseen()
+                    self.clock.now += 0.25
+                    self.assertTrue(server.should_check_presence())
+                    self.assertTrue(self.report_absent(has_socket=False))
+                    self.assertEqual(
+                        self.returned(), [(frame.REASON_NOT_HELD, BALANCER)]
+                    )
+                    self.assertFalse(self.datapath.note_reported_draining())
+                    self.assertEqual(
+                        self.datapath.state, members_const.STATE_VACANT
+                    )
+
+    def assert_serves_only_unseen(self):
+        """Check that an unseen flow is served and no new one is opened."""
+        flow = builders.flow(40055)
+        self.sent.clear()
+        self.from_server(flow, data=b'x')
+        self.assertEqual(self.sent[-1][1], (builders.CLIENT, 9000))
+        self.assert_serves_only(flow)
+
+    def test_exit_notice_before_the_first_heartbeat_is_remembered(self):
+        """FLOW: the notice reaches a restarted agent before a heartbeat."""
+        self.datapath.backend_server.note_exit('i-1')
+        self.datapath.handle_report(
+            builders.report(sequence=30, born_ms=self.clock.unix_ms() - 30_000)
+        )
+        self.open()
+        self.report_absent()
+        self.assertEqual(self.resets(), [])
+
+    def test_restarted_agent_without_a_backend_server_holds_nothing(self):
+        """After a loss of power its answer ends the lookups of lost flows.
+
+        A report of an earlier drain does not change what the kernel says.
+        """
+        self.assertTrue(self.report_absent(has_socket=False))
+        self.assertFalse(self.datapath.note_reported_draining())
+        self.assertTrue(self.datapath.load().knows_all_flows)
+
+    def test_next_backend_server_ends_the_flows_of_a_leaving_one(self):
+        self.datapath.handle_report(builders.report())
+        self.open()
+        self.leave('exiting')
+        self.clock.now += 1
+        self.report_absent()
+        self.clock.now += 3
+        following = builders.report(
+            identifier='i-2', born_ms=self.clock.unix_ms() - 100
+        )
         self.sent.clear()
-        return self.datapath.note_absent(self.clock.now)
+        self.assertTrue(self.datapath.handle_report(following))
+        self.assertEqual(self.resets(), [builders.CLIENT])
+        self.assertTrue(self.datapath.load().accepts)
 
     def test_an_absent_backend_server_holds_nothing(self):
         """An agent that does not know all flows delays all lookups."""
@@ -817,12 +1087,12 @@
         """The delayed reset after its backend server's exit keeps the state."""
         self.datapath.handle_report(builders.report())
         self.datapath.backend_server.note_exit('i-1')
-        self.report_absent()
+        self.report_absent(has_socket=False)
         self.assertEqual(self.datapath.state, members_const.STATE_VACANT)
         self.datapath.is_leaving = True
         self.assertEqual(self.datapath.state, members_const.STATE_LEAVING)
         self.datapath.has_left = True
-        self.report_absent()
+        self.report_absent(has_socket=False)
         self.assertEqual(self.datapath.state, members_const.STATE_GONE)
 
     def test_presence_is_checked_in_doubt_and_rarely(self):
