Request classes of routes and service times by route

Cause: all openings were treated alike, since routes carried neither priority nor deadline, and the known service time of a backend server included the time in its queue.

Change: TimeoutMs, LatencyGoalMs, Priority and Type of a route form its RequestClass. It travels as an entry of weight 0 ahead of the services, so the former build decodes and serves such a table; a table without terms is encoded as before. A route has terms only if all three numbers are stated; a value out of range is logged and leaves that route without terms. Balancers give the link the priority of a packet's route.

--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from kumquatport.connection.packets import outcomes
+from kumquatport.connection.packets import outcomes, service_times
 from kumquatport.connection.packets import packet as packets
 
 # Largest distance of sequence numbers within one flow: a few times what one end
@@ -29,12 +29,16 @@
 
     Attributes:
         acknowledged: Last number that the client acknowledged.
+        data_end: Sequence number after the last data of the client, 0 before
+            the first.
         client_closed: Whether the client's end is closed.
         client_sequence: Sequence number of the opening packet, None if it was
             not seen.
         has_sent_request: Whether the client has sent a request.
         is_open: Whether the handshake is complete.
         is_overdue: Whether the request in progress counts as failed already.
+        has_met_free_slot: Whether a slot was free when the request in progress
+            was complete.
         last_seen_at: Monotonic time in seconds of the last packet.
         opened_at: Monotonic time in seconds when the flow was added.
         request_started_at: Monotonic time in seconds of the request in
@@ -44,12 +48,16 @@
             the backend server.
         server_sequence: Initial sequence number of the backend server, None if
             its answer to the opening packet was not seen.
+        work_started_at: Monotonic time in seconds of the last new data of the
+            request in progress.
     """
 
     __slots__ = (
         'acknowledged',
         'client_closed',
         'client_sequence',
+        'data_end',
+        'has_met_free_slot',
         'has_sent_request',
         'is_open',
         'is_overdue',
@@ -59,6 +67,7 @@
         'server_closed',
         'server_last_seen_at',
         'server_sequence',
+        'work_started_at',
     )
 
     def __init__(self, now: float) -> None:
@@ -77,6 +86,9 @@
         self.client_closed = False
         self.server_closed = False
         self.request_started_at: float = 0
+        self.work_started_at: float = 0
+        self.data_end = 0
+        self.has_met_free_slot = False
         self.is_overdue = False
         self.has_sent_request = False
 
@@ -99,6 +111,9 @@
         observe_service_time: Called with the flow and those seconds for each
             answer.
         outcomes: Outcomes of recent requests.
+        service_times: Service times of requests that met a free slot.
+        slots: Requests that the backend server processes concurrently, 0
+            before it has reported.
     """
 
     def __init__(self) -> None:
@@ -108,6 +123,8 @@
         self.service_s: float = 0
         self.observe_service_time: ServiceTimeObserver = _ignore
         self.outcomes = outcomes.RequestOutcomes()
+        self.service_times = service_times.ServiceTimes()
+        self.slots = 0
 
     def __len__(self) -> int:
         """Return the number of flows, half-open and closed ones included."""
@@ -200,11 +217,8 @@
         state.is_open = True
         state.last_seen_at = now
         state.acknowledged = packet.acknowledged
-        if packet.length and not state.request_started_at:
-            state.request_started_at = now
-            state.is_overdue = False
-            state.has_sent_request = True
-            self.busy += 1
+        if packet.length:
+            self._on_request_data(state, packet, now)
         if packet.flags & packets.FLAG_FIN:
             state.client_closed = True
             if state.server_closed:
@@ -233,7 +247,7 @@
             state.server_sequence = packet.sequence
             return state
         if packet.length:
-            self._finish_request(packet.flow, state, now)
+            self._finish_request(packet, state, now)
         if packet.flags & (packets.FLAG_FIN | packets.FLAG_RST):
             # A FIN may overtake the answer, so it does not fail the request.
             state.server_closed = True
@@ -301,8 +315,30 @@
         """Return the number of open and half-open flows."""
         return sum(not state.is_closed for state in self.flows.values())
 
+    def _on_request_data(
+        self, state: FlowState, packet: packets.Packet, now: float
+    ) -> None:
+        """Start a request, or continue it by new data.
+
+        Work begins with the last packet of a request, and an upload may take
+        longer than the work. A retransmission does not count as new data.
+        """
+        if not state.request_started_at:
+            state.request_started_at = now
+            state.is_overdue = False
+            state.has_sent_request = True
+            state.has_met_free_slot = False
+            self.busy += 1
+        data_end = (packet.sequence + packet.length) & packets.SEQUENCE_MASK
+        ahead = (data_end - state.data_end) & packets.SEQUENCE_MASK
+        if state.data_end and not 0 < ahead < MAX_SEQUENCE_DISTANCE:
+            return
+        state.data_end = data_end
+        state.work_started_at = now
+        state.has_met_free_slot = self.busy <= self.slots
+
     def _finish_request(
-        self, flow: bytes, state: FlowState, now: float
+        self, packet: packets.Packet, state: FlowState, now: float
     ) -> None:
         """Record the answer to the request in progress, if there is one."""
         if not state.request_started_at:
@@ -311,7 +347,11 @@
         if not state.is_overdue:
             self.outcomes.record(now, failed=False)
         self.service_s += (took_s - self.service_s) * SERVICE_TIME_SMOOTHING
-        self.observe_service_time(flow, took_s)
+        self.observe_service_time(packet.flow, took_s)
+        if state.has_met_free_slot:
+            route = (packet.service_address, packet.service_port)
+            work_s = now - state.work_started_at
+            self.service_times.record(route, work_s, now)
         self._clear_request(state)
 
     def _fail_request(self, state: FlowState, now: float) -> None:
--- a/kumquatport/connection/packets/packet.py
+++ b/kumquatport/connection/packets/packet.py
@@ -16,7 +16,7 @@
 # Tag of a packet whose sender names no service.
 NO_SERVICE_TAG: typing.Final = 0
 
-_SEQUENCE_MASK: typing.Final = 0xFFFFFFFF
+SEQUENCE_MASK: typing.Final = 0xFFFFFFFF
 _SERVICE_TAG_MASK: typing.Final = 0xFFFFFFFFFF
 
 
@@ -98,7 +98,7 @@
 
 def sequence_distance(later: int, earlier: int) -> int:
     """Return the distance between two sequence numbers, modulo 2^32."""
-    return (later - earlier) & _SEQUENCE_MASK
+    return (later - earlier) & SEQUENCE_MASK
 
 
 @functools.lru_cache(maxsize=4096)
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -165,6 +165,8 @@
             raise
         before = (server.is_draining, server.is_gone)
         incarnation = server.update(report)
+        if server.report is not None:
+            self._flows.slots = server.report.slots
         if incarnation is not None:
             self._on_started(incarnation)
         is_changed = before != (server.is_draining, server.is_gone)
@@ -191,6 +193,7 @@
         it does not hold them.
         """
         self._flows.outcomes.clear()
+        self._flows.service_times.clear()
         if incarnation.started_after >= self._started_at:
             # All flows of this incarnation have passed through this process.
             self._mark_all_flows_known()
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -133,7 +133,7 @@
         """
         return [
             record
-            for share in route.weighted_services
+            for share in route.services
             for record in self._holders_of(share.service).records
         ]
 
@@ -213,8 +213,7 @@
 
     def _possible_holder_names(self, route: routes.Route) -> frozenset[str]:
         first, *others = [
-            self._holders_of(share.service).names
-            for share in route.weighted_services
+            self._holders_of(share.service).names for share in route.services
         ]
         return first.union(*others) if others else first
 
@@ -315,7 +314,7 @@
                 self._greet(address)
             flow.search.ask_registrars_again()
             return
-        services = [share.service for share in route.weighted_services]
+        services = [share.service for share in route.services]
         if not all(
             self._mesh.knows_all_agents(service) for service in services
         ):
@@ -348,10 +347,10 @@
 
     The choice depends on the flow alone, so all balancers agree on it.
     """
-    total = sum(share.weight for share in route.weighted_services)
+    total = sum(share.weight for share in route.services)
     position = zlib.crc32(flow) / 2**32 * total
-    for share in route.weighted_services:
+    for share in route.services:
         position -= share.weight
         if position < 0:
             return share.service
-    return route.weighted_services[-1].service
+    return route.services[-1].service
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -12,6 +12,7 @@
     frame,
     opening_wait,
     placement,
+    request_class,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -37,9 +38,6 @@
     (members_const.STATE_READY, members_const.STATE_VACANT)
 )
 
-# Rank of all data until routes state priorities.
-NO_PRIORITY: typing.Final = 0
-
 # Seconds for which the mean cost of an open flow is cached.
 FLOW_COST_TTL_S: typing.Final = 0.3
 
@@ -411,7 +409,13 @@
             if packet.is_opening
             else packet.datagram,
         )
-        self.link.send(packet, NO_PRIORITY, message, record.address)
+        self.link.send(packet, self._priority(packet), message, record.address)
+
+    def _priority(self, packet: packets.Packet) -> int:
+        """Return the priority that the route of a packet states."""
+        route = self._route(packet)
+        terms = route.request_class if route else None
+        return terms.priority if terms else request_class.UNSTATED_PRIORITY
 
     def _with_service(self, packet: packets.Packet) -> bytes:
         """Return an opening packet that names the service of its flow.
--- a/kumquatport/version/routes.py
+++ b/kumquatport/version/routes.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from kumquatport import exceptions
+from kumquatport.connection.packets import request_class
 from kumquatport.helpers import decoding
 
 # Largest version of a table and revision of the store that is taken for one;
@@ -27,13 +28,37 @@
     Attributes:
         address: IPv4 address as an integer.
         port: Port that clients connect to.
-        weighted_services: Services that may receive a flow, at least one.
+        weighted_services: Services that may receive a flow, at least one. If
+            the route has terms, an entry that carries them comes first, see
+            ``with_terms``.
     """
 
     address: int
     port: int
     weighted_services: tuple[WeightedService, ...]
 
+    @property
+    def request_class(self) -> request_class.RequestClass | None:
+        """Return the terms of the requests; None if the route has none."""
+        if not self._has_terms:
+            return None
+        return request_class.decode(self.weighted_services[0].service)
+
+    @property
+    def services(self) -> tuple[WeightedService, ...]:
+        """Return the services without the entry that carries the terms."""
+        if self._has_terms:
+            return self.weighted_services[1:]
+        return self.weighted_services
+
+    @property
+    def _has_terms(self) -> bool:
+        first = self.weighted_services[0]
+        return (
+            first.service.startswith(request_class.ENTRY_PREFIX)
+            and len(self.weighted_services) > 1
+        )
+
 
 class ServiceConfig(typing.NamedTuple):
     """Parameters of the backend servers of a service.
@@ -73,7 +98,7 @@
             return False
         return any(
             share.service == service and share.weight > 0
-            for share in route.weighted_services
+            for share in route.services
         )
 
 
@@ -104,6 +129,21 @@
     idle_timeout_s: float
 
 
+def with_terms(
+    services: abc.Iterable[WeightedService],
+    terms: request_class.RequestClass | None,
+) -> tuple[WeightedService, ...]:
+    """Return the services of a route and its terms as one tuple.
+
+    Args:
+        services: Services that may receive a flow.
+        terms: Terms of the requests; None if the route has none.
+    """
+    if terms is None:
+        return tuple(services)
+    return (WeightedService(request_class.encode(terms), 0), *services)
+
+
 def encode(table: RouteTable) -> bytes:
     """Encode a table for the exchange between instances.
 
--- a/tests/builders/former_builds.py
+++ b/tests/builders/former_builds.py
@@ -1,12 +1,15 @@
-"""Messages of builds that do not know the era of the store.
+"""Messages of builds that do not know the era of the store or route terms.
 
 Such a build refuses a message with a field more or less.
 """
 
 import struct
 import typing
+import zlib
 
-from kumquatport.version import members
+import msgspec
+
+from kumquatport.version import members, routes
 
 SHORT_HEARTBEAT = struct.Struct('!QIQQQfHBHHHf')
 
@@ -53,3 +56,44 @@
     token: int
     configuration: ConfigurationState
     receiver_was_draining: bool
+
+
+class Route(typing.NamedTuple):
+    """Route without terms."""
+
+    address: int
+    port: int
+    weighted_services: tuple[routes.WeightedService, ...]
+
+
+class RouteTable(typing.NamedTuple):
+    """Route table as it travels."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[routes.ServiceConfig, ...]
+    idle_timeout_s: float
+
+
+def decode_table(encoded: bytes) -> RouteTable:
+    """Decode a route table."""
+    return msgspec.msgpack.decode(encoded, type=RouteTable)
+
+
+def allows(route: Route, service: str) -> bool:
+    """Return whether a service may receive new flows of a route."""
+    return any(
+        share.service == service and share.weight > 0
+        for share in route.weighted_services
+    )
+
+
+def service_of(route: Route, flow: bytes) -> str:
+    """Return the service of a flow, by the weights of its route."""
+    total = sum(share.weight for share in route.weighted_services)
+    position = zlib.crc32(flow) / 2**32 * total
+    for share in route.weighted_services:
+        position -= share.weight
+        if position < 0:
+            return share.service
+    return route.weighted_services[-1].service
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -5,6 +5,7 @@
 import typing
 
 from kumquatport.connection.packets import packet as packets
+from kumquatport.connection.packets import request_class
 from kumquatport.platform import packet as codec
 from kumquatport.process.packets import messages, models
 from kumquatport.version import members, routes
@@ -153,12 +154,15 @@
     return defaults._replace(**fields)
 
 
-def table(version: int = 1, service: str = 'store') -> routes.RouteTable:
+def table(
+    version: int = 1,
+    service: str = 'store',
+    terms: request_class.RequestClass | None = None,
+) -> routes.RouteTable:
     """Return routes that send the client's flows to a service."""
     address = int(ipaddress.IPv4Address(SERVICE[0]))
-    route = routes.Route(
-        address, SERVICE[1], (routes.WeightedService(service, 1.0),)
-    )
+    shares = (routes.WeightedService(service, 1.0),)
+    route = routes.Route(address, SERVICE[1], routes.with_terms(shares, terms))
     return routes.RouteTable(
         version,
         {(address, SERVICE[1]): route},
--- a/tests/unit/platform/test_odd_entries.py
+++ b/tests/unit/platform/test_odd_entries.py
@@ -4,7 +4,10 @@
 import math
 import unittest
 
+import structlog
+
 from kumquatport import exceptions
+from kumquatport.connection.packets import request_class
 from kumquatport.platform import configuration, heartbeat, responses
 from tests.builders import odd_entries
 
@@ -162,6 +165,56 @@
             split = [{'Service': 'one', 'Weight': number}]
             self.assert_rejected(Routes=[{**self.ROUTE, 'Split': split}])
 
+    def terms(self, **fields):
+        """Return the terms of a route and the events that were logged."""
+        route = {**self.ROUTE, 'TimeoutMs': 1500, 'LatencyGoalMs': 300}
+        document = {
+            'Version': 7,
+            'Routes': [{**route, 'Priority': 2, **fields}, self.ROUTE],
+            'Services': [self.SERVICE],
+        }
+        document['Routes'][1] = {**self.ROUTE, 'Host': '198.18.0.2'}
+        with structlog.testing.capture_logs() as logs:
+            table = configuration.decode(json.dumps(document).encode())
+        self.assertTrue(table.allows(0xC6120001, 443, 'one'))
+        self.assertTrue(table.allows(0xC6120002, 443, 'one'))
+        self.assertIsNone(table.routes[0xC6120002, 443].request_class)
+        return table.routes[0xC6120001, 443].request_class, logs
+
+    def test_terms_are_read(self):
+        for kind, repeatable in (
+            ('safe', True),
+            ('download', True),
+            ('unsafe', False),
+            ('upload', False),
+            ('other', False),
+            (None, False),
+            (5, False),
+            ([], False),
+        ):
+            expected = request_class.RequestClass(2, 1.5, 0.3, repeatable)
+            self.assertEqual(self.terms(Type=kind), (expected, []))
+
+    def test_invalid_terms_leave_only_their_route_without_terms(self):
+        """One wrong value would refuse the whole configuration."""
+        durations = (-1, 'x', 3_600_001, True, [1], {}, 10**30, -0.5)
+        cases = [
+            *(('TimeoutMs', value) for value in durations),
+            *(('LatencyGoalMs', value) for value in durations),
+            *(('Priority', value) for value in (-1, 256, 1.5, '1', [], 10**30)),
+        ]
+        for field, value in cases:
+            with self.subTest(field=field, value=value):
+                terms, logs = self.terms(**{field: value})
+                self.assertIsNone(terms)
+                self.assertEqual([log['field'] for log in logs], [field])
+                self.assertEqual(logs[0]['route'], '198.18.0.1/443/')
+
+    def test_route_that_does_not_state_all_terms_has_none(self):
+        for field in ('TimeoutMs', 'LatencyGoalMs', 'Priority'):
+            self.assertEqual(self.terms(**{field: None}), (None, []))
+        self.assertEqual(self.terms(TimeoutMs=0), (None, []))
+
     def test_finite_numbers_only(self):
         self.assertTrue(math.isinf(float('1e400')))
         self.assert_rejected(Limits={'IdleTimeoutMs': math.inf})
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -3,7 +3,7 @@
 import itertools
 from unittest import mock
 
-from kumquatport.connection.packets import frame
+from kumquatport.connection.packets import frame, request_class
 from kumquatport.connection.packets import packet as packets
 from kumquatport.process.packets import (
     const,
@@ -75,6 +75,20 @@
             if endpoint == (builders.CLIENT, 9000)
         ]
 
+    def test_link_gets_the_priority_of_the_route(self):
+        """Data of a route without terms would delay that of others."""
+        self.learn_agents()
+        terms = request_class.RequestClass(1, 2.0, 0.3, is_repeatable=True)
+        for version, stated, expected in (
+            (2, terms, 1),
+            (3, None, request_class.UNSTATED_PRIORITY),
+        ):
+            table = builders.table(version, terms=stated)
+            self.configuration.update_routes(routes.encode(table), 'test')
+            with mock.patch.object(self.forwarder.link, 'send') as send:
+                self.client(builders.datagram(self.flow, builders.SYN))
+            self.assertEqual(send.call_args.args[1], expected)
+
     def test_packets_follow_the_opening_packet(self):
         self.learn_agents()
         self.client(builders.datagram(self.flow, builders.SYN))
