Admission of opening packets by priority and deadline at the agent

Cause: an agent let every opening packet through, so when the backend server had no free slot the order of arrival decided, and requests that could not be answered in time took the place of others.

Change: for routes with terms and known service times, an opening packet that meets no free slot waits in a bounded queue at the agent, ordered by priority, at most once before repeatable, least work. One that cannot be answered before its deadline is returned with the new reason deadline, the last of a full queue with full. Waiting ends 20 ms before the client's next copy; then the opening is admitted if its deadline allows. A change of what refuses new flows (drain, stop, routes, failure domain, pause) is compared every 10 ms and at each release, and returns what waits. Agents expose expected_wait_s and mean_work_s. Routes without terms are served as before.

--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -3,7 +3,11 @@
 import typing
 from collections import abc
 
-from kumquatport.connection.packets import outcomes, service_times
+from kumquatport.connection.packets import (
+    outcomes,
+    pending_work,
+    service_times,
+)
 from kumquatport.connection.packets import packet as packets
 
 # Largest distance of sequence numbers within one flow: a few times what one end
@@ -35,6 +39,7 @@
         client_sequence: Sequence number of the opening packet, None if it was
             not seen.
         has_sent_request: Whether the client has sent a request.
+        is_counted: Whether the request in progress is part of the pending work.
         is_open: Whether the handshake is complete.
         is_overdue: Whether the request in progress counts as failed already.
         has_met_free_slot: Whether a slot was free when the request in progress
@@ -48,6 +53,7 @@
             the backend server.
         server_sequence: Initial sequence number of the backend server, None if
             its answer to the opening packet was not seen.
+        work_s: Expected work of the request in progress, in seconds.
         work_started_at: Monotonic time in seconds of the last new data of the
             request in progress.
     """
@@ -59,6 +65,7 @@
         'data_end',
         'has_met_free_slot',
         'has_sent_request',
+        'is_counted',
         'is_open',
         'is_overdue',
         'last_seen_at',
@@ -67,6 +74,7 @@
         'server_closed',
         'server_last_seen_at',
         'server_sequence',
+        'work_s',
         'work_started_at',
     )
 
@@ -86,6 +94,8 @@
         self.client_closed = False
         self.server_closed = False
         self.request_started_at: float = 0
+        self.is_counted = False
+        self.work_s: float = 0
         self.work_started_at: float = 0
         self.data_end = 0
         self.has_met_free_slot = False
@@ -111,6 +121,7 @@
         observe_service_time: Called with the flow and those seconds for each
             answer.
         outcomes: Outcomes of recent requests.
+        pending: Work that the backend server has accepted and not finished.
         service_times: Service times of requests that met a free slot.
         slots: Requests that the backend server processes concurrently, 0
             before it has reported.
@@ -123,6 +134,7 @@
         self.service_s: float = 0
         self.observe_service_time: ServiceTimeObserver = _ignore
         self.outcomes = outcomes.RequestOutcomes()
+        self.pending = pending_work.PendingWork()
         self.service_times = service_times.ServiceTimes()
         self.slots = 0
 
@@ -174,6 +186,8 @@
             self.remove(packet.flow)
         state = self.add(packet.flow, now)
         state.client_sequence = packet.sequence
+        state.data_end = 0
+        self.pending.admit(packet.flow, self._expected_work_s(packet, now), now)
 
     def has_opening(self, packet: packets.Packet, now: float) -> bool:
         """Return whether an opening packet is one of a flow in the table.
@@ -260,6 +274,7 @@
         """Remove a flow if it is in the table."""
         state = self.flows.pop(flow, None)
         if state is not None:
+            self.pending.forget(flow)
             self._clear_request(state)
 
     def expire(self, now: float, idle_s: float) -> int:
@@ -291,6 +306,8 @@
         for state in self.flows.values():
             if 0 < state.request_started_at < since and not state.is_overdue:
                 state.is_overdue = True
+                # It may never be answered and would block the queue.
+                self._stop_counting(state)
                 self.outcomes.record(now, failed=True)
 
     def open_flows(self) -> abc.Iterator[tuple[bytes, FlowState]]:
@@ -335,7 +352,12 @@
             return
         state.data_end = data_end
         state.work_started_at = now
-        state.has_met_free_slot = self.busy <= self.slots
+        if not state.is_counted and not state.is_overdue:
+            state.is_counted = True
+            state.work_s = self._expected_work_s(packet, now)
+            self.pending.start(packet.flow, state.work_s, now)
+        is_slot_free = self.pending.requests <= self.slots
+        state.has_met_free_slot = state.is_counted and is_slot_free
 
     def _finish_request(
         self, packet: packets.Packet, state: FlowState, now: float
@@ -344,6 +366,7 @@
         if not state.request_started_at:
             return
         took_s = now - state.request_started_at
+        self.pending.progress_at = now
         if not state.is_overdue:
             self.outcomes.record(now, failed=False)
         self.service_s += (took_s - self.service_s) * SERVICE_TIME_SMOOTHING
@@ -364,6 +387,21 @@
         if state.request_started_at:
             state.request_started_at = 0
             self.busy -= 1
+        self._stop_counting(state)
+
+    def _stop_counting(self, state: FlowState) -> None:
+        """Remove the request in progress from the pending work."""
+        if state.is_counted:
+            state.is_counted = False
+            self.pending.end(state.work_s)
+
+    def _expected_work_s(self, packet: packets.Packet, now: float) -> float:
+        """Return the mean work of a route, or of all if it is unknown."""
+        route = (packet.service_address, packet.service_port)
+        mean_s = self.service_times.mean_s(route, now)
+        if mean_s is None:
+            mean_s = self.service_times.overall_mean_s(now)
+        return mean_s or 0
 
 
 def _retention_s(state: FlowState, idle_s: float) -> float:
--- a/kumquatport/connection/packets/frame.py
+++ b/kumquatport/connection/packets/frame.py
@@ -33,6 +33,7 @@
 REASON_ROUTE_UNKNOWN: typing.Final = 5
 REASON_FULL: typing.Final = 6
 REASON_OTHER_SERVICE: typing.Final = 7
+REASON_DEADLINE: typing.Final = 8
 
 REASON_NAMES: typing.Final = types.MappingProxyType(
     {
@@ -43,6 +44,7 @@
         REASON_ROUTE_UNKNOWN: 'route_unknown',
         REASON_FULL: 'full',
         REASON_OTHER_SERVICE: 'other_service',
+        REASON_DEADLINE: 'deadline',
     }
 )
 
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -73,6 +73,9 @@
         )
         self._socket = bound
         self._close_callbacks.append(close)
+        self._datapath.openings.call_later = (
+            asyncio.get_running_loop().call_later
+        )
         self.add_future(self._async_expire())
         self.add_future(self._async_register_flows())
 
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -9,6 +9,7 @@
 from kumquatport import exceptions
 from kumquatport.connection.packets import (
     admission,
+    admission_queue,
     cold_start,
     flow_table,
     frame,
@@ -19,6 +20,7 @@
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
+    admission_control,
     backend_server,
     decision_log,
     known_configuration,
@@ -26,7 +28,7 @@
     messages,
     models,
 )
-from kumquatport.version import members
+from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
 
 _LOGGER = structlog.get_logger(__name__)
@@ -47,6 +49,7 @@
         is_leaving: Whether the agent is about to stop.
         has_left: Whether the agent has announced that it will not return.
         backend_server: State of the backend server.
+        openings: Opening packets that wait for the backend server.
     """
 
     def __init__(
@@ -83,6 +86,17 @@
             settings.bounds.cold_factor, settings.bounds.cold_slack
         )
         self._log = decision_log.DecisionLog(_LOGGER, codec.format_flow)
+        self.openings = admission_control.AdmissionControl(
+            self._flows,
+            self._log,
+            admission_control.Actions(
+                self._admit_queued,
+                self._return_packet,
+                self._admission_conditions,
+                self._refusal_reason,
+                self._is_departed,
+            ),
+        )
         self._knows_all_flows = False
         self._started_at = clock.now()
         self._was_failing = False
@@ -109,11 +123,27 @@
         """Return the number of times that each decision was taken."""
         return self._log.counts
 
+    def expected_wait_s(self, priority: int) -> float | None:
+        """Return the seconds that a new request would wait for a slot.
+
+        Args:
+            priority: Its priority; 0 is the highest.
+
+        Returns:
+            The seconds; None if they are unknown.
+        """
+        return self.openings.expected_wait_s(priority)
+
+    def mean_work_s(self) -> float | None:
+        """Return the mean work of a request in seconds; None if unknown."""
+        return self.openings.mean_work_s()
+
     def gauges(self) -> abc.Mapping[str, float]:
         """Return the current values of the gauges."""
         load = self.load()
         return {
             'busy': load.busy,
+            'queued': len(self.openings),
             'flows': load.flows,
             'slots': load.slots,
             'accepts': load.accepts,
@@ -285,45 +315,81 @@
     def _handle_opening(
         self, packet: packets.Packet, message: frame.Frame, sender: str
     ) -> None:
-        """Deliver an opening packet, or return it with a reason."""
+        """Deliver an opening packet, queue it, or return it with a reason."""
         now = clock.now()
-        if not self._flows.has_opening(packet, now):
-            reason = self._refusal_reason(packet, message)
-            if reason:
-                self._log.note(
-                    'flow returned',
-                    packet.flow,
-                    reason=frame.REASON_NAMES[reason],
-                    copy=packet.acknowledged,
-                    busy=self._flows.busy,
-                    routes_version=self._configuration.routes_version,
-                    sender_version=message.routes_version,
-                )
-                self._return_packet(packet, reason, sender)
-                if reason == frame.REASON_OTHER_SERVICE:
-                    self._introduce(sender)
-                return
-            self._log.note(
-                'flow offered',
-                packet.flow,
-                copy=packet.acknowledged,
-                busy=self._flows.busy,
-                flows=len(self._flows),
-                cold=self.backend_server.is_cold,
-                routes_version=self._configuration.routes_version,
-                sender_version=message.routes_version,
-            )
-            self._flows.add_opening(packet, now)
-            self._bounced_flows.discard(packet.flow)
-            self.backend_server.note_opening(packet.flow)
+        if self._flows.has_opening(packet, now):
+            self._deliver(packet, sender)
+            return
+        if self.openings.replace_copy(packet, sender):
+            return
+        version = message.routes_version
+        reason = self._refusal_reason(packet, version)
+        if reason:
+            self._return_opening(packet, reason, sender, version)
+        elif not self.openings.hold(
+            packet, sender, version, self._route(packet)
+        ):
+            self._admit(packet, sender, version)
+
+    def _admit_queued(self, opening: admission_queue.Opening) -> None:
+        """Deliver an opening packet that has waited."""
+        self._admit(opening.packet, opening.sender, opening.routes_version)
+
+    def _admit(
+        self, packet: packets.Packet, sender: str, sender_version: int
+    ) -> None:
+        """Deliver an opening packet, unless a cold start limits new flows."""
+        reason = self._cold_reason()
+        if reason:
+            self._return_opening(packet, reason, sender, sender_version)
+            return
+        self._log.note(
+            'flow offered',
+            packet.flow,
+            copy=packet.acknowledged,
+            busy=self._flows.busy,
+            flows=len(self._flows),
+            cold=self.backend_server.is_cold,
+            routes_version=self._configuration.routes_version,
+            sender_version=sender_version,
+        )
+        self._flows.add_opening(packet, clock.now())
+        self._bounced_flows.discard(packet.flow)
+        self.backend_server.note_opening(packet.flow)
         self._deliver(packet, sender)
 
+    def _return_opening(
+        self,
+        packet: packets.Packet,
+        reason: int,
+        sender: str,
+        sender_version: int,
+    ) -> None:
+        self._log.note(
+            'flow returned',
+            packet.flow,
+            reason=frame.REASON_NAMES[reason],
+            copy=packet.acknowledged,
+            busy=self._flows.busy,
+            routes_version=self._configuration.routes_version,
+            sender_version=sender_version,
+        )
+        self._return_packet(packet, reason, sender)
+        if reason == frame.REASON_OTHER_SERVICE:
+            self._introduce(sender)
+
     def _refusal_reason(
-        self, packet: packets.Packet, message: frame.Frame
+        self, packet: packets.Packet, sender_version: int
     ) -> int:
+        """Return the reason for refusing a new flow, 0 to accept it.
+
+        Args:
+            packet: The opening packet.
+            sender_version: Version of the balancer's routes.
+        """
         table = self._configuration.routes
         own_tag = packets.service_tag(self._settings.service)
-        reason = admission.refusal_reason(
+        return admission.refusal_reason(
             admission.AdmissionInputs(
                 is_draining=self.backend_server.is_draining,
                 is_responsive=self.backend_server.is_responsive()
@@ -337,7 +403,7 @@
                     self._settings.service,
                 ),
                 is_allowed_by_newer=packet.service_tag == own_tag
-                and message.routes_version > self._configuration.routes_version,
+                and sender_version > self._configuration.routes_version,
                 is_warm=self.backend_server.is_warm,
                 busy=self._flows.busy,
                 slots=self._slots(),
@@ -348,8 +414,20 @@
                 not in {own_tag, packets.NO_SERVICE_TAG},
             )
         )
-        if reason:
-            return reason
+
+    def _admission_conditions(self) -> tuple[typing.Any, ...]:
+        """Return what the refusal of a queued opening packet depends on."""
+        server = self.backend_server
+        return (
+            (server.is_draining, server.is_responsive(), server.is_warm),
+            self.is_leaving,
+            self._is_own_domain_out(),
+            self._mesh.pause_recovery.is_unconfirmed(),
+            self._configuration.routes_version,
+        )
+
+    def _cold_reason(self) -> int:
+        """Count a new flow; return the reason for refusing it, 0 for none."""
         now = clock.now()
         per_s = self._cold_per_s()
         if not self.backend_server.is_cold or per_s <= 0:
@@ -361,6 +439,20 @@
             else frame.REASON_COLD
         )
 
+    def _is_departed(self, balancer: str) -> bool:
+        """Return whether the balancer at an address is known to have stopped.
+
+        Args:
+            balancer: Its address.
+        """
+        record = self._mesh.registry.get(self._mesh.instance_at(balancer))
+        return record is not None and members.is_departed(record)
+
+    def _route(self, packet: packets.Packet) -> routes.Route | None:
+        table = self._configuration.routes
+        key = (packet.service_address, packet.service_port)
+        return table.routes.get(key) if table else None
+
     def _introduce(self, balancer: str) -> None:
         """Greet a balancer that still knows the former owner of the address.
 
@@ -420,6 +512,7 @@
         self, packet: packets.Packet, message: frame.Frame, sender: str
     ) -> None:
         """Deliver a packet of an unknown flow only if it may be held here."""
+        self.openings.discard(packet.flow)
         if self._knows_all_flows or packet.flow in self._bounced_flows:
             self._return_packet(packet, frame.REASON_NOT_HELD, sender)
             return
@@ -462,6 +555,7 @@
             return
         self._flows.on_backend_server_packet(packet, clock.now())
         self._mesh.send_to_client(datagram, packet.client_address)
+        self.openings.release()
 
     def _on_bounced(self, packet: packets.Packet) -> None:
         """Return a bounced packet to its sender, or reset its flow."""
--- a/tests/unit/process/packets/test_forwarder.py
+++ b/tests/unit/process/packets/test_forwarder.py
@@ -89,6 +89,18 @@
                 self.client(builders.datagram(self.flow, builders.SYN))
             self.assertEqual(send.call_args.args[1], expected)
 
+    def test_opening_returned_for_any_reason_is_offered_elsewhere(self):
+        """A later build may state reasons that this one does not know."""
+        for port, reason in enumerate((frame.REASON_DEADLINE, 200), 40100):
+            self.learn_agents()
+            opening = builders.datagram(builders.flow(port), builders.SYN)
+            self.client(opening)
+            ((first, _),) = self.forwards()
+            self.return_packet(first, opening, reason)
+            ((second, _),) = self.forwards()
+            self.assertNotEqual(first, second)
+            self.assertEqual(self.resets(), [])
+
     def test_packets_follow_the_opening_packet(self):
         self.learn_agents()
         self.client(builders.datagram(self.flow, builders.SYN))
