Explain and count the admission of opening packets

Cause: operators could not tell which requests an overloaded agent delays or rejects, nor by what inputs. An opening packet whose balancer had stopped was admitted all the same: the address of a departed instance is released, so looking it up by the address at release time found nothing.

The name of the balancer is kept from the arrival of an opening packet. Tests that read log lines replace the module's logger, since a cached logger escapes structlog's capture.

--- a/kumquatport/connection/packets/admission_queue.py
+++ b/kumquatport/connection/packets/admission_queue.py
@@ -47,6 +47,7 @@
     Attributes:
         packet: The packet.
         sender: Address of the balancer.
+        balancer: Name of the balancer; empty if it was not known on arrival.
         routes_version: Version of the balancer's routes.
         terms: Terms of its route.
         work_s: Mean work of a request of its route, in seconds.
@@ -58,6 +59,7 @@
 
     packet: packets.Packet
     sender: str
+    balancer: str
     routes_version: int
     terms: request_class.RequestClass
     work_s: float
--- a/kumquatport/connection/packets/service_times.py
+++ b/kumquatport/connection/packets/service_times.py
@@ -43,15 +43,17 @@
 class _Histogram:
     """Aged histogram of the service times of one route."""
 
-    __slots__ = ('_current', '_previous')
+    __slots__ = ('_current', '_previous', 'last_at')
 
     def __init__(self, now: float) -> None:
+        self.last_at = now
         self._current = _Window(now)
         self._previous = _Window(now)
 
     def record(self, seconds: float, now: float) -> None:
         """Record a sample."""
         self._rotate(now)
+        self.last_at = now
         window = self._current
         window.count += 1
         window.sum_s += seconds
@@ -138,6 +140,16 @@
             return None
         return histogram.percentile_s(fraction, now)
 
+    def age_s(self, route: RouteKey, now: float) -> float | None:
+        """Return the seconds since the last sample; None if there is none.
+
+        Args:
+            route: Address and port that the client calls.
+            now: Monotonic time in seconds.
+        """
+        histogram = self._histograms.get(route)
+        return None if histogram is None else now - histogram.last_at
+
     def overall_mean_s(self, now: float) -> float | None:
         """Return the mean seconds of all routes; None if it is unknown.
 
--- a/kumquatport/process/packets/admission_control.py
+++ b/kumquatport/process/packets/admission_control.py
@@ -1,5 +1,6 @@
 """Drives the queue of opening packets at an agent."""
 
+import collections
 import typing
 from collections import abc
 
@@ -23,6 +24,14 @@
 SLOW_FRACTION: typing.Final = 0.9
 
 
+# Outcomes of opening packets beside the reasons for returning them.
+OUTCOME_AT_ONCE: typing.Final = 'admitted_at_once'
+OUTCOME_QUEUED: typing.Final = 'queued'
+OUTCOME_AFTER_WAIT: typing.Final = 'admitted_after_wait'
+OUTCOME_BALANCER_STOPPED: typing.Final = 'balancer_stopped'
+OUTCOME_OPENED_ELSEWHERE: typing.Final = 'opened_elsewhere'
+
+
 class Actions(typing.NamedTuple):
     """Callbacks that dispose of opening packets.
 
@@ -33,13 +42,16 @@
         conditions: Returns what ``refusal_reason`` depends on, to compare.
         refusal_reason: Returns the reason for refusing an opening packet,
             given the version of its balancer's routes; 0 to accept it.
-        is_departed: Returns whether the balancer at an address has stopped.
+        instance_at: Returns the name of the instance at an address; empty if
+            none is known.
+        is_departed: Returns whether the balancer of a name has stopped.
     """
 
     admit: abc.Callable[[admission_queue.Opening], None]
     give_back: abc.Callable[[packets.Packet, int, str], None]
     conditions: abc.Callable[[], tuple[typing.Any, ...]]
     refusal_reason: abc.Callable[[packets.Packet, int], int]
+    instance_at: abc.Callable[[str], str]
     is_departed: abc.Callable[[str], bool]
 
 
@@ -48,6 +60,8 @@
 
     Attributes:
         call_later: Calls a function after some seconds.
+        observe_wait: Called with the priority, as text, and the seconds that an
+            opening packet has waited.
     """
 
     def __init__(
@@ -66,6 +80,10 @@
         self.call_later: abc.Callable[
             [float, abc.Callable[[], None]], object
         ] = _ignore
+        self.observe_wait: abc.Callable[[str, float], None] = _ignore_wait
+        self._outcomes: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
         self._flows = flows
         self._log = log
         self._actions = actions
@@ -73,6 +91,14 @@
         self._conditions: tuple[typing.Any, ...] = ()
         self._is_scheduled = False
 
+    @property
+    def outcomes(self) -> abc.Mapping[tuple[int, str], int]:
+        """Return the number of opening packets by priority and outcome.
+
+        Those of routes without terms are not counted.
+        """
+        return self._outcomes
+
     def __len__(self) -> int:
         """Return the number of queued opening packets."""
         return len(self._queue)
@@ -132,6 +158,7 @@
         opening = admission_queue.Opening(
             packet=packet,
             sender=sender,
+            balancer=self._actions.instance_at(sender),
             routes_version=routes_version,
             terms=terms,
             work_s=work[0],
@@ -145,6 +172,8 @@
             self._add(opening, load, now)
         elif verdict is admission_queue.Verdict.REJECT:
             self._reject(opening, frame.REASON_DEADLINE, load, now)
+        else:
+            self._count(opening, OUTCOME_AT_ONCE)
         return verdict is not admission_queue.Verdict.ADMIT
 
     def replace_copy(self, packet: packets.Packet, sender: str) -> bool:
@@ -168,15 +197,19 @@
             return False
         self._queue.replace(
             queued._replace(
-                packet=packet, sender=sender, received_at=clock.now()
+                packet=packet,
+                sender=sender,
+                balancer=self._actions.instance_at(sender),
+                received_at=clock.now(),
             )
         )
         return True
 
     def discard(self, flow: bytes) -> None:
         """Remove the opening packet of a flow that has opened elsewhere."""
-        if self._queue and self._queue.remove(flow) is not None:
-            self._log.note('opening dropped', flow, reason='opened_elsewhere')
+        opening = self._queue.remove(flow) if self._queue else None
+        if opening is not None:
+            self._drop(opening, OUTCOME_OPENED_ELSEWHERE, clock.now())
 
     def release(self) -> None:
         """Admit the opening packets for which there is capacity now."""
@@ -212,8 +245,11 @@
     ) -> None:
         if not self._queue:
             self._conditions = self._actions.conditions()
+        self._count(opening, OUTCOME_QUEUED)
         self._log.note(
-            'opening queued', opening.packet.flow, **_inputs(opening, load, now)
+            'opening queued',
+            opening.packet.flow,
+            **self._inputs(opening, load, now),
         )
         evicted = self._queue.add(opening, load.slots)
         if evicted is not None:
@@ -243,14 +279,12 @@
     def _admit(self, opening: admission_queue.Opening, now: float) -> None:
         """Admit an opening packet that has waited, if it is answerable."""
         load = self._load(now)
-        if self._actions.is_departed(opening.sender):
+        if self._actions.is_departed(opening.balancer):
             # Its client's next copy comes through another balancer.
-            self._log.note(
-                'opening dropped',
-                opening.packet.flow,
-                reason='balancer_stopped',
-            )
+            self._drop(opening, OUTCOME_BALANCER_STOPPED, now)
         elif admission_queue.is_answerable(opening, load.wait_s, now):
+            self._count(opening, OUTCOME_AFTER_WAIT)
+            self._observe_wait(opening, now)
             self._actions.admit(opening)
         else:
             self._reject(opening, frame.REASON_DEADLINE, load, now)
@@ -279,41 +313,75 @@
         load: pending_work.ServerLoad,
         now: float,
     ) -> None:
+        name = frame.REASON_NAMES[reason]
+        self._count(opening, name)
+        self._observe_wait(opening, now)
         self._log.note(
             'opening rejected',
             opening.packet.flow,
-            reason=frame.REASON_NAMES[reason],
-            **_inputs(opening, load, now),
+            reason=name,
+            **self._inputs(opening, load, now),
         )
         self._actions.give_back(opening.packet, reason, opening.sender)
 
+    def _drop(
+        self, opening: admission_queue.Opening, reason: str, now: float
+    ) -> None:
+        self._count(opening, reason)
+        self._observe_wait(opening, now)
+        self._log.note('opening dropped', opening.packet.flow, reason=reason)
+
+    def _count(self, opening: admission_queue.Opening, outcome: str) -> None:
+        self._outcomes[opening.terms.priority, outcome] += 1
+
+    def _observe_wait(
+        self, opening: admission_queue.Opening, now: float
+    ) -> None:
+        """Record the wait of an opening packet that was queued."""
+        wait_s = now - opening.queued_at
+        if wait_s > 0:
+            self.observe_wait(str(opening.terms.priority), wait_s)
+
+    def _inputs(
+        self,
+        opening: admission_queue.Opening,
+        load: pending_work.ServerLoad,
+        now: float,
+    ) -> dict[str, typing.Any]:
+        """Return the inputs of a decision for the log.
+
+        The load is known at the moment; the work has the age of the last
+        request of the route that met a free slot.
+        """
+        packet = opening.packet
+        route = (packet.service_address, packet.service_port)
+        work_age_s = self._flows.service_times.age_s(route, now)
+        return {
+            'copy': packet.acknowledged,
+            'priority': opening.terms.priority,
+            'work_ms': _to_ms(opening.work_s),
+            'work_age_s': work_age_s and round(work_age_s, 2),
+            'wait_ms': _to_ms(load.wait_s),
+            'left_ms': _to_ms(opening.left_s(now)),
+            'queued_ms': _to_ms(now - opening.queued_at),
+            'queue': len(self._queue),
+            'in_system': load.in_system,
+            'slots': load.slots,
+        }
+
     def _schedule(self) -> None:
         if self._queue and not self._is_scheduled:
             self._is_scheduled = True
             self.call_later(CHECK_INTERVAL_S, self._check)
 
 
-def _inputs(
-    opening: admission_queue.Opening,
-    load: pending_work.ServerLoad,
-    now: float,
-) -> dict[str, typing.Any]:
-    """Return the inputs of a decision for the log."""
-    return {
-        'copy': opening.packet.acknowledged,
-        'priority': opening.terms.priority,
-        'work_ms': _to_ms(opening.work_s),
-        'wait_ms': _to_ms(load.wait_s),
-        'left_ms': _to_ms(opening.left_s(now)),
-        'queued_ms': _to_ms(now - opening.queued_at),
-        'in_system': load.in_system,
-        'slots': load.slots,
-    }
-
-
 def _to_ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
 
 
 def _ignore(_delay_s: float, _callback: abc.Callable[[], None]) -> None:
     """Schedule nothing until an event loop is set."""
+
+
+def _ignore_wait(_label: str, _seconds: float) -> None:
+    """Discard a wait; default until an observer is set."""
--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -99,6 +99,12 @@
         self._datapath.observe_service_times(
             services.metrics.observer('service_time')
         )
+        self._datapath.openings.observe_wait = services.metrics.observer(
+            'opening_wait'
+        )
+        services.metrics.add_source(
+            'admissions', lambda: self._datapath.admissions
+        )
         self._discovery = await self._async_discover(services)
 
     async def async_drain(self) -> None:
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -94,6 +94,7 @@
                 self._return_packet,
                 self._admission_conditions,
                 self._refusal_reason,
+                self._mesh.instance_at,
                 self._is_departed,
             ),
         )
@@ -123,6 +124,15 @@
         """Return the number of times that each decision was taken."""
         return self._log.counts
 
+    @property
+    def admissions(self) -> abc.Mapping[str, float]:
+        """Return the opening packets by service, priority and outcome."""
+        service = self._settings.service
+        return {
+            f'{service}/{priority}/{outcome}': count
+            for (priority, outcome), count in self.openings.outcomes.items()
+        }
+
     def expected_wait_s(self, priority: int) -> float | None:
         """Return the seconds that a new request would wait for a slot.
 
@@ -440,13 +450,14 @@
         )
 
     def _is_departed(self, balancer: str) -> bool:
-        """Return whether the balancer at an address is known to have stopped.
+        """Return whether a balancer has stopped since its name was known.
 
         Args:
-            balancer: Its address.
+            balancer: Its name; empty if it was not known.
         """
-        record = self._mesh.registry.get(self._mesh.instance_at(balancer))
-        return record is not None and members.is_departed(record)
+        record = self._mesh.registry.get(balancer)
+        is_lost = record is None or members.is_departed(record)
+        return bool(balancer) and is_lost
 
     def _route(self, packet: packets.Packet) -> routes.Route | None:
         table = self._configuration.routes
--- a/tests/unit/platform/test_odd_entries.py
+++ b/tests/unit/platform/test_odd_entries.py
@@ -3,8 +3,7 @@
 import json
 import math
 import unittest
-
-import structlog
+from unittest import mock
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import request_class
@@ -174,11 +173,12 @@
             'Services': [self.SERVICE],
         }
         document['Routes'][1] = {**self.ROUTE, 'Host': '198.18.0.2'}
-        with structlog.testing.capture_logs() as logs:
+        with mock.patch.object(configuration, '_LOGGER') as logger:
             table = configuration.decode(json.dumps(document).encode())
         self.assertTrue(table.allows(0xC6120001, 443, 'one'))
         self.assertTrue(table.allows(0xC6120002, 443, 'one'))
         self.assertIsNone(table.routes[0xC6120002, 443].request_class)
+        logs = [line.kwargs for line in logger.warning.call_args_list]
         return table.routes[0xC6120001, 443].request_class, logs
 
     def test_terms_are_read(self):
--- a/tests/unit/process/packets/test_admission_control.py
+++ b/tests/unit/process/packets/test_admission_control.py
@@ -8,8 +8,6 @@
 import unittest
 from unittest import mock
 
-import structlog
-
 from kumquatport.connection.packets import frame, request_class
 from kumquatport.process.packets import (
     agent_datapath,
@@ -18,6 +16,7 @@
     peers,
 )
 from kumquatport.version import members, routes
+from kumquatport.version.members import const as members_const
 from tests.builders import packets as builders
 
 BALANCER = '10.0.0.1'
@@ -279,12 +278,17 @@
     }
 
 
+def waited(counts):
+    """Return the opening packets of streams admitted from the queue."""
+    return counts.get('store/3/admitted_after_wait', 0)
+
+
 class BurstTest(unittest.TestCase):
     """Bursts of one kind on a backend server that is half busy."""
 
     def test_bursts_cost_the_least_important_requests(self):
         """Without terms, the backend server refuses all kinds alike."""
-        with structlog.testing.capture_logs():
+        with mock.patch.object(agent_datapath, '_LOGGER'):
             before = totals(has_terms=False)
             after = totals(has_terms=True)
         for name in ('lookups', 'uploads'):
@@ -302,9 +306,9 @@
     """What becomes of opening packets that wait."""
 
     def setUp(self):
-        logs = structlog.testing.capture_logs()
-        self.logs = logs.__enter__()
-        self.addCleanup(logs.__exit__, None, None, None)
+        patch = mock.patch.object(agent_datapath, '_LOGGER')
+        self.logger = patch.start()
+        self.addCleanup(patch.stop)
         self.make(KINDS)
 
     def make(self, kinds):
@@ -372,6 +376,52 @@
         self.assertAlmostEqual(wait_s(0), 0.05, delta=0.02)
         self.assertAlmostEqual(wait_s(3), 0.1, delta=0.04)
 
+    def test_rejections_are_explained_and_counted(self):
+        """Operators cannot see why a caller was rejected otherwise."""
+        waits = []
+        self.played.agent.openings.observe_wait = lambda *each: waits.append(
+            each
+        )
+        self.logger.info.reset_mock()
+        self.call(*['streams'] * 21)
+        (rejected, *others) = [
+            line.kwargs
+            for line in self.logger.info.call_args_list
+            if line.args == ('opening rejected',)
+        ]
+        self.assertEqual(len(others), 2)
+        self.assertEqual(
+            {each: rejected[each] for each in ('reason', 'priority', 'queue')},
+            {'reason': 'full', 'priority': 3, 'queue': 16},
+        )
+        self.assertGreater(rejected['work_age_s'], 0)
+        counts = self.played.agent.admissions
+        self.assertEqual(counts['store/3/full'], 3)
+        self.assertEqual(counts['store/3/queued'] - waited(counts), 16 + 3)
+        self.run_for(0.2)
+        self.assertEqual({label for label, _ in waits}, {'3'})
+        self.assertLess(max(seconds for _, seconds in waits), 0.2)
+
+    def test_opening_of_a_stopped_balancer_is_dropped(self):
+        """A client's next copy comes through another balancer."""
+        record = builders.record(
+            'front-1', kind=members.KIND_BALANCER, address=BALANCER
+        )
+        registry = self.played.agent._mesh.registry
+        with self.played.clock():
+            registry.merge(record)
+        self.call(*['streams'] * 4)
+        self.assertEqual(self.queued, 2)
+        before = len(self.reached())
+        with self.played.clock():
+            registry.merge(
+                record._replace(state=members_const.STATE_GONE, sequence=2)
+            )
+        self.run_for(0.19)
+        self.assertEqual((self.queued, len(self.reached())), (0, before))
+        counts = self.played.agent.admissions
+        self.assertEqual(counts['store/3/balancer_stopped'], 2)
+
     def test_full_queue_rejects_the_least_important(self):
         self.call(*['streams'] * 20, 'lookups')
         self.assertEqual(self.queued, 16)
