Test that unanswered requests do not block the queue of openings

Cause: nothing guarded that a request which is never answered stops to count as work; otherwise every later opening waits until its flow expires.

Change: a test with three such requests.

--- a/tests/unit/process/packets/test_admission_control.py
+++ b/tests/unit/process/packets/test_admission_control.py
@@ -465,6 +465,19 @@
             self.played._forward(builders.datagram(flow, acknowledged=9))
         self.assertEqual(self.queued, 1)
 
+    def test_requests_that_are_never_answered_do_not_block(self):
+        """All later openings would wait until the flows have expired."""
+        self.played._work_on_next = lambda: None
+        self.call('streams', 'streams')
+        self.run_for(0.05)
+        self.call('lookups')
+        self.assertEqual(self.queued, 1)
+        self.run_for(2.0)
+        self.call('lookups')
+        self.assertEqual(self.queued, 0)
+        with self.played.clock():
+            self.assertEqual(self.played.agent.busy, 3)
+
     def test_killed_agent_loses_only_the_wait(self):
         """The next copies are admitted by an agent that knows nothing."""
         self.call(*['streams'] * 4)
