--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -72,6 +72,9 @@
         )
         self._socket = bound
         self._close_callbacks.append(close)
+        self._datapath.openings.call_later = (
+            asyncio.get_running_loop().call_later
+        )
         self.add_future(self._async_expire())
         self.add_future(self._async_register_flows())
 
@@ -95,6 +98,12 @@
         self._datapath.observe_service_times(
             services.metrics.observer('service_time')
         )
+        self._datapath.openings.observe_wait = services.metrics.observer(
+            'opening_wait'
+        )
+        services.metrics.add_source(
+            'admissions', lambda: self._datapath.admissions
+        )
         self._discovery = await self._async_discover(services)
 
     async def async_drain(self) -> None:
