Return openings at the end of their wait; count uploads from their last packet

An upload through a narrow link counted as work during its transfer, so agents of the nine backend servers saw no free slot. A request now counts from its first packet that is not full.

--- a/kumquatport/connection/packets/admission_queue.py
+++ b/kumquatport/connection/packets/admission_queue.py
@@ -247,6 +247,18 @@
     return wait_s + opening.work_s <= opening.left_s(now)
 
 
+def is_full(load: pending_work.ServerLoad) -> bool:
+    """Return whether a flow that is admitted now waits behind others.
+
+    At the end of its wait such a flow is better offered to another agent: among
+    those that the backend server queues, priorities no longer count.
+
+    Args:
+        load: Load of the backend server.
+    """
+    return load.in_system >= MAX_IN_SYSTEM_PER_SLOT * load.slots
+
+
 def has_capacity(opening: Opening, load: pending_work.ServerLoad) -> bool:
     """Return whether a backend server can take a request within its objective.
 
@@ -256,7 +268,7 @@
     """
     if load.has_free_slot:
         return True
-    if load.in_system >= MAX_IN_SYSTEM_PER_SLOT * load.slots:
+    if is_full(load):
         return False
     return load.wait_s + opening.slow_work_s <= opening.terms.objective_s
 
--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -337,8 +337,9 @@
     ) -> None:
         """Start a request, or continue it by new data.
 
-        Work begins with the last packet of a request, and an upload may take
-        longer than the work. A retransmission does not count as new data.
+        Work begins with the last packet of a request: an upload through a
+        narrow link takes longer than the work, and occupies no slot meanwhile.
+        A retransmission does not count as new data.
         """
         if not state.request_started_at:
             state.request_started_at = now
@@ -346,13 +347,15 @@
             state.has_sent_request = True
             state.has_met_free_slot = False
             self.busy += 1
+            self.pending.forget(packet.flow)
         data_end = (packet.sequence + packet.length) & packets.SEQUENCE_MASK
         ahead = (data_end - state.data_end) & packets.SEQUENCE_MASK
         if state.data_end and not 0 < ahead < MAX_SEQUENCE_DISTANCE:
             return
         state.data_end = data_end
         state.work_started_at = now
-        if not state.is_counted and not state.is_overdue:
+        is_last = packet.length < packets.MAX_DATA_BYTES
+        if is_last and not state.is_counted and not state.is_overdue:
             state.is_counted = True
             state.work_s = self._expected_work_s(packet, now)
             self.pending.start(packet.flow, state.work_s, now)
--- a/kumquatport/connection/packets/packet.py
+++ b/kumquatport/connection/packets/packet.py
@@ -13,6 +13,9 @@
 FLAG_RST: typing.Final = 8
 FLAG_BOUNCED: typing.Final = 16
 
+# Data bytes of a full packet. Senders fill all packets of a request but its last.
+MAX_DATA_BYTES: typing.Final = 1200
+
 # Tag of a packet whose sender names no service.
 NO_SERVICE_TAG: typing.Final = 0
 
--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -27,7 +27,6 @@
 _BIT_BOUNCED: typing.Final = 32
 
 _FLAG_COMBINATIONS: typing.Final = 256
-_MAX_DATA_BYTES: typing.Final = 1200
 
 
 def _to_packet_flags(bits: int) -> int:
@@ -56,7 +55,10 @@
         return None
     header = _HEADER.unpack_from(datagram)
     length = header[9]
-    if length > _MAX_DATA_BYTES or length != len(datagram) - _HEADER.size:
+    if (
+        length > packets.MAX_DATA_BYTES
+        or length != len(datagram) - _HEADER.size
+    ):
         return None
     return packets.Packet(
         flow=datagram[:_FLOW_BYTES],
--- a/kumquatport/process/packets/admission_control.py
+++ b/kumquatport/process/packets/admission_control.py
@@ -263,7 +263,11 @@
         self._release(now)
         for opening in self._queue.due(now):
             self._queue.remove(opening.packet.flow)
-            self._admit(opening, now)
+            load = self._load(now)
+            if admission_queue.is_full(load):
+                self._reject(opening, frame.REASON_FULL, load, now)
+            else:
+                self._admit(opening, now)
         self._schedule()
 
     def _release(self, now: float) -> None:
