Report the room of backend servers in short heartbeats

Balancers place flows by requests in progress, which say neither how long a request waits nor how fast its backend server is.

A room counts as unknown after three heartbeat periods of its sender, after a restart of it, or when a heartbeat has none. No agent fills it in yet.

Heartbeats without a room keep their bytes, former builds read those with one, and full heartbeats are unchanged.

--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -143,6 +143,20 @@
         if load is not None and load.has_report:
             peer.was_draining = load.is_draining
 
+    def update_room(self, peer: peers.Peer, room: messages.Room | None) -> None:
+        """Store the room of a peer, as of now."""
+        peer.room = room
+        peer.room_at = clock.now()
+        peer.placed_since_room = 0
+
+    def room(self, instance: str) -> messages.Room | None:
+        """Return the room of an agent; None if it is unknown or too old."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.room is None:
+            return None
+        limit_s = const.ROOM_PERIODS * self._period_s(instance, peer)
+        return peer.room if clock.now() - peer.room_at <= limit_s else None
+
     def expire_silent(self) -> abc.Iterator[str]:
         """Log silent peers, and remove and yield the expired ones."""
         now = clock.now()
@@ -168,6 +182,10 @@
 
     def _suspect_timeout_s(self, instance: str, peer: peers.Peer) -> float:
         """Return the seconds of silence after which a peer is suspect."""
+        return const.SUSPECT_MISSED_HEARTBEATS * self._period_s(instance, peer)
+
+    def _period_s(self, instance: str, peer: peers.Peer) -> float:
+        """Return the seconds between two heartbeats of a peer."""
         record = self._registry.get(instance)
         is_local_agent = (
             record is not None
@@ -175,4 +193,4 @@
             and record.failure_domain == self._failure_domain
         )
         interval_rounds = 1 if is_local_agent else const.REMOTE_INTERVAL_ROUNDS
-        return const.SUSPECT_MISSED_HEARTBEATS * interval_rounds * peer.round_s
+        return interval_rounds * peer.round_s
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -43,6 +43,8 @@
         on_peer_expired: Called with the record of a peer that has been silent
             for ``const.PEER_EXPIRY_S``.
         load: Returns the load that heartbeats carry; None for a balancer.
+        room: Returns the room that short heartbeats to balancers carry; None
+            for a balancer, or if it is unknown.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
             _ignore_record
         )
         self.load: abc.Callable[[], messages.Load | None] = _no_load
+        self.room: abc.Callable[[], messages.Room | None] = _no_room
         self._settings = settings
         self._configuration = configuration
         self._liveness = liveness.Liveness(
@@ -175,12 +178,22 @@
         """Return whether an instance has not answered an offer in time."""
         return self._liveness.is_unresponsive(instance)
 
+    def room_of(self, instance: str) -> messages.Room | None:
+        """Return the room of an agent; None if it is unknown or too old."""
+        return self._liveness.room(instance)
+
     def send_load(self, address: str) -> None:
-        """Send a short heartbeat, with the load, to a balancer."""
+        """Send a short heartbeat, with the load, to a balancer.
+
+        From an agent, it answers an offer of the balancer.
+        """
         record = self.registry.get(self.instance_at(address))
         domain = record.failure_domain if record else ''
         round_s = self._liveness.announced_round_s(domain)
         heartbeat = self._short_heartbeat(members.KIND_BALANCER, round_s)
+        if heartbeat.room is not None:
+            room = heartbeat.room._replace(is_answer=True)
+            heartbeat = heartbeat._replace(room=room)
         self.send(messages.encode_short_heartbeat(heartbeat), address)
 
     def tell_confirmation(self, balancers: abc.Iterable[str]) -> None:
@@ -401,6 +414,7 @@
             round_s=round_s,
             load=self.load(),
             is_informed=self._membership.is_informed,
+            room=self.room(),
         )
 
     def _full_heartbeat(
@@ -451,6 +465,7 @@
         peer.round_s = heartbeat.round_s
         self._liveness.note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
+        self._liveness.update_room(peer, heartbeat.room)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
             heartbeat.domains_revision,
@@ -502,6 +517,7 @@
             self._send_reply(peer, record, state.routes_version)
         self._liveness.update_load(peer, message.load)
         if is_new:
+            self._liveness.update_room(peer, None)
             self._on_peer_started(peer, record)
 
     def _merge_heard(self, record: members.InstanceRecord) -> None:
@@ -742,3 +758,7 @@
 
 def _no_load() -> messages.Load | None:
     """Return no load, as for a balancer."""
+
+
+def _no_room() -> messages.Room | None:
+    """Return no room, as for a balancer."""
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -42,6 +42,33 @@
     is_failing: bool = False
 
 
+class Room(typing.NamedTuple):
+    """Capacity of an agent's backend server for further requests.
+
+    Attributes:
+        waits_s: Expected seconds until a request meets a free slot, for the
+            priorities 0, 1 and 2, and for all lower ones.
+        work_s: Mean seconds of work of a request.
+        committed: Share of its slots that the requests of its open flows are
+            expected to keep in use.
+        is_answer: Whether this answers an offer that requested the load, so
+            that the balancer can measure the round trip.
+    """
+
+    waits_s: tuple[float, float, float, float]
+    work_s: float
+    committed: float = 0
+    is_answer: bool = False
+
+    def wait_s(self, priority: int) -> float:
+        """Return the expected wait of a request.
+
+        Args:
+            priority: Priority of its route; 0 is the highest.
+        """
+        return self.waits_s[min(priority, len(self.waits_s) - 1)]
+
+
 # Entry among the failure domains that carries the era of the store. Builds that
 # know no eras take it for a failure domain without instances, while they would
 # refuse a message with a further field.
@@ -175,6 +202,9 @@
             if the store has none or the sender's build knows none.
         is_informed: Whether the sender's members come from the store, directly
             or from peers.
+        room: Capacity of an agent's backend server; None if it is unknown, no
+            route of its service states an objective, or the sender's build
+            reports none.
     """
 
     incarnation: int
@@ -187,12 +217,20 @@
     load: Load | None
     store_era: int = 0
     is_informed: bool = False
+    room: Room | None = None
 
 
 _SHORT_HEARTBEAT: typing.Final = struct.Struct('!QIQQQfHBHHHf')
-# Follows a short heartbeat if the store has eras; other builds ignore it.
+# Follows a short heartbeat if the store has eras or a room follows, 0 for no
+# era; other builds ignore it.
 _STORE_ERA: typing.Final = struct.Struct('!Q')
 _STORE_ERA_OFFSET: typing.Final = 1 + _SHORT_HEARTBEAT.size
+# Follows the era: waits in ms, work in ms, committed share in thousandths and
+# flags. Other builds ignore it.
+_ROOM: typing.Final = struct.Struct('!7H')
+_ROOM_OFFSET: typing.Final = _STORE_ERA_OFFSET + _STORE_ERA.size
+_IS_ANSWER: typing.Final = 1
+_COMMITTED_SCALE: typing.Final = 1000
 _IS_INFORMED: typing.Final = 1
 _IS_AGENT: typing.Final = 2
 _ACCEPTS: typing.Final = 4
@@ -296,7 +334,10 @@
         + load.is_failing * _IS_FAILING
     )
     era = heartbeat.store_era
-    suffix = _STORE_ERA.pack(era) if era else b''
+    room = heartbeat.room
+    suffix = _STORE_ERA.pack(era) if era or room else b''
+    if room is not None:
+        suffix += _encode_room(room)
     body = _SHORT_HEARTBEAT.pack(
         heartbeat.incarnation,
         heartbeat.sequence,
@@ -354,6 +395,37 @@
         load=load,
         store_era=_decode_store_era(datagram),
         is_informed=bool(flags & _IS_INFORMED),
+        room=_decode_room(datagram),
+    )
+
+
+def _encode_room(room: Room) -> bytes:
+    return _ROOM.pack(
+        *(_to_count(wait_s * _MS_PER_S) for wait_s in room.waits_s),
+        max(_to_count(room.work_s * _MS_PER_S), 1),
+        _to_count(room.committed * _COMMITTED_SCALE),
+        room.is_answer * _IS_ANSWER,
+    )
+
+
+def _to_count(number: float) -> int:
+    """Return the nearest number that 16 bits can hold."""
+    return round(min(max(number, 0), _MAX_COUNT))
+
+
+def _decode_room(datagram: bytes) -> Room | None:
+    """Return the room that follows the era; None if none follows."""
+    if len(datagram) < _ROOM_OFFSET + _ROOM.size:
+        return None
+    *waits_ms, work_ms, committed, flags = _ROOM.unpack_from(
+        datagram, _ROOM_OFFSET
+    )
+    first, second, third, lower = (wait / _MS_PER_S for wait in waits_ms)
+    return Room(
+        (first, second, third, lower),
+        work_ms / _MS_PER_S,
+        committed / _COMMITTED_SCALE,
+        is_answer=bool(flags & _IS_ANSWER),
     )
 
 
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -39,6 +39,11 @@
         incarnation: Incarnation of the peer's process.
         load: Load of an agent.
         placed_flows: Flows placed on the agent since the last heartbeat.
+        offered_at: Monotonic seconds of the offer whose answer is timed;
+            infinity if there is none.
+        room: Room that the agent has reported; None if it reports none.
+        room_at: Monotonic seconds of the reception of ``room``.
+        placed_since_room: Flows placed on the agent since then.
         was_draining: Whether the backend server was draining when the agent
             last reported it, even if the agent has restarted since.
         members_digest: Digest of the records that both share.
@@ -58,7 +63,11 @@
         'is_suspect',
         'load',
         'members_digest',
+        'offered_at',
         'placed_flows',
+        'placed_since_room',
+        'room',
+        'room_at',
         'round_s',
     )
 
@@ -69,6 +78,10 @@
         self.incarnation = 0
         self.load: messages.Load | None = None
         self.placed_flows = 0
+        self.offered_at = math.inf
+        self.room: messages.Room | None = None
+        self.room_at = -math.inf
+        self.placed_since_room = 0
         self.was_draining = False
         self.members_digest = 0
         self.is_informed = False
