Measure the requests that the open flows of a route carry

Placement counts open flows, so a stream that sends four requests a second and a flow whose only request is over cost the same. After a release the streams gather where fewer flows are open.

Each second the flow table counts the flows of each route, and until the next count the requests of just these flows, so that a flow which has sent its only request adds nothing. The rates, times the measured work of the route, give the work that the open flows will send.

--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -1,9 +1,10 @@
 """Flow table of an agent, tracked by the packets of its backend server."""
 
+import collections
 import typing
 from collections import abc
 
-from kumquatport.connection.packets import outcomes, service_times
+from kumquatport.connection.packets import flow_rates, outcomes, service_times
 from kumquatport.connection.packets import packet as packets
 
 # Largest distance of sequence numbers within one flow: a few times what one end
@@ -43,6 +44,8 @@
         opened_at: Monotonic time in seconds when the flow was added.
         request_started_at: Monotonic time in seconds of the request in
             progress, 0 for none.
+        route: Address and port that the client calls; None before a packet
+            has been seen.
         server_closed: Whether the backend server's end is closed.
         server_last_seen_at: Monotonic time in seconds of the last packet of
             the backend server.
@@ -64,6 +67,7 @@
         'last_seen_at',
         'opened_at',
         'request_started_at',
+        'route',
         'server_closed',
         'server_last_seen_at',
         'server_sequence',
@@ -86,6 +90,7 @@
         self.client_closed = False
         self.server_closed = False
         self.request_started_at: float = 0
+        self.route: service_times.RouteKey | None = None
         self.work_started_at: float = 0
         self.data_end = 0
         self.has_met_free_slot = False
@@ -114,6 +119,9 @@
         service_times: Service times of requests that met a free slot.
         slots: Requests that the backend server processes concurrently, 0
             before it has reported.
+        flows_by_route: Number of flows of each route, half-open and recently
+            closed ones included.
+        rates: Requests per second that the flows of each route carry.
     """
 
     def __init__(self) -> None:
@@ -125,6 +133,10 @@
         self.outcomes = outcomes.RequestOutcomes()
         self.service_times = service_times.ServiceTimes()
         self.slots = 0
+        self.flows_by_route: collections.Counter[service_times.RouteKey] = (
+            collections.Counter()
+        )
+        self.rates = flow_rates.FlowRates()
 
     def __len__(self) -> int:
         """Return the number of flows, half-open and closed ones included."""
@@ -174,6 +186,7 @@
             self.remove(packet.flow)
         state = self.add(packet.flow, now)
         state.client_sequence = packet.sequence
+        self._set_route(state, packet)
 
     def has_opening(self, packet: packets.Packet, now: float) -> bool:
         """Return whether an opening packet is one of a flow in the table.
@@ -217,6 +230,7 @@
         state.is_open = True
         state.last_seen_at = now
         state.acknowledged = packet.acknowledged
+        self._set_route(state, packet)
         if packet.length:
             self._on_request_data(state, packet, now)
         if packet.flags & packets.FLAG_FIN:
@@ -241,6 +255,7 @@
             state = FlowState(now)
             self.flows[packet.flow] = state
             state.is_open = not packet.flags & packets.FLAG_SYN
+        self._set_route(state, packet)
         state.last_seen_at = now
         state.server_last_seen_at = now
         if packet.flags & packets.FLAG_SYN:
@@ -259,8 +274,13 @@
     def remove(self, flow: bytes) -> None:
         """Remove a flow if it is in the table."""
         state = self.flows.pop(flow, None)
-        if state is not None:
-            self._clear_request(state)
+        if state is None:
+            return
+        self._clear_request(state)
+        if state.route is not None:
+            self.flows_by_route[state.route] -= 1
+            if not self.flows_by_route[state.route]:
+                self.flows_by_route.pop(state.route)
 
     def expire(self, now: float, idle_s: float) -> int:
         """Remove flows that have closed, never opened or timed out.
@@ -315,6 +335,24 @@
         """Return the number of open and half-open flows."""
         return sum(not state.is_closed for state in self.flows.values())
 
+    def committed_s(self, now: float) -> float:
+        """Return the seconds of work in each second that the flows will send.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        mean_s = self.service_times.overall_mean_s(now) or 0
+        total_s: float = 0
+        for route, count in self.flows_by_route.items():
+            work_s = self.service_times.mean_s(route, now) or mean_s
+            total_s += count * self.rates.per_s(route) * work_s
+        return total_s
+
+    def _set_route(self, state: FlowState, packet: packets.Packet) -> None:
+        if state.route is None:
+            state.route = (packet.service_address, packet.service_port)
+            self.flows_by_route[state.route] += 1
+
     def _on_request_data(
         self, state: FlowState, packet: packets.Packet, now: float
     ) -> None:
@@ -329,6 +367,8 @@
             state.has_sent_request = True
             state.has_met_free_slot = False
             self.busy += 1
+            if state.route is not None:
+                self.rates.note_request(state.route, state.opened_at)
         data_end = (packet.sequence + packet.length) & packets.SEQUENCE_MASK
         ahead = (data_end - state.data_end) & packets.SEQUENCE_MASK
         if state.data_end and not 0 < ahead < MAX_SEQUENCE_DISTANCE:
