Place flows by expected wait where the route states an objective

With a third of the backend servers three times slower, they got almost as many flows as the others, since placement compares requests in progress by slots.

For a route with terms the agent of the sample of four is chosen that has the lowest expected time to an answer: wait and work by its report, the mean work of each flow that this balancer has placed since, the measured round trip to the failure domain, and 0.02 of the objective for a crossing. The weight of a reported wait falls with its age; what remains is the wait that the work of the agent's open flows causes on average, so that balancers with the same old report do not all choose one agent. Costs of cold, failing and suspect agents count in units of the slowest work in the sample, and at least so that a failing agent costs an objective. If a needed report is missing or old, and without terms, the former score decides, unchanged. The round trip is the minimum of 10 s between an offer with FORWARD_REPORT_LOAD and the heartbeat that is marked as its answer. The choice moves from the forwarder to agent_choice.py.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -57,6 +57,7 @@
         self._mesh.on_frame = self._datapath.on_frame
         self._mesh.on_peer_started = self._datapath.on_peer_started
         self._mesh.load = self._datapath.load
+        self._mesh.room = self._datapath.room
         self._mesh.on_draining_reported = (
             self._datapath.backend_server.note_reported_draining
         )
--- /dev/null
+++ b/kumquatport/process/packets/agent_choice.py
@@ -0,0 +1,160 @@
+"""Choice of the agent that is offered a new flow, by what peers report."""
+
+import math
+import typing
+from collections import abc
+
+from kumquatport.connection.packets import packet as packets
+from kumquatport.connection.packets import placement
+from kumquatport.helpers import clock
+from kumquatport.process.packets import (
+    flow_lookup,
+    known_configuration,
+    mesh,
+    models,
+)
+from kumquatport.version import members, routes
+from kumquatport.version.members import const as members_const
+
+# Seconds for which the mean cost of an open flow is cached.
+FLOW_COST_TTL_S: typing.Final = 0.3
+
+# Returns the agents of a service in the order that a flow determines.
+AgentOrder = abc.Callable[[str, bytes], abc.Iterator[str]]
+
+
+class AgentChoice:
+    """Chooses among the agents of a route's service."""
+
+    def __init__(
+        self,
+        settings: models.Settings,
+        configuration: known_configuration.KnownConfiguration,
+        peer_mesh: mesh.Mesh,
+        agent_order: AgentOrder,
+    ) -> None:
+        """Start without cached values.
+
+        Args:
+            settings: Settings of this process.
+            configuration: Configuration known to this process.
+            peer_mesh: Mesh of the other instances.
+            agent_order: Order of the agents for each flow.
+        """
+        self._settings = settings
+        self._configuration = configuration
+        self._mesh = peer_mesh
+        self._agent_order = agent_order
+        self._flow_costs: dict[str, tuple[float, float]] = {}
+
+    def apply_settings(self, settings: models.Settings) -> None:
+        """Apply settings that changed at run time."""
+        self._settings = settings
+
+    def choose(
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        excluded: abc.Set[str],
+    ) -> placement.Candidate | None:
+        """Choose the agent that is offered an opening packet.
+
+        Args:
+            packet: The opening packet.
+            route: Route of the packet.
+            excluded: Agents that have been offered it, or have refused it.
+
+        Returns:
+            The agent; None if none accepts flows.
+        """
+        terms = route.request_class
+        return placement.choose(
+            self._candidates(packet, route, excluded),
+            self._flow_cost(flow_lookup.service_of(route, packet.flow)),
+            terms.objective_s if terms else None,
+        )
+
+    def note_placed(self, instance: str) -> None:
+        """Count a flow that is offered to an agent."""
+        peer = self._mesh.peer(instance)
+        if peer is not None:
+            peer.placed_flows += 1
+            peer.placed_since_room += 1
+
+    def _candidates(
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        excluded: abc.Set[str],
+    ) -> abc.Iterator[placement.Candidate]:
+        """Yield the agents that accept flows, in the order of the flow."""
+        terms = route.request_class
+        service = flow_lookup.service_of(route, packet.flow)
+        for instance in self._agent_order(service, packet.flow):
+            record = self._mesh.registry.get(instance)
+            if record is None or instance in excluded:
+                continue
+            candidate = self._candidate(record)
+            if candidate is None:
+                continue
+            if terms is not None:
+                candidate = candidate._replace(
+                    expectation=self._expectation(record, terms.priority)
+                )
+            yield candidate
+
+    def _candidate(
+        self, record: members.InstanceRecord
+    ) -> placement.Candidate | None:
+        if record.state != members_const.STATE_READY:
+            return None
+        if record.failure_domain in self._configuration.domains_out:
+            return None
+        peer = self._mesh.peer(record.instance)
+        if peer is None or peer.load is None or not peer.load.accepts:
+            return None
+        return placement.Candidate(
+            instance=record.instance,
+            slots=peer.load.slots,
+            busy=peer.load.busy,
+            flows=peer.load.flows,
+            placed=peer.placed_flows,
+            is_cross_domain=record.failure_domain
+            != self._settings.failure_domain,
+            is_suspect=self._mesh.is_suspect(record.instance)
+            or self._mesh.is_unresponsive(record.instance),
+            penalty=placement.penalty(
+                is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
+            ),
+        )
+
+    def _expectation(
+        self, record: members.InstanceRecord, priority: int
+    ) -> placement.Expectation | None:
+        """Return what a request can expect; None if no report is recent."""
+        room = self._mesh.room_of(record.instance)
+        peer = self._mesh.peer(record.instance)
+        if room is None or peer is None:
+            return None
+        return placement.Expectation(
+            wait_s=room.wait_s(priority),
+            age_s=clock.now() - peer.room_at,
+            work_s=room.work_s,
+            committed=room.committed,
+            placed=peer.placed_since_room,
+            round_trip_s=self._mesh.round_trip_s(record.failure_domain),
+        )
+
+    def _flow_cost(self, service: str) -> float:
+        """Return the mean number of requests in progress per open flow."""
+        now = clock.now()
+        valid_until, cost = self._flow_costs.get(service, (-math.inf, 1.0))
+        if now >= valid_until:
+            cost = placement.busy_per_flow(
+                (peer.load.busy, peer.load.flows)
+                for record in self._mesh.registry.agents(service)
+                if (peer := self._mesh.peer(record.instance)) is not None
+                and peer.load is not None
+            )
+            self._flow_costs[service] = (now + FLOW_COST_TTL_S, cost)
+        return cost
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -25,6 +25,7 @@
     mesh,
     messages,
     models,
+    room_report,
 )
 from kumquatport.version import members
 from kumquatport.version.members import const as members_const
@@ -87,6 +88,9 @@
         self._started_at = clock.now()
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
+        self._room_report = room_report.RoomReport(
+            settings.service, configuration, self._flows, self.backend_server
+        )
 
     @property
     def state(self) -> str:
@@ -175,6 +179,7 @@
     def expire(self) -> None:
         """Remove expired flows and log the number of omitted log lines."""
         now = clock.now()
+        self._flows.rates.measure(self._flows.flows_by_route, now)
         flow_ttl_s = self._settings.bounds.flow_ttl_s
         self._flows.expire(now, flow_ttl_s)
         if not self._knows_all_flows and now - self._started_at > flow_ttl_s:
@@ -541,6 +546,10 @@
             if record is not None:
                 self._mesh.send_flows(kind, flows, record.address)
 
+    def room(self) -> messages.Room | None:
+        """Return the room that short heartbeats carry; None if unknown."""
+        return self._room_report.room()
+
     def load(self) -> messages.Load:
         """Return the load that heartbeats carry."""
         server = self.backend_server
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -11,12 +11,12 @@
     flow_cache,
     frame,
     opening_wait,
-    placement,
     request_class,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
+    agent_choice,
     decision_log,
     flow_lookup,
     known_configuration,
@@ -38,9 +38,6 @@
     (members_const.STATE_READY, members_const.STATE_VACANT)
 )
 
-# Seconds for which the mean cost of an open flow is cached.
-FLOW_COST_TTL_S: typing.Final = 0.3
-
 
 class Forwarder:
     """Forwards each packet to the agent that holds or should open its flow.
@@ -72,7 +69,6 @@
         self._flows = flow_cache.FlowCache()
         self._queued_packets = backlog.Backlog()
         self.on_queued: abc.Callable[[], None] = _ignore_queued
-        self._flow_costs: dict[str, tuple[float, float]] = {}
         self._log = decision_log.DecisionLog(_LOGGER, codec.format_flow)
         self.link = link_sender.LinkSender(settings.link_bytes_per_s, peers)
         self._lookup = flow_lookup.FlowLookup(
@@ -84,6 +80,9 @@
                 self._forward, self._reset_lost_flow, self._flows.remove
             ),
         )
+        self._choice = agent_choice.AgentChoice(
+            settings, configuration, peers, self._lookup.agent_order
+        )
         self._started_at = clock.now()
         self._handlers: abc.Mapping[int, abc.Callable[[bytes, str], None]] = {
             frame.KIND_HELD: self._on_held,
@@ -116,6 +115,7 @@
         """Apply settings that changed at run time."""
         self._settings = settings
         self._lookup.apply_settings(settings)
+        self._choice.apply_settings(settings)
         self.link.apply_rate(settings.link_bytes_per_s)
 
     def expire(self) -> None:
@@ -219,7 +219,7 @@
         flow: flow_cache.CachedFlow,
     ) -> None:
         excluded = flow.refused_by.union(flow.agents)
-        chosen = self._choose_agent(packet, route, excluded)
+        chosen = self._choice.choose(packet, route, excluded)
         if chosen is not None and len(excluded) < MAX_OFFERS:
             flow.agents += (chosen.instance,)
             self._log.note(
@@ -234,9 +234,7 @@
                 routes_version=self._configuration.routes_version,
                 beliefs_age_s=round(self._configuration.age_s, 2),
             )
-            peer = self._mesh.peer(chosen.instance)
-            if peer is not None:
-                peer.placed_flows += 1
+            self._choice.note_placed(chosen.instance)
             requests_load = self._mesh.should_request_load(chosen.instance)
             self._forward(
                 packet,
@@ -266,62 +264,6 @@
                 tried=sorted(refused_by),
             )
 
-    def _choose_agent(
-        self,
-        packet: packets.Packet,
-        route: routes.Route,
-        excluded: abc.Set[str],
-    ) -> placement.Candidate | None:
-        service = flow_lookup.service_of(route, packet.flow)
-        registry = self._mesh.registry
-        candidates = (
-            candidate
-            for instance in self._lookup.agent_order(service, packet.flow)
-            if instance not in excluded
-            and (record := registry.get(instance)) is not None
-            and (candidate := self._placement_candidate(record)) is not None
-        )
-        return placement.choose(candidates, self._flow_cost(service))
-
-    def _flow_cost(self, service: str) -> float:
-        """Return the mean number of requests in progress per open flow."""
-        now = clock.now()
-        valid_until, cost = self._flow_costs.get(service, (-math.inf, 1.0))
-        if now >= valid_until:
-            cost = placement.busy_per_flow(
-                (peer.load.busy, peer.load.flows)
-                for record in self._mesh.registry.agents(service)
-                if (peer := self._mesh.peer(record.instance)) is not None
-                and peer.load is not None
-            )
-            self._flow_costs[service] = (now + FLOW_COST_TTL_S, cost)
-        return cost
-
-    def _placement_candidate(
-        self, record: members.InstanceRecord
-    ) -> placement.Candidate | None:
-        if record.state != members_const.STATE_READY:
-            return None
-        if record.failure_domain in self._configuration.domains_out:
-            return None
-        peer = self._mesh.peer(record.instance)
-        if peer is None or peer.load is None or not peer.load.accepts:
-            return None
-        return placement.Candidate(
-            instance=record.instance,
-            slots=peer.load.slots,
-            busy=peer.load.busy,
-            flows=peer.load.flows,
-            placed=peer.placed_flows,
-            is_cross_domain=record.failure_domain
-            != self._settings.failure_domain,
-            is_suspect=self._mesh.is_suspect(record.instance)
-            or self._mesh.is_unresponsive(record.instance),
-            penalty=placement.penalty(
-                is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
-            ),
-        )
-
     def _should_wait(self, packet: packets.Packet, route: routes.Route) -> bool:
         """Return whether an opening packet waits for its retransmission."""
         now = clock.now()
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from kumquatport.connection.packets import round_trips
 from kumquatport.helpers import clock
 from kumquatport.process.logs import rate_limit
 from kumquatport.process.packets import const, messages, peers
@@ -38,6 +39,7 @@
         self._failure_domain = failure_domain
         self._is_balancer = is_balancer
         self._peers: dict[str, peers.Peer] = {}
+        self._round_trips = round_trips.RoundTrips()
         self.lines = rate_limit.RateLimitedLogger(
             _LOGGER, const.PEER_LINES_PER_S, const.PEER_BURST_LINES
         )
@@ -112,8 +114,20 @@
         if now - peer.last_heartbeat_at < const.LOAD_REQUEST_AGE_S:
             return False
         peer.load_requested_at = now
+        peer.offered_at = now
         return True
 
+    def note_answer(self, peer: peers.Peer, failure_domain: str) -> None:
+        """Record the round trip of an offer that a peer has answered."""
+        now = clock.now()
+        if peer.offered_at <= now:
+            self._round_trips.record(failure_domain, now - peer.offered_at, now)
+        peer.offered_at = math.inf
+
+    def round_trip_s(self, failure_domain: str) -> float | None:
+        """Return the round trip to a failure domain; None if unknown."""
+        return self._round_trips.minimum_s(failure_domain, clock.now())
+
     def is_unresponsive(self, instance: str) -> bool:
         """Return whether an instance has not answered an offer in time."""
         peer = self._peers.get(instance)
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -1,6 +1,7 @@
 """Exchange of liveness, load and configuration between instances."""
 
 import functools
+import math
 from collections import abc
 
 import structlog
@@ -182,6 +183,10 @@
         """Return the room of an agent; None if it is unknown or too old."""
         return self._liveness.room(instance)
 
+    def round_trip_s(self, failure_domain: str) -> float | None:
+        """Return the round trip to a failure domain; None if unknown."""
+        return self._liveness.round_trip_s(failure_domain)
+
     def send_load(self, address: str) -> None:
         """Send a short heartbeat, with the load, to a balancer.
 
@@ -466,6 +471,8 @@
         self._liveness.note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
         self._liveness.update_room(peer, heartbeat.room)
+        if heartbeat.room is not None and heartbeat.room.is_answer:
+            self._liveness.note_answer(peer, record.failure_domain)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
             heartbeat.domains_revision,
@@ -518,6 +525,7 @@
         self._liveness.update_load(peer, message.load)
         if is_new:
             self._liveness.update_room(peer, None)
+            peer.offered_at = math.inf
             self._on_peer_started(peer, record)
 
     def _merge_heard(self, record: members.InstanceRecord) -> None:
--- /dev/null
+++ b/tests/unit/process/packets/test_agent_choice.py
@@ -0,0 +1,128 @@
+"""Tests of a balancer that chooses agents by their reported room."""
+
+from unittest import mock
+
+from kumquatport.connection.packets import frame, request_class
+from kumquatport.process.packets import agent_datapath, const, messages
+from tests.builders import packets as builders
+from tests.builders import rooms
+
+
+class ChoiceTest(rooms.RoomTestCase):
+    """Which agent is offered a new flow."""
+
+    def setUp(self):
+        super().setUp()
+        self.rooms = {'1': (0.2, 0.02), '2': (0.0, 0.02)}
+
+    def test_lowest_wait_of_the_priority_until_flows_are_placed(self):
+        self.report()
+        self.assertEqual(set(self.chosen(9)), {'2'})
+        # Ten flows of 20 ms are placed there before its next report.
+        self.assertIn('1', self.chosen(4))
+        self.report()
+        self.assertEqual(self.chosen(1), ['2'])
+
+    def test_former_score_without_terms_or_with_a_missing_report(self):
+        """An old report must not exclude an agent that is idle meanwhile."""
+        self.report_one('1', busy=0)
+        self.report_one('2', busy=4)
+        self.assertEqual(self.chosen(1), ['2'])
+        self.set_terms(None, 3)
+        self.assertEqual(self.chosen(1), ['1'])
+        self.set_terms(rooms.TERMS, 4)
+        self.rooms['2'] = None
+        self.report_one('2', busy=4)
+        self.assertEqual(self.chosen(1), ['1'])
+
+    def test_measured_round_trip_is_that_of_answers(self):
+        """A heartbeat between an offer and its answer is not an answer."""
+        self.domains = {'1': 'b'}
+        self.rooms = {'1': (0.0, 0.02)}
+        self.report()
+        self.now += const.LOAD_REQUEST_AGE_S
+        self.open()
+        self.assertEqual(
+            frame.unpack(self.sent[0][0]).detail, frame.FORWARD_REPORT_LOAD
+        )
+        self.now += 0.001
+        self.report()
+        self.assertIsNone(self.mesh.round_trip_s('b'))
+        self.now += 0.009
+        self.report(is_answer=True)
+        self.assertAlmostEqual(self.mesh.round_trip_s('b'), 0.01)
+        self.now += 5
+        self.report(is_answer=True)
+        self.assertAlmostEqual(self.mesh.round_trip_s('b'), 0.01)
+
+    def test_traffic_leaves_the_failure_domain_for_a_shorter_time(self):
+        self.domains = {'1': 'b'}
+        self.rooms = {'1': (0.0, 0.02), '2': (0.005, 0.02)}
+        self.report()
+        self.now += const.LOAD_REQUEST_AGE_S
+        self.assertEqual(self.chosen(1), ['2'])
+        self.rooms['2'] = (0.1, 0.02)
+        self.report()
+        self.assertEqual(self.chosen(1), ['1'])
+
+
+class ReportTest(rooms.RoomTestCase):
+    """What an agent reports."""
+
+    def setUp(self):
+        super().setUp()
+        self.agent = self.make_agent()
+
+    def make_agent(self):
+        settings = builders.settings()
+        datapath = agent_datapath.AgentDatapath(
+            settings,
+            builders.CODEC,
+            self.configuration,
+            self.mesh,
+            mock.Mock(),
+        )
+        datapath.handle_report(builders.report(slots=1))
+        return datapath
+
+    def request(self, port, work_s=None):
+        """Send a request, and its answer after some work, if any."""
+        flow = builders.flow(port)
+        for packet in (
+            builders.datagram(flow, builders.SYN),
+            builders.datagram(flow, acknowledged=501, data=b'GET'),
+        ):
+            message = frame.pack(frame.KIND_FORWARD, 0, 2, packet)
+            self.agent.on_frame(message, '10.0.0.1')
+            self.agent.on_outbound(
+                builders.answer(
+                    flow, builders.SYN | builders.ACK, sequence=500
+                ),
+                ('10.0.0.2', 4),
+            )
+        if work_s is not None:
+            self.now += work_s
+            answer = builders.answer(flow, data=b'200')
+            self.agent.on_outbound(answer, ('10.0.0.2', 4))
+
+    def test_wait_follows_the_requests_in_progress(self):
+        for port in range(4):
+            self.request(port, 0.02)
+        self.assertIsNone(self.agent.room())
+        self.request(4, 0.02)
+        room = self.agent.room()
+        self.assertAlmostEqual(room.work_s, 0.02)
+        self.assertEqual(room.waits_s, (0, 0, 0, 0))
+        for port in range(10, 13):
+            self.request(port)
+        self.assertAlmostEqual(self.agent.room().wait_s(2), 0.06)
+
+    def test_no_report_where_no_route_has_terms(self):
+        """Heartbeats of other deployments keep their bytes."""
+        for port in range(5):
+            self.request(port, 0.02)
+        self.assertIsInstance(self.agent.room(), messages.Room)
+        self.set_terms(None, 3)
+        self.assertIsNone(self.agent.room())
+        self.set_terms(request_class.RequestClass(0, 1, 1, False), 4)
+        self.assertIsNotNone(self.agent.room())
