--- a/kumquatport/process/packets/room_report.py
+++ b/kumquatport/process/packets/room_report.py
@@ -1,14 +1,19 @@
 """Report of an agent on the capacity that its backend server has left."""
 
+import typing
+from collections import abc
+
 from kumquatport.connection.packets import flow_table
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
-    backend_server,
     known_configuration,
     messages,
 )
 from kumquatport.version import routes
 
+# Priorities whose wait is reported. Lower ones wait at least as long as the last.
+_PRIORITIES: typing.Final = (0, 1, 2, 3)
+
 
 class RoomReport:
     """Determines the room that heartbeats carry."""
@@ -18,7 +23,7 @@
         service: str,
         configuration: known_configuration.KnownConfiguration,
         flows: flow_table.FlowTable,
-        server: backend_server.BackendServer,
+        expected_wait_s: abc.Callable[[int], float | None],
     ) -> None:
         """Start without knowledge of the routes.
 
@@ -26,29 +31,32 @@
             service: Service of the backend server.
             configuration: Configuration known to this process.
             flows: Flows of the backend server.
-            server: The backend server.
+            expected_wait_s: Returns the seconds that a request of a priority
+                would wait for a slot; None if they are unknown.
         """
         self._service = service
         self._configuration = configuration
         self._flows = flows
-        self._server = server
+        self._expected_wait_s = expected_wait_s
         self._table: routes.RouteTable | None = None
         self._has_objective = False
 
     def room(self) -> messages.Room | None:
         """Return the room; None if it is unknown or no route needs it."""
-        if not self._is_needed() or self._server.report is None:
+        if not self._is_needed():
             return None
         now = clock.now()
         work_s = self._flows.service_times.overall_mean_s(now)
-        if work_s is None:
+        waits_s = tuple(map(self._expected_wait_s, _PRIORITIES))
+        known_s = [wait_s for wait_s in waits_s if wait_s is not None]
+        if work_s is None or len(known_s) < len(_PRIORITIES):
             return None
-        slots = self._server.slots
-        wait_s = queue_wait_s(self._flows.busy, slots, work_s)
+        first, second, third, lower = known_s
+        committed_s = self._flows.committed_s(now)
         return messages.Room(
-            (wait_s, wait_s, wait_s, wait_s),
+            (first, second, third, lower),
             work_s,
-            self._flows.committed_s(now) / max(slots, 1),
+            committed_s / self._flows.slots,
         )
 
     def _is_needed(self) -> bool:
@@ -62,15 +70,3 @@
                 for route in table.routes.values()
             )
         return self._has_objective
-
-
-def queue_wait_s(busy: int, slots: int, work_s: float) -> float:
-    """Return the seconds until a further request meets a free slot.
-
-    Args:
-        busy: Requests in progress.
-        slots: Requests that are processed concurrently.
-        work_s: Mean seconds of work of a request.
-    """
-    ahead = busy - slots + 1
-    return max(ahead, 0) * work_s / max(slots, 1)
--- a/tests/unit/process/packets/test_agent_choice.py
+++ b/tests/unit/process/packets/test_agent_choice.py
@@ -85,25 +85,31 @@
         datapath.handle_report(builders.report(slots=1))
         return datapath
 
-    def request(self, port, work_s=None):
-        """Send a request, and its answer after some work, if any."""
+    def forward(self, packet):
+        message = frame.pack(frame.KIND_FORWARD, 0, 2, packet)
+        self.agent.on_frame(message, '10.0.0.1')
+
+    def respond(self, flow, flags=builders.ACK, **fields):
+        answer = builders.answer(flow, flags, **fields)
+        self.agent.on_outbound(answer, ('10.0.0.2', 4))
+
+    def request(self, port, work_s):
+        """Open a flow and send a request that is answered after its work."""
         flow = builders.flow(port)
-        for packet in (
-            builders.datagram(flow, builders.SYN),
-            builders.datagram(flow, acknowledged=501, data=b'GET'),
-        ):
-            message = frame.pack(frame.KIND_FORWARD, 0, 2, packet)
-            self.agent.on_frame(message, '10.0.0.1')
-            self.agent.on_outbound(
-                builders.answer(
-                    flow, builders.SYN | builders.ACK, sequence=500
-                ),
-                ('10.0.0.2', 4),
+        self.forward(builders.datagram(flow, builders.SYN))
+        self.respond(flow, builders.SYN | builders.ACK, sequence=500)
+        self.request_again(port, 1)
+        self.now += work_s
+        self.respond(flow, data=b'200')
+
+    def request_again(self, port, sequence):
+        """Send a request that is not answered yet."""
+        flow = builders.flow(port)
+        self.forward(
+            builders.datagram(
+                flow, sequence=sequence, acknowledged=501, data=b'GET'
             )
-        if work_s is not None:
-            self.now += work_s
-            answer = builders.answer(flow, data=b'200')
-            self.agent.on_outbound(answer, ('10.0.0.2', 4))
+        )
 
     def test_wait_follows_the_requests_in_progress(self):
         for port in range(4):
@@ -113,8 +119,8 @@
         room = self.agent.room()
         self.assertAlmostEqual(room.work_s, 0.02)
         self.assertEqual(room.waits_s, (0, 0, 0, 0))
-        for port in range(10, 13):
-            self.request(port)
+        for port in range(3):
+            self.request_again(port, 4)
         self.assertAlmostEqual(self.agent.room().wait_s(2), 0.06)
 
     def test_no_report_where_no_route_has_terms(self):
