Avoid backend servers that are slow, failing or flapping

A backend server that flaps gets its full share of new flows at each recovery, and nothing tells operators that one is slow compared with the others.

Balancers judge the backend servers of a service twice a second, when flows of a route with terms are placed, by the reports that they have: slow from 2 times the median work of the others, healthy below 1.5; failing as the agent reports it. A return takes 1/4 and 1/2 of the new flows for 2 s each, three changes in 10 s keep a server out for 5 s, and if more than half of a service would be avoided, none is. Work below 5 ms makes no server slow, since reports have a resolution of 1 ms. Each change of state is logged and counted.

--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -50,6 +50,10 @@
 # queue in equilibrium; above it, the wait grows in proportion to the use.
 MAX_EQUILIBRIUM_USE: typing.Final = 0.95
 
+# Cost of a backend server that a flow should avoid, as a share of the objective.
+# It is still used when the others would take longer by more than that.
+AVOIDED_COST: typing.Final = 0.25
+
 # Additional price of crossing a failure domain, as a share of the objective:
 # agents that are equal otherwise are chosen within the failure domain.
 CROSSING_PRICE: typing.Final = 0.02
--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -4,10 +4,14 @@
 import typing
 from collections import abc
 
+import xxhash
+
 from kumquatport.connection.packets import packet as packets
-from kumquatport.connection.packets import placement
+from kumquatport.connection.packets import placement, request_class
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
+    capacity_watch,
+    decision_log,
     flow_lookup,
     known_configuration,
     mesh,
@@ -19,6 +23,9 @@
 # Seconds for which the mean cost of an open flow is cached.
 FLOW_COST_TTL_S: typing.Final = 0.3
 
+# Number of 32-bit hashes.
+_POSITIONS: typing.Final = 1 << 32
+
 # Returns the agents of a service in the order that a flow determines.
 AgentOrder = abc.Callable[[str, bytes], abc.Iterator[str]]
 
@@ -32,6 +39,7 @@
         configuration: known_configuration.KnownConfiguration,
         peer_mesh: mesh.Mesh,
         agent_order: AgentOrder,
+        log: decision_log.DecisionLog,
     ) -> None:
         """Start without cached values.
 
@@ -40,11 +48,13 @@
             configuration: Configuration known to this process.
             peer_mesh: Mesh of the other instances.
             agent_order: Order of the agents for each flow.
+            log: Log of the decisions.
         """
         self._settings = settings
         self._configuration = configuration
         self._mesh = peer_mesh
         self._agent_order = agent_order
+        self._capacity = capacity_watch.CapacityWatch(peer_mesh, log)
         self._flow_costs: dict[str, tuple[float, float]] = {}
 
     def apply_settings(self, settings: models.Settings) -> None:
@@ -98,9 +108,8 @@
             if candidate is None:
                 continue
             if terms is not None:
-                candidate = candidate._replace(
-                    expectation=self._expectation(record, terms.priority)
-                )
+                expectation = self._expectation(record, packet, terms)
+                candidate = candidate._replace(expectation=expectation)
             yield candidate
 
     def _candidate(
@@ -129,20 +138,26 @@
         )
 
     def _expectation(
-        self, record: members.InstanceRecord, priority: int
+        self,
+        record: members.InstanceRecord,
+        packet: packets.Packet,
+        terms: request_class.RequestClass,
     ) -> placement.Expectation | None:
         """Return what a request can expect; None if no report is recent."""
         room = self._mesh.room_of(record.instance)
         peer = self._mesh.peer(record.instance)
         if room is None or peer is None:
             return None
+        share = self._capacity.share(record.service, record.instance)
+        is_avoided = share < 1 and _position(packet.flow) >= share
         return placement.Expectation(
-            wait_s=room.wait_s(priority),
+            wait_s=room.wait_s(terms.priority),
             age_s=clock.now() - peer.room_at,
             work_s=room.work_s,
             committed=room.committed,
             placed=peer.placed_since_room,
             round_trip_s=self._mesh.round_trip_s(record.failure_domain),
+            extra_cost=is_avoided * placement.AVOIDED_COST * terms.objective_s,
         )
 
     def _flow_cost(self, service: str) -> float:
@@ -158,3 +173,11 @@
             )
             self._flow_costs[service] = (now + FLOW_COST_TTL_S, cost)
         return cost
+
+
+def _position(flow: bytes) -> float:
+    """Return the position of a flow in the range from 0 to 1.
+
+    It does not depend on the hash that selects the service of the flow.
+    """
+    return xxhash.xxh32_intdigest(flow) / _POSITIONS
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -81,7 +81,11 @@
             ),
         )
         self._choice = agent_choice.AgentChoice(
-            settings, configuration, peers, self._lookup.agent_order
+            settings,
+            configuration,
+            peers,
+            self._lookup.agent_order,
+            self._log,
         )
         self._started_at = clock.now()
         self._handlers: abc.Mapping[int, abc.Callable[[bytes, str], None]] = {
--- a/tests/builders/replays.py
+++ b/tests/builders/replays.py
@@ -11,7 +11,12 @@
 import typing
 from collections import abc
 
-from kumquatport.connection.packets import flow_rates, outcomes, placement
+from kumquatport.connection.packets import (
+    flow_rates,
+    outcomes,
+    placement,
+    server_capacity,
+)
 
 OBJECTIVE_S = 0.253
 QUEUE_LIMIT = 5
@@ -147,6 +152,9 @@
             for _ in range(BALANCERS)
         ]
         self._placed = [[0] * SERVERS for _ in range(BALANCERS)]
+        self._capacities = [
+            server_capacity.ServerCapacity() for _ in range(BALANCERS)
+        ]
         self._asked: set[tuple[int, int]] = set()
         self._events: list[tuple[float, int, typing.Any, typing.Any]] = []
         self._numbers = itertools.count()
@@ -163,6 +171,7 @@
                 number,
             )
         self.at(0.0, self._measure)
+        self.at(0.0, self._judge)
         for kind in self.kinds:
             self.at(0.0, self._generate, kind, load)
         while self._events[0][0] < seconds:
@@ -185,6 +194,19 @@
             server.rates.measure(server.flows, now)
         self.at(now + 1, self._measure)
 
+    def _judge(self, now: float) -> None:
+        for view, capacity in zip(self._views, self._capacities, strict=True):
+            capacity.update(
+                {
+                    str(number): server_capacity.Observation(
+                        report.work_s, report.is_failing
+                    )
+                    for number, report in enumerate(view)
+                },
+                now,
+            )
+        self.at(now + 0.5, self._judge)
+
     def _period_s(self, balancer: int, number: int) -> float:
         is_local = self.servers[number].domain == balancer % DOMAINS
         return LOCAL_PERIOD_S if is_local else REMOTE_PERIOD_S
@@ -253,6 +275,8 @@
     ) -> placement.Candidate:
         report = self._views[balancer][number]
         placed = self._placed[balancer][number]
+        share = self._capacities[balancer].share(str(number), now)
+        is_avoided = self._demand.random() >= share
         expectation = placement.Expectation(
             report.wait_s,
             now - report.at,
@@ -260,6 +284,7 @@
             report.committed,
             placed,
             2 * self._trip_s(balancer, number),
+            is_avoided * placement.AVOIDED_COST * OBJECTIVE_S,
         )
         is_known = now - report.at <= 3 * self._period_s(balancer, number)
         return placement.Candidate(
--- a/tests/unit/process/packets/test_agent_choice.py
+++ b/tests/unit/process/packets/test_agent_choice.py
@@ -66,6 +66,41 @@
         self.assertEqual(self.chosen(1), ['1'])
 
 
+class SlowServerTest(rooms.RoomTestCase):
+    """A backend server with three times the work of the others."""
+
+    def test_slow_server_is_avoided_until_it_has_returned(self):
+        self.rooms = {'1': (0.0, 0.06), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.report()
+        # Its expected time would be the shortest one, without the cost.
+        self.assertNotIn('1', self.chosen(1))
+        self.assertEqual(self.forwarder.counts['backend server slow'], 1)
+        self.rooms = {
+            name: (0.5, work) for name, (_, work) in self.rooms.items()
+        }
+        self.rooms['1'] = (0.0, 0.06)
+        self.report()
+        self.assertEqual(self.chosen(1), ['1'])
+        self.rooms = {'1': (0.0, 0.02), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        returned = []
+        for _ in range(12):
+            self.now += 0.5
+            taken = 0
+            for _ in range(20):
+                self.report()
+                taken += self.chosen(1) == ['1']
+            returned.append(taken)
+        self.assertLess(returned[0], 12)
+        self.assertEqual(returned[-1], 20)
+
+    def test_none_is_slow_without_terms_of_the_route(self):
+        self.set_terms(None, 3)
+        self.rooms = {'1': (0.0, 0.06), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.report()
+        self.chosen(5)
+        self.assertNotIn('backend server slow', self.forwarder.counts)
+
+
 class ReportTest(rooms.RoomTestCase):
     """What an agent reports."""
 
