Reject flows at the balancer when their service has no capacity in time

When no backend server of a service can answer before the deadline, a balancer offers the flow to up to six agents, one after the other, and the client learns only from its time-out that the request did not run.

If the chosen agent, and all of the first six agents in the order of the flow, report a wait above the time left to the deadline, the opening packet is reset at once. The log line states the shortest wait, the time left, the oldest report and the number of agents.

--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -6,8 +6,12 @@
 
 import xxhash
 
+from kumquatport.connection.packets import (
+    edge_rejection,
+    placement,
+    request_class,
+)
 from kumquatport.connection.packets import packet as packets
-from kumquatport.connection.packets import placement, request_class
 from kumquatport.helpers import clock
 from kumquatport.process.packets import (
     capacity_watch,
@@ -84,6 +88,30 @@
             terms.objective_s if terms else None,
         )
 
+    def find_exhaustion(
+        self,
+        packet: packets.Packet,
+        route: routes.Route,
+        chosen: placement.Candidate,
+    ) -> edge_rejection.Exhaustion | None:
+        """Return why no agent can serve a flow in time; None if one may.
+
+        Args:
+            packet: The opening packet.
+            route: Route of the packet.
+            chosen: Agent that would be offered it. While this one has time, no
+                other one has to be looked at.
+        """
+        terms = route.request_class
+        if terms is None:
+            return None
+        left_s = edge_rejection.time_left_s(terms, packet.acknowledged)
+        if not edge_rejection.is_too_late(chosen, left_s):
+            return None
+        return edge_rejection.find_exhaustion(
+            self._candidates(packet, route, frozenset()), left_s
+        )
+
     def note_placed(self, instance: str) -> None:
         """Count a flow that is offered to an agent."""
         peer = self._mesh.peer(instance)
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -8,6 +8,7 @@
 
 from kumquatport.connection.packets import (
     backlog,
+    edge_rejection,
     flow_cache,
     frame,
     opening_wait,
@@ -224,6 +225,11 @@
     ) -> None:
         excluded = flow.refused_by.union(flow.agents)
         chosen = self._choice.choose(packet, route, excluded)
+        if chosen is not None and not flow.agents:
+            exhaustion = self._choice.find_exhaustion(packet, route, chosen)
+            if exhaustion is not None:
+                self._reject(packet, exhaustion)
+                return
         if chosen is not None and len(excluded) < MAX_OFFERS:
             flow.agents += (chosen.instance,)
             self._log.note(
@@ -252,6 +258,21 @@
         else:
             self._reset(packet, 'no_agent')
 
+    def _reject(
+        self, packet: packets.Packet, exhaustion: edge_rejection.Exhaustion
+    ) -> None:
+        """Reset a flow that no agent holds and none could serve in time."""
+        self._flows.remove(packet.flow)
+        self._log.counts['flow rejected at the edge'] += 1
+        self._reset(
+            packet,
+            'no_capacity',
+            wait_s=round(exhaustion.wait_s, 3),
+            left_s=round(exhaustion.left_s, 3),
+            report_age_s=round(exhaustion.age_s, 3),
+            agents=exhaustion.agents,
+        )
+
     def _queue_opening(
         self, packet: packets.Packet, refused_by: abc.Set[str]
     ) -> None:
--- a/tests/builders/rooms.py
+++ b/tests/builders/rooms.py
@@ -89,7 +89,7 @@
     def offered(self) -> str:
         """Return the agent that was offered the last packet, or nothing."""
         for datagram, endpoint in self.sent:
-            if datagram[0] == frame.KIND_FORWARD:
+            if endpoint[1] == 7000 and datagram[0] == frame.KIND_FORWARD:
                 return endpoint[0].rpartition('.')[2]
         return ''
 
