--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -34,6 +34,18 @@
 AgentOrder = abc.Callable[[str, bytes], abc.Iterator[str]]
 
 
+class _Request(typing.NamedTuple):
+    """What the candidates of a packet depend on.
+
+    Attributes:
+        service: Service of its flow.
+        terms: Terms of its route; None if the route has none.
+    """
+
+    service: str
+    terms: request_class.RequestClass | None
+
+
 class AgentChoice:
     """Chooses among the agents of a route's service."""
 
@@ -81,11 +93,11 @@
         Returns:
             The agent; None if none accepts flows.
         """
-        terms = route.request_class
+        request = _request_of(packet, route)
         return placement.choose(
-            self._candidates(packet, route, excluded),
-            self._flow_cost(flow_lookup.service_of(route, packet.flow)),
-            terms.objective_s if terms else None,
+            self._candidates(packet, request, excluded),
+            self._flow_cost(request.service),
+            request.terms.objective_s if request.terms else None,
         )
 
     def find_exhaustion(
@@ -102,14 +114,14 @@
             chosen: Agent that would be offered it. While this one has time, no
                 other one has to be looked at.
         """
-        terms = route.request_class
-        if terms is None:
+        request = _request_of(packet, route)
+        if request.terms is None:
             return None
-        left_s = edge_rejection.time_left_s(terms, packet.acknowledged)
+        left_s = edge_rejection.time_left_s(request.terms, packet.acknowledged)
         if not edge_rejection.is_too_late(chosen, left_s):
             return None
         return edge_rejection.find_exhaustion(
-            self._candidates(packet, route, frozenset()), left_s
+            self._candidates(packet, request, frozenset()), left_s
         )
 
     def note_placed(self, instance: str) -> None:
@@ -122,26 +134,23 @@
     def _candidates(
         self,
         packet: packets.Packet,
-        route: routes.Route,
+        request: _Request,
         excluded: abc.Set[str],
     ) -> abc.Iterator[placement.Candidate]:
         """Yield the agents that accept flows, in the order of the flow."""
-        terms = route.request_class
-        service = flow_lookup.service_of(route, packet.flow)
-        for instance in self._agent_order(service, packet.flow):
+        for instance in self._agent_order(request.service, packet.flow):
             record = self._mesh.registry.get(instance)
             if record is None or instance in excluded:
                 continue
-            candidate = self._candidate(record)
-            if candidate is None:
-                continue
-            if terms is not None:
-                expectation = self._expectation(record, packet, terms)
-                candidate = candidate._replace(expectation=expectation)
-            yield candidate
+            candidate = self._candidate(record, packet, request.terms)
+            if candidate is not None:
+                yield candidate
 
     def _candidate(
-        self, record: members.InstanceRecord
+        self,
+        record: members.InstanceRecord,
+        packet: packets.Packet,
+        terms: request_class.RequestClass | None,
     ) -> placement.Candidate | None:
         if record.state != members_const.STATE_READY:
             return None
@@ -163,6 +172,9 @@
             penalty=placement.penalty(
                 is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
             ),
+            expectation=self._expectation(record, packet, terms)
+            if terms
+            else None,
         )
 
     def _expectation(
@@ -203,6 +215,11 @@
         return cost
 
 
+def _request_of(packet: packets.Packet, route: routes.Route) -> _Request:
+    service = flow_lookup.service_of(route, packet.flow)
+    return _Request(service, route.request_class)
+
+
 def _position(flow: bytes) -> float:
     """Return the position of a flow in the range from 0 to 1.
 
