Keep placement by expected wait when an avoided server has no report

A backend server that is avoided for longer than the window of the service times gets too few requests to be measured. Its agent then reports no room, and each sample with it fell back to the former score, by which it looked idle and was chosen at once.

The report of an avoided agent is not needed while the sample has others; the share of flows that a returning one gets decides by the former score, which measures it again.

--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -69,7 +69,6 @@
         committed: Reported share of the slots that open flows use on average.
         placed: Flows that this balancer has placed on the agent since.
         round_trip_s: Measured round trip to the agent; None if it is unknown.
-        extra_cost: Additional cost in seconds.
     """
 
     wait_s: float
@@ -78,7 +77,6 @@
     committed: float
     placed: int
     round_trip_s: float | None
-    extra_cost: float = 0
 
 
 class Candidate(typing.NamedTuple):
@@ -96,6 +94,7 @@
             unanswered.
         penalty: Additional cost, 0 for a healthy agent.
         expectation: What a request can expect there; None if it is unknown.
+        is_avoided: Whether the flow should avoid its backend server.
     """
 
     instance: str
@@ -107,6 +106,7 @@
     is_suspect: bool
     penalty: float = 0
     expectation: Expectation | None = None
+    is_avoided: bool = False
 
 
 def penalty(*, is_cold: bool, is_failing: bool) -> float:
@@ -189,7 +189,8 @@
     weight = math.exp(-expectation.age_s / REPORT_DECAY_S)
     wait_s = standing_s + (expectation.wait_s - standing_s) * weight
     total_s = wait_s + work_s * (1 + expectation.placed / slots)
-    total_s += candidate.penalty * unit_s + expectation.extra_cost
+    total_s += candidate.penalty * unit_s
+    total_s += candidate.is_avoided * AVOIDED_COST * objective_s
     if candidate.is_cross_domain:
         total_s += CROSSING_PRICE * objective_s
     if expectation.round_trip_s is not None:
@@ -242,11 +243,17 @@
 ) -> Candidate | None:
     """Choose by the expected time; None if a needed report is missing.
 
-    A suspect agent is not needed while there are others. A unit of cost lasts
-    as long as the slowest agent of the sample works on a request, and long
-    enough that a failing agent costs an objective, as its answers are lost.
+    The report of a suspect agent is not needed while there are others, nor that
+    of an avoided one, which may get too few requests to be measured. A unit of
+    cost lasts as long as the slowest agent of the sample works on a request,
+    and long enough that a failing agent costs an objective, as its answers are
+    lost.
     """
-    healthy = [one for one in sample if not one.is_suspect]
+    healthy = [
+        one
+        for one in sample
+        if not one.is_suspect and (one.expectation or not one.is_avoided)
+    ]
     works_s = [one.expectation.work_s for one in healthy if one.expectation]
     if not healthy or len(works_s) < len(healthy):
         return None
--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -159,6 +159,9 @@
         peer = self._mesh.peer(record.instance)
         if peer is None or peer.load is None or not peer.load.accepts:
             return None
+        share: float = 1
+        if terms is not None:
+            share = self._capacity.share(record.service, record.instance)
         return placement.Candidate(
             instance=record.instance,
             slots=peer.load.slots,
@@ -172,15 +175,13 @@
             penalty=placement.penalty(
                 is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
             ),
-            expectation=self._expectation(record, packet, terms)
-            if terms
-            else None,
+            expectation=self._expectation(record, terms) if terms else None,
+            is_avoided=share < 1 and _position(packet.flow) >= share,
         )
 
     def _expectation(
         self,
         record: members.InstanceRecord,
-        packet: packets.Packet,
         terms: request_class.RequestClass,
     ) -> placement.Expectation | None:
         """Return what a request can expect; None if no report is recent."""
@@ -188,8 +189,6 @@
         peer = self._mesh.peer(record.instance)
         if room is None or peer is None:
             return None
-        share = self._capacity.share(record.service, record.instance)
-        is_avoided = share < 1 and _position(packet.flow) >= share
         return placement.Expectation(
             wait_s=room.wait_s(terms.priority),
             age_s=clock.now() - peer.room_at,
@@ -197,7 +196,6 @@
             committed=room.committed,
             placed=peer.placed_since_room,
             round_trip_s=self._mesh.round_trip_s(record.failure_domain),
-            extra_cost=is_avoided * placement.AVOIDED_COST * terms.objective_s,
         )
 
     def _flow_cost(self, service: str) -> float:
--- a/tests/builders/replays.py
+++ b/tests/builders/replays.py
@@ -284,7 +284,6 @@
             report.committed,
             placed,
             2 * self._trip_s(balancer, number),
-            is_avoided * placement.AVOIDED_COST * OBJECTIVE_S,
         )
         is_known = now - report.at <= 3 * self._period_s(balancer, number)
         return placement.Candidate(
@@ -299,6 +298,7 @@
                 is_cold=False, is_failing=report.is_failing
             ),
             expectation=expectation if is_known else None,
+            is_avoided=is_avoided,
         )
 
     def _open(
--- a/tests/unit/connection/packets/test_expected_wait.py
+++ b/tests/unit/connection/packets/test_expected_wait.py
@@ -16,7 +16,6 @@
         committed=fields.pop('committed', 0.0),
         placed=fields.pop('placed', 0),
         round_trip_s=fields.pop('round_trip_s', 0.0),
-        extra_cost=fields.pop('extra_cost', 0.0),
     )
     candidate = placement.Candidate(
         instance=name,
@@ -49,7 +48,10 @@
             ({'wait_s': 0.1}, {'is_cross_domain': True, 'round_trip_s': 0.01}),
             # The round trip of a failure domain may be unknown yet.
             ({'is_cross_domain': True, 'round_trip_s': None}, {}),
-            ({'extra_cost': 0.1}, {'wait_s': 0.09}),
+            ({'is_avoided': True}, {'wait_s': 0.05}),
+            ({'wait_s': 0.1}, {'is_avoided': True}),
+            # An avoided agent gets too few requests to be measured.
+            ({'is_avoided': True, 'expectation': None}, {'wait_s': 9}),
             # Costs are at least as strong as by ``score``.
             ({'penalty': placement.COLD_COST}, {'wait_s': 0.02}),
             ({'penalty': placement.FAILING_COST}, {'wait_s': 0.2}),
