--- a/kumquatport/connection/packets/flow_table.py
+++ b/kumquatport/connection/packets/flow_table.py
@@ -1,9 +1,11 @@
 """Flow table of an agent, tracked by the packets of its backend server."""
 
+import collections
 import typing
 from collections import abc
 
 from kumquatport.connection.packets import (
+    flow_rates,
     outcomes,
     pending_work,
     service_times,
@@ -48,6 +50,8 @@
         opened_at: Monotonic time in seconds when the flow was added.
         request_started_at: Monotonic time in seconds of the request in
             progress, 0 for none.
+        route: Address and port that the client calls; None before a packet
+            has been seen.
         server_closed: Whether the backend server's end is closed.
         server_last_seen_at: Monotonic time in seconds of the last packet of
             the backend server.
@@ -71,6 +75,7 @@
         'last_seen_at',
         'opened_at',
         'request_started_at',
+        'route',
         'server_closed',
         'server_last_seen_at',
         'server_sequence',
@@ -94,6 +99,7 @@
         self.client_closed = False
         self.server_closed = False
         self.request_started_at: float = 0
+        self.route: service_times.RouteKey | None = None
         self.is_counted = False
         self.work_s: float = 0
         self.work_started_at: float = 0
@@ -125,6 +131,9 @@
         service_times: Service times of requests that met a free slot.
         slots: Requests that the backend server processes concurrently, 0
             before it has reported.
+        flows_by_route: Number of flows of each route, half-open and recently
+            closed ones included.
+        rates: Requests per second that the flows of each route carry.
     """
 
     def __init__(self) -> None:
@@ -137,6 +146,10 @@
         self.pending = pending_work.PendingWork()
         self.service_times = service_times.ServiceTimes()
         self.slots = 0
+        self.flows_by_route: collections.Counter[service_times.RouteKey] = (
+            collections.Counter()
+        )
+        self.rates = flow_rates.FlowRates()
 
     def __len__(self) -> int:
         """Return the number of flows, half-open and closed ones included."""
@@ -186,6 +199,7 @@
             self.remove(packet.flow)
         state = self.add(packet.flow, now)
         state.client_sequence = packet.sequence
+        self._set_route(state, packet)
         state.data_end = 0
         self.pending.admit(packet.flow, self._expected_work_s(packet, now), now)
 
@@ -231,6 +245,7 @@
         state.is_open = True
         state.last_seen_at = now
         state.acknowledged = packet.acknowledged
+        self._set_route(state, packet)
         if packet.length:
             self._on_request_data(state, packet, now)
         if packet.flags & packets.FLAG_FIN:
@@ -255,6 +270,7 @@
             state = FlowState(now)
             self.flows[packet.flow] = state
             state.is_open = not packet.flags & packets.FLAG_SYN
+        self._set_route(state, packet)
         state.last_seen_at = now
         state.server_last_seen_at = now
         if packet.flags & packets.FLAG_SYN:
@@ -273,9 +289,14 @@
     def remove(self, flow: bytes) -> None:
         """Remove a flow if it is in the table."""
         state = self.flows.pop(flow, None)
-        if state is not None:
-            self.pending.forget(flow)
-            self._clear_request(state)
+        if state is None:
+            return
+        self.pending.forget(flow)
+        self._clear_request(state)
+        if state.route is not None:
+            self.flows_by_route[state.route] -= 1
+            if not self.flows_by_route[state.route]:
+                self.flows_by_route.pop(state.route)
 
     def expire(self, now: float, idle_s: float) -> int:
         """Remove flows that have closed, never opened or timed out.
@@ -332,6 +353,24 @@
         """Return the number of open and half-open flows."""
         return sum(not state.is_closed for state in self.flows.values())
 
+    def committed_s(self, now: float) -> float:
+        """Return the seconds of work in each second that the flows will send.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        mean_s = self.service_times.overall_mean_s(now) or 0
+        total_s: float = 0
+        for route, count in self.flows_by_route.items():
+            work_s = self.service_times.mean_s(route, now) or mean_s
+            total_s += count * self.rates.per_s(route) * work_s
+        return total_s
+
+    def _set_route(self, state: FlowState, packet: packets.Packet) -> None:
+        if state.route is None:
+            state.route = (packet.service_address, packet.service_port)
+            self.flows_by_route[state.route] += 1
+
     def _on_request_data(
         self, state: FlowState, packet: packets.Packet, now: float
     ) -> None:
@@ -348,6 +387,8 @@
             state.has_met_free_slot = False
             self.busy += 1
             self.pending.forget(packet.flow)
+            if state.route is not None:
+                self.rates.note_request(state.route, state.opened_at)
         data_end = (packet.sequence + packet.length) & packets.SEQUENCE_MASK
         ahead = (data_end - state.data_end) & packets.SEQUENCE_MASK
         if state.data_end and not 0 < ahead < MAX_SEQUENCE_DISTANCE:
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -29,6 +29,7 @@
     mesh,
     messages,
     models,
+    room_report,
     udp_sockets,
 )
 from kumquatport.version import members, routes
@@ -107,6 +108,12 @@
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
         self._unanswered_data = unanswered_data.UnansweredData()
+        self._room_report = room_report.RoomReport(
+            settings.service,
+            configuration,
+            self._flows,
+            self.expected_wait_s,
+        )
 
     @property
     def state(self) -> str:
@@ -220,6 +227,7 @@
     def expire(self) -> None:
         """Remove expired flows and log the number of omitted log lines."""
         now = clock.now()
+        self._flows.rates.measure(self._flows.flows_by_route, now)
         flow_ttl_s = self._settings.bounds.flow_ttl_s
         self._flows.expire(now, flow_ttl_s)
         if not self._knows_all_flows and now - self._started_at > flow_ttl_s:
@@ -733,6 +741,10 @@
             if record is not None:
                 self._mesh.send_flows(kind, flows, record.address)
 
+    def room(self) -> messages.Room | None:
+        """Return the room that short heartbeats carry; None if unknown."""
+        return self._room_report.room()
+
     def load(self) -> messages.Load:
         """Return the load that heartbeats carry."""
         server = self.backend_server
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from kumquatport.connection.packets import round_trips
 from kumquatport.helpers import clock
 from kumquatport.process.logs import rate_limit
 from kumquatport.process.packets import const, messages, peers
@@ -38,6 +39,7 @@
         self._failure_domain = failure_domain
         self._is_balancer = is_balancer
         self._peers: dict[str, peers.Peer] = {}
+        self._round_trips = round_trips.RoundTrips()
         self.lines = rate_limit.RateLimitedLogger(
             _LOGGER, const.PEER_LINES_PER_S, const.PEER_BURST_LINES
         )
@@ -112,8 +114,20 @@
         if now - peer.last_heartbeat_at < const.LOAD_REQUEST_AGE_S:
             return False
         peer.load_requested_at = now
+        peer.offered_at = now
         return True
 
+    def note_answer(self, peer: peers.Peer, failure_domain: str) -> None:
+        """Record the round trip of an offer that a peer has answered."""
+        now = clock.now()
+        if peer.offered_at <= now:
+            self._round_trips.record(failure_domain, now - peer.offered_at, now)
+        peer.offered_at = math.inf
+
+    def round_trip_s(self, failure_domain: str) -> float | None:
+        """Return the round trip to a failure domain; None if unknown."""
+        return self._round_trips.minimum_s(failure_domain, clock.now())
+
     def is_unresponsive(self, instance: str) -> bool:
         """Return whether an instance has not answered an offer in time."""
         peer = self._peers.get(instance)
@@ -143,6 +157,20 @@
         if load is not None and load.has_report:
             peer.was_draining = load.is_draining
 
+    def update_room(self, peer: peers.Peer, room: messages.Room | None) -> None:
+        """Store the room of a peer, as of now."""
+        peer.room = room
+        peer.room_at = clock.now()
+        peer.placed_since_room = 0
+
+    def room(self, instance: str) -> messages.Room | None:
+        """Return the room of an agent; None if it is unknown or too old."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.room is None:
+            return None
+        limit_s = const.ROOM_PERIODS * self._period_s(instance, peer)
+        return peer.room if clock.now() - peer.room_at <= limit_s else None
+
     def expire_silent(self) -> abc.Iterator[str]:
         """Log silent peers, and remove and yield the expired ones."""
         now = clock.now()
@@ -179,6 +207,10 @@
 
     def _suspect_timeout_s(self, instance: str, peer: peers.Peer) -> float:
         """Return the seconds of silence after which a peer is suspect."""
+        return const.SUSPECT_MISSED_HEARTBEATS * self._period_s(instance, peer)
+
+    def _period_s(self, instance: str, peer: peers.Peer) -> float:
+        """Return the seconds between two heartbeats of a peer."""
         record = self._registry.get(instance)
         is_local_agent = (
             record is not None
@@ -186,4 +218,4 @@
             and record.failure_domain == self._failure_domain
         )
         interval_rounds = 1 if is_local_agent else const.REMOTE_INTERVAL_ROUNDS
-        return const.SUSPECT_MISSED_HEARTBEATS * interval_rounds * peer.round_s
+        return interval_rounds * peer.round_s
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -1,6 +1,7 @@
 """Exchange of liveness, load and configuration between instances."""
 
 import functools
+import math
 from collections import abc
 
 import structlog
@@ -47,6 +48,8 @@
         on_peer_expired: Called with the record of a peer that has been silent
             for ``const.PEER_EXPIRY_S``.
         load: Returns the load that heartbeats carry; None for a balancer.
+        room: Returns the room that short heartbeats to balancers carry; None
+            for a balancer, or if it is unknown.
     """
 
     def __init__(
@@ -89,6 +92,7 @@
         )
         self.load: abc.Callable[[], messages.Load | None] = _no_load
         self._started_at = clock.now()
+        self.room: abc.Callable[[], messages.Room | None] = _no_room
         self._settings = settings
         self._configuration = configuration
         self._liveness = liveness.Liveness(
@@ -183,12 +187,26 @@
         """Return whether an instance has not answered an offer in time."""
         return self._liveness.is_unresponsive(instance)
 
+    def room_of(self, instance: str) -> messages.Room | None:
+        """Return the room of an agent; None if it is unknown or too old."""
+        return self._liveness.room(instance)
+
+    def round_trip_s(self, failure_domain: str) -> float | None:
+        """Return the round trip to a failure domain; None if unknown."""
+        return self._liveness.round_trip_s(failure_domain)
+
     def send_load(self, address: str) -> None:
-        """Send a short heartbeat, with the load, to a balancer."""
+        """Send a short heartbeat, with the load, to a balancer.
+
+        From an agent, it answers an offer of the balancer.
+        """
         record = self.registry.get(self.instance_at(address))
         domain = record.failure_domain if record else ''
         round_s = self._liveness.announced_round_s(domain)
         heartbeat = self._short_heartbeat(members.KIND_BALANCER, round_s)
+        if heartbeat.room is not None:
+            room = heartbeat.room._replace(is_answer=True)
+            heartbeat = heartbeat._replace(room=room)
         self.send(messages.encode_short_heartbeat(heartbeat), address)
 
     def tell_confirmation(self, balancers: abc.Iterable[str]) -> None:
@@ -465,6 +483,7 @@
             round_s=round_s,
             load=self.load(),
             is_informed=self._membership.is_informed,
+            room=self.room(),
         )
 
     def _full_heartbeat(
@@ -519,6 +538,9 @@
         peer.round_s = heartbeat.round_s
         self._note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
+        self._liveness.update_room(peer, heartbeat.room)
+        if heartbeat.room is not None and heartbeat.room.is_answer:
+            self._liveness.note_answer(peer, record.failure_domain)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
             heartbeat.domains_revision,
@@ -571,6 +593,8 @@
             self._send_reply(peer, record, state.routes_version)
         self._liveness.update_load(peer, message.load)
         if is_new:
+            self._liveness.update_room(peer, None)
+            peer.offered_at = math.inf
             self._on_peer_started(peer, record)
 
     def _note_heartbeat(
@@ -846,3 +870,7 @@
 
 def _no_load() -> messages.Load | None:
     """Return no load, as for a balancer."""
+
+
+def _no_room() -> messages.Room | None:
+    """Return no room, as for a balancer."""
