--- a/kumquatport/connection/packets/link_queue.py
+++ b/kumquatport/connection/packets/link_queue.py
@@ -58,18 +58,10 @@
     address: str
 
 
-class _Entry:
-    """A waiting packet; a retransmission replaces it in place."""
-
-    __slots__ = ('packet', 'queued_at')
-
-    def __init__(self, packet: QueuedPacket, now: float) -> None:
-        self.packet = packet
-        self.queued_at = now
-
-
-_Stream = collections.OrderedDict[tuple[int, int, int], _Entry]
+# The packets of a stream by identity: a retransmission replaces the former one.
+_Stream = collections.OrderedDict[tuple[int, int, int], QueuedPacket]
 _Streams = collections.OrderedDict[tuple[bytes, str], _Stream]
+_Position = tuple[int, tuple[bytes, str], tuple[int, int, int]]
 
 
 class LinkQueue:
@@ -99,6 +91,10 @@
         self._queued_bytes = 0
         self._released = 0
         self._ranks: dict[int, _Streams] = {}
+        # Rank, stream and identity of all packets, the longest waiting first.
+        self._arrivals: collections.OrderedDict[_Position, None] = (
+            collections.OrderedDict()
+        )
 
     @property
     def wait_s(self) -> float:
@@ -128,7 +124,7 @@
         self._refill(now)
         return self._queued_bytes > 0 or self._credit <= 0
 
-    def add(self, packet: QueuedPacket, now: float) -> None:
+    def add(self, packet: QueuedPacket) -> None:
         """Queue a packet, or replace the former copy that still waits."""
         streams = self._ranks.setdefault(packet.rank, collections.OrderedDict())
         stream = streams.get(packet.stream)
@@ -138,16 +134,15 @@
             # A request of one packet does not wait for a turn of all uploads.
             streams.move_to_end(packet.stream, last=False)
         former = stream.get(packet.identity)
+        stream[packet.identity] = packet
+        self._queued_bytes += _size(packet)
         if former is not None:
-            self._queued_bytes -= _size(former.packet)
-            self._queued_bytes += _size(packet)
-            former.packet = packet
+            self._queued_bytes -= _size(former)
             self.replaced += 1
             return
-        stream[packet.identity] = _Entry(packet, now)
-        self._queued_bytes += _size(packet)
+        self._arrivals[packet.rank, packet.stream, packet.identity] = None
         while self._queued_bytes > self.rate * MAX_QUEUE_S:
-            self._drop_last_of_longest()
+            self._drop()
 
     def release(self, now: float) -> list[QueuedPacket]:
         """Remove and return the packets that the link can carry now.
@@ -179,49 +174,41 @@
         if rank != URGENT:
             self._released += 1
             if self._released % OLDEST_INTERVAL == 0:
-                return self._take(*self._oldest())
-        return self._take(rank, next(iter(self._ranks[rank])))
-
-    def _oldest(self) -> tuple[int, tuple[bytes, str]]:
-        """Return rank and stream of the packet that has waited longest."""
-        return min(
-            (
-                (rank, key)
-                for rank, streams in self._ranks.items()
-                for key in streams
-            ),
-            key=self._queued_at,
-        )
-
-    def _queued_at(self, position: tuple[int, tuple[bytes, str]]) -> float:
-        rank, key = position
-        return next(iter(self._ranks[rank][key].values())).queued_at
-
-    def _take(self, rank: int, key: tuple[bytes, str]) -> QueuedPacket:
-        """Remove the first packet of a stream; the stream's turn is over."""
+                return self._remove(*next(iter(self._arrivals)))
         streams = self._ranks[rank]
-        _, entry = streams[key].popitem(last=False)
+        key = next(iter(streams))
+        # The turn of this stream is over.
         streams.move_to_end(key)
-        self._forget(entry.packet)
-        return entry.packet
+        return self._remove(rank, key, next(iter(streams[key])))
 
-    def _drop_last_of_longest(self) -> None:
-        """Drop a packet of the longest stream of the lowest rank."""
+    def _drop(self) -> None:
+        """Drop a packet of the lowest rank, of the stream that is last in turn.
+
+        The choice takes the same time however many packets wait: a balancer
+        that searched for the longest stream was busy with that alone.
+        """
         rank = max(self._ranks)
         streams = self._ranks[rank]
-        key = max(streams, key=lambda each: len(streams[each]))
-        _, entry = streams[key].popitem()
-        self._forget(entry.packet)
+        key = next(reversed(streams))
+        self._remove(rank, key, next(reversed(streams[key])))
         self.dropped += 1
 
-    def _forget(self, packet: QueuedPacket) -> None:
-        """Account for a removed packet, and remove what became empty."""
+    def _remove(
+        self,
+        rank: int,
+        key: tuple[bytes, str],
+        identity: tuple[int, int, int],
+    ) -> QueuedPacket:
+        """Remove and return a packet, with what becomes empty by that."""
+        streams = self._ranks[rank]
+        packet = streams[key].pop(identity)
+        self._arrivals.pop((rank, key, identity))
         self._queued_bytes -= _size(packet)
-        streams = self._ranks[packet.rank]
-        if not streams[packet.stream]:
-            streams.pop(packet.stream)
+        if not streams[key]:
+            streams.pop(key)
         if not streams:
-            self._ranks.pop(packet.rank)
+            self._ranks.pop(rank)
+        return packet
 
 
 def _usable_rate(link_bytes_per_s: float) -> float:
--- a/kumquatport/process/packets/link_sender.py
+++ b/kumquatport/process/packets/link_sender.py
@@ -73,8 +73,7 @@
                 rank=priority if packet.length else link_queue.URGENT,
                 message=message,
                 address=address,
-            ),
-            now,
+            )
         )
         self._schedule()
 
