Look a flow up once, and keep its packets meanwhile

Cause: each packet of a window of 16 started a lookup of its own, so an upload whose flow was lost cost 16 x 50 packets, and a lookup went on only with the client's next packet.

A timer passes over a silent registrar and asks the other agents after 0.1 s. A KIND_HELD that arrives after the same agent has denied the flow is ignored.

test_few_probes_while_a_named_holder_is_unknown sent packets without advance of the clock, which now ask nobody; it advances by 0.2 s and expects the same number of probes.

--- a/kumquatport/connection/packets/flow_cache.py
+++ b/kumquatport/connection/packets/flow_cache.py
@@ -59,6 +59,14 @@
             self._search = search.FlowSearch()
         return self._search
 
+    def is_denied_by(self, agent: str) -> bool:
+        """Return whether an agent has denied the flow and lost it since."""
+        return (
+            self._search is not None
+            and agent in self._search.not_holding
+            and agent not in self.agents
+        )
+
     def confirm(self, agent: str) -> None:
         """Set the agent that holds the flow and end the search for it."""
         self.agents = (agent,)
--- a/kumquatport/connection/packets/search.py
+++ b/kumquatport/connection/packets/search.py
@@ -25,6 +25,9 @@
         locations: Addresses without a known instance that registrars have
             named as the holder's, by registrar.
         has_asked_all: Whether all agents have been asked.
+        waits_until: Monotonic time in seconds until which answers are awaited
+            and further packets of the flow ask nobody.
+        asked_with: Identity of the packet that was last sent to each agent.
     """
 
     __slots__ = (
@@ -32,10 +35,12 @@
         '_asked_registrar',
         '_likely_until',
         '_probe_times',
+        'asked_with',
         'has_asked_all',
         'locations',
         'not_holding',
         'unknown_to',
+        'waits_until',
     )
 
     def __init__(self) -> None:
@@ -44,6 +49,8 @@
         self.unknown_to: set[str] = set()
         self.locations: dict[str, str] = {}
         self.has_asked_all = False
+        self.waits_until: float = 0
+        self.asked_with: dict[str, tuple[int, int, int]] = {}
         self._asked_registrar = ''
         self._asked_at: float = 0
         self._likely_until: float = 0
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -1,5 +1,6 @@
 """Lookup of the agent that holds a flow unknown to this balancer."""
 
+import collections
 import math
 import typing
 import zlib
@@ -9,6 +10,7 @@
     flow_cache,
     frame,
     hash_ring,
+    waiting_packets,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.connection.packets import search as searches
@@ -30,6 +32,10 @@
 # Seconds between two checks whether most instances have just restarted.
 RESTART_CHECK_S: typing.Final = 0.1
 
+# Seconds after which a lookup goes on without the answers that are missing. A
+# receiver counts as silent only once ``ANSWER_TIMEOUT_S`` has passed.
+CONTINUE_AFTER_S: typing.Final = searches.ANSWER_TIMEOUT_S + 0.001
+
 
 class PacketActions(typing.NamedTuple):
     """Callbacks that dispose of a packet.
@@ -39,11 +45,13 @@
         reset_lost: Sends a reset for a lost flow, given the number of agents
             that do not hold it.
         forget: Removes a flow from the flow table.
+        route_of: Returns the route of a packet, None if there is none.
     """
 
     forward: abc.Callable[[packets.Packet, str, int], None]
     reset_lost: abc.Callable[[packets.Packet, int], None]
     forget: abc.Callable[[bytes], None]
+    route_of: abc.Callable[[packets.Packet], routes.Route | None]
 
 
 class _PossibleHolders(typing.NamedTuple):
@@ -74,11 +82,27 @@
     flow: flow_cache.CachedFlow
 
 
+class _Lookup(typing.NamedTuple):
+    """A lookup that waits for answers.
+
+    Attributes:
+        flow: State of the flow.
+        due_at: Monotonic time in seconds at which it goes on without them.
+    """
+
+    flow: flow_cache.CachedFlow
+    due_at: float
+
+
 class FlowLookup:
     """Asks registrars, then likely agents, then all agents.
 
+    One lookup at a time is under way for a flow. The packets that arrive
+    meanwhile are kept, and forwarded when its agent is found.
+
     Attributes:
         registrar: Flows that agents have registered with this balancer.
+        call_later: Calls a function after some seconds.
     """
 
     def __init__(
@@ -99,6 +123,14 @@
             actions: Callbacks that dispose of a packet.
         """
         self.registrar = registrar.Registrar(settings, codec, peers)
+        self.call_later: abc.Callable[
+            [float, abc.Callable[[], None]], object
+        ] = peers.call_later
+        self._waiting = waiting_packets.WaitingPackets()
+        self._lookups: collections.OrderedDict[bytes, _Lookup] = (
+            collections.OrderedDict()
+        )
+        self._is_scheduled = False
         self._settings = settings
         self._mesh = peers
         self._log = log
@@ -139,7 +171,28 @@
         ]
 
     def resolve(self, unresolved: UnresolvedPacket) -> None:
-        """Start or continue the lookup of the agent of a flow."""
+        """Keep a packet and start or continue the lookup of its flow.
+
+        Nobody is asked while answers are awaited. Otherwise each packet of a
+        window would be sent to all agents.
+        """
+        now = clock.now()
+        self._waiting.add(unresolved.packet, now)
+        if now >= unresolved.flow.search.waits_until:
+            self._continue(unresolved)
+
+    def discard(self, flow: bytes) -> None:
+        """End the lookup of a flow and drop its packets."""
+        self._lookups.pop(flow, None)
+        self._waiting.discard(flow)
+
+    def expire(self) -> None:
+        """Drop packets that have become useless and expired registrations."""
+        self._waiting.expire(clock.now())
+        self.registrar.expire()
+
+    def _continue(self, unresolved: UnresolvedPacket) -> None:
+        """Ask the next registrar, or the agents if there is none."""
         search = unresolved.flow.search
         registered = self.registrar.find(unresolved.packet.flow)
         if (
@@ -151,6 +204,7 @@
         registrars = self.registrar.other_registrars(unresolved.packet.flow)
         registrar_name = search.next_registrar(registrars, clock.now())
         if registrar_name:
+            self._await_answers(unresolved)
             self.registrar.query(registrar_name, unresolved.packet)
         else:
             self._ask_agents(unresolved)
@@ -166,6 +220,7 @@
             address: Address of the agent that it names; empty for none.
         """
         search = unresolved.flow.search
+        self._waiting.add(unresolved.packet, clock.now())
         search.locations.pop(sender, None)
         instance = self._mesh.instance_at(address)
         if instance and instance not in search.not_holding:
@@ -175,7 +230,31 @@
         if address and not instance:
             search.locations[sender] = address
             self._greet(address)
-        self.resolve(unresolved)
+        self._continue(unresolved)
+
+    def on_held(
+        self, flow: bytes, cached: flow_cache.CachedFlow, instance: str
+    ) -> None:
+        """Forward the kept packets of a flow to the agent that holds it.
+
+        An answer that arrives after the same agent has denied the flow is
+        older than that, and ignored.
+
+        Args:
+            flow: Key of the flow.
+            cached: State of the flow.
+            instance: Name of the agent.
+        """
+        if cached.is_denied_by(instance):
+            return
+        kept = self._waiting.pop(flow, clock.now())
+        # The agent has delivered the packet that it was asked with.
+        delivered = cached.search.asked_with.get(instance) if kept else None
+        cached.confirm(instance)
+        self._lookups.pop(flow, None)
+        for packet in kept:
+            if waiting_packets.identity(packet) != delivered:
+                self._actions.forward(packet, instance, 0)
 
     def on_not_held(
         self, unresolved: UnresolvedPacket, instance: str, *, was_only: bool
@@ -189,24 +268,72 @@
         """
         flow = unresolved.flow
         flow.search.not_holding.add(instance)
+        if not flow.agents:
+            self._waiting.add(unresolved.packet, clock.now())
         names = self._possible_holder_names(unresolved.route)
         if not names - flow.search.not_holding:
             self._give_up(unresolved)
         elif was_only:
-            self.resolve(unresolved)
+            self._continue(unresolved)
         elif not flow.agents and flow.search.should_ask_all(
             names, self._lookup_order(unresolved)
         ):
             self._ask_agents(unresolved)
 
     def _forward_to(self, unresolved: UnresolvedPacket, instance: str) -> None:
-        """Forward a packet to the agent that has registered its flow."""
+        """Forward the kept packets to the agent that has registered a flow."""
+        key = unresolved.packet.flow
         unresolved.flow.agents = (instance,)
-        self._log.note('flow found', unresolved.packet.flow, agent=instance)
+        self._log.note('flow found', key, agent=instance)
+        self._lookups.pop(key, None)
         # FORWARD_PROBE lets a restarted agent, whose flow table is lost, test
         # whether its backend server holds the flow.
         detail = frame.FORWARD_QUERY | frame.FORWARD_PROBE
-        self._actions.forward(unresolved.packet, instance, detail)
+        for packet in self._waiting.pop(key, clock.now()):
+            self._actions.forward(packet, instance, detail)
+            detail = 0
+
+    def _await_answers(self, unresolved: UnresolvedPacket) -> None:
+        """Ask nobody about a flow until answers arrive or are overdue."""
+        key = unresolved.packet.flow
+        due_at = clock.now() + CONTINUE_AFTER_S
+        unresolved.flow.search.waits_until = due_at
+        self._lookups[key] = _Lookup(unresolved.flow, due_at)
+        self._lookups.move_to_end(key)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._lookups and not self._is_scheduled:
+            self._is_scheduled = True
+            due_at = next(iter(self._lookups.values())).due_at
+            delay_s = max(due_at - clock.now(), 0)
+            self.call_later(delay_s, self._continue_overdue)
+
+    def _continue_overdue(self) -> None:
+        """Continue the lookups whose answers are overdue."""
+        self._is_scheduled = False
+        now = clock.now()
+        while self._lookups:
+            key, lookup = next(iter(self._lookups.items()))
+            if lookup.due_at > now:
+                break
+            self._lookups.pop(key)
+            self._continue_without_answer(key, lookup.flow)
+        self._schedule()
+
+    def _continue_without_answer(
+        self, key: bytes, flow: flow_cache.CachedFlow
+    ) -> None:
+        """Ask the next instances, unless all agents have been asked.
+
+        They are asked again with the client's next packet.
+        """
+        if flow.agents or flow.search.has_asked_all:
+            return
+        packet = self._waiting.latest(key, clock.now())
+        route = self._actions.route_of(packet) if packet else None
+        if packet is not None and route is not None:
+            self._continue(UnresolvedPacket(packet, route, flow))
 
     def _lookup_order(self, unresolved: UnresolvedPacket) -> abc.Iterator[str]:
         flow = unresolved.packet.flow
@@ -246,6 +373,7 @@
         if not asked:
             self._give_up(unresolved)
             return
+        self._await_answers(unresolved)
         probes = self._remaining_probes(search, names)
         self._log.note(
             'flow looked up',
@@ -260,6 +388,9 @@
                 probes -= 1
                 search.record_probe(now)
                 detail |= frame.FORWARD_PROBE
+            search.asked_with[instance] = waiting_packets.identity(
+                unresolved.packet
+            )
             self._actions.forward(unresolved.packet, instance, detail)
 
     def _knows_all_flows(self, instance: str) -> bool:
@@ -297,6 +428,8 @@
         retransmits its packet, and more agents are known by then.
         """
         packet, route, flow = unresolved
+        flow.search.waits_until = 0
+        self._lookups.pop(packet.flow, None)
         missing = len(flow.search.not_holding)
         unknown_holders = self._unknown_holders(flow.search)
         if unknown_holders:
@@ -313,6 +446,7 @@
             return
         if not self.possible_holders(route):
             return
+        self._waiting.discard(packet.flow)
         self._actions.forget(packet.flow)
         self._actions.reset_lost(packet, missing)
 
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -81,7 +81,10 @@
             codec,
             self._log,
             flow_lookup.PacketActions(
-                self._forward, self._reset_lost_flow, self._flows.remove
+                self._forward,
+                self._reset_lost_flow,
+                self._flows.remove,
+                self._route,
             ),
         )
         self._started_at = clock.now()
@@ -128,7 +131,7 @@
         table = self._configuration.routes
         idle_s = table.idle_timeout_s if table else 0
         self._flows.expire(clock.now(), idle_s)
-        self._lookup.registrar.expire()
+        self._lookup.expire()
         self._log.flush()
 
     def on_client(self, datagram: bytes, _sender: tuple[str, int]) -> None:
@@ -209,8 +212,9 @@
         """Offer an opening packet to an agent.
 
         A retransmission means that no agent has answered, so it is offered to
-        another one.
+        another one. The packets that are kept belong to a former flow.
         """
+        self._lookup.discard(packet.flow)
         if flow.agents and not packet.acknowledged:
             self._forward(packet, flow.agents[-1], 0)
             return
@@ -453,7 +457,7 @@
         """Record the agent that holds each of the given flows."""
         now = clock.now()
         for flow in frame.unpack_flows(message):
-            self._flows.touch(flow, now).confirm(instance)
+            self._lookup.on_held(flow, self._flows.touch(flow, now), instance)
 
     def _on_return_frame(self, datagram: bytes, instance: str) -> None:
         """Handle a packet that an agent returned undelivered."""
@@ -494,10 +498,8 @@
         if answer is None or packet is None or route is None:
             return
         flow = self._flows.touch(packet.flow, clock.now())
-        if flow.agents:
-            # An answer to an earlier packet has already resolved the flow.
-            self._forward(packet, flow.agents[-1], 0)
-        else:
+        # Otherwise the kept packets have been forwarded to the agent already.
+        if not flow.agents:
             unresolved = flow_lookup.UnresolvedPacket(packet, route, flow)
             address = packets.address_from_mark(answer.address)
             self._lookup.on_location(unresolved, sender, address)
--- a/tests/unit/process/packets/test_flow_registration.py
+++ b/tests/unit/process/packets/test_flow_registration.py
@@ -337,6 +337,7 @@
         self.answer(self.second, 'side-2')
         probes = self.probe_count()
         for _ in range(2 * flow_lookup.MAX_PROBES):
+            self.now += 0.2
             self.client()
             probes += self.probe_count()
         self.assertEqual(probes, flow_lookup.MAX_PROBES)
