Let lookups leave a narrow link last

Cause: packets that are sent only to ask whether an agent holds their flow had the priority of their route, or were urgent if they carried no data, so they displaced packets of open flows.

Change: such packets have the lowest rank in the link queue, with data or not.

Result: the two tests in test_lost_flows failed with the former ranks. The test in test_link_queue guards the order of the queue.

--- a/kumquatport/connection/packets/link_queue.py
+++ b/kumquatport/connection/packets/link_queue.py
@@ -39,6 +39,10 @@
 # Rank of packets that leave first; all others are priorities of routes.
 URGENT: typing.Final = -1
 
+# Rank of packets that only ask whether an agent holds their flow: after those
+# of open flows, which clients wait for.
+LOOKUP: typing.Final = 1_000
+
 
 class QueuedPacket(typing.NamedTuple):
     """A packet that is ready to be sent.
@@ -46,7 +50,8 @@
     Attributes:
         stream: Key of the packets that keep their order: flow and receiver.
         identity: Equal for a packet and its retransmissions.
-        rank: ``URGENT``, or the priority of its route; 0 is the highest.
+        rank: ``URGENT``, ``LOOKUP``, or the priority of its route; 0 is the
+            highest.
         message: The datagram to send.
         address: IPv4 address of the receiver.
     """
--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -46,6 +46,8 @@
 
     Attributes:
         forward: Forwards a packet to an agent, given the detail of the frame.
+        test: Does the same with a packet that asks whether the agent holds its
+            flow.
         reset_lost: Sends a reset for a lost flow, given the number of agents
             that do not hold it.
         forget: Removes a flow from the flow table.
@@ -53,6 +55,7 @@
     """
 
     forward: abc.Callable[[packets.Packet, str, int], None]
+    test: abc.Callable[[packets.Packet, str, int], None]
     reset_lost: abc.Callable[[packets.Packet, int], None]
     forget: abc.Callable[[bytes], None]
     route_of: abc.Callable[[packets.Packet], routes.Route | None]
@@ -312,7 +315,7 @@
         packet = unresolved.packet
         search = unresolved.flow.search
         search.asked_with[instance] = waiting_packets.identity(packet)
-        self._actions.forward(packet, instance, detail)
+        self._actions.test(packet, instance, detail)
 
     def _kept(
         self, key: bytes, flow: flow_cache.CachedFlow
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -11,6 +11,7 @@
     backlog,
     flow_cache,
     frame,
+    link_queue,
     opening_wait,
     placement,
     request_class,
@@ -83,6 +84,7 @@
             self._log,
             flow_lookup.PacketActions(
                 self._forward,
+                self._forward_as_lookup,
                 self._reset_lost_flow,
                 self._flows.remove,
                 self._route,
@@ -416,6 +418,17 @@
 
     def _forward(
         self, packet: packets.Packet, instance: str, detail: int
+    ) -> None:
+        self._forward_at(self._priority(packet), packet, instance, detail)
+
+    def _forward_as_lookup(
+        self, packet: packets.Packet, instance: str, detail: int
+    ) -> None:
+        """Forward a packet that asks whether an agent holds its flow."""
+        self._forward_at(link_queue.LOOKUP, packet, instance, detail)
+
+    def _forward_at(
+        self, rank: int, packet: packets.Packet, instance: str, detail: int
     ) -> None:
         record = self._mesh.registry.get(instance)
         if record is None:
@@ -428,7 +441,7 @@
             if packet.is_opening
             else packet.datagram,
         )
-        self.link.send(packet, self._priority(packet), message, record.address)
+        self.link.send(packet, rank, message, record.address)
 
     def _priority(self, packet: packets.Packet) -> int:
         """Return the priority that the route of a packet states."""
--- a/kumquatport/process/packets/link_sender.py
+++ b/kumquatport/process/packets/link_sender.py
@@ -58,11 +58,13 @@
 
         Args:
             packet: The packet.
-            priority: Priority of its route; 0 is the highest.
+            priority: Priority of its route; 0 is the highest. A packet of
+                ``link_queue.LOOKUP`` waits for all others, with data or not.
             message: The frame that carries it.
             address: Address of the agent.
         """
         now = clock.now()
+        is_ranked = packet.length or priority == link_queue.LOOKUP
         if not self._queue.must_wait(now):
             self._mesh.send(message, address)
             return
@@ -70,7 +72,7 @@
             link_queue.QueuedPacket(
                 stream=(packet.flow, address),
                 identity=(packet.sequence, packet.length, packet.flags),
-                rank=priority if packet.length else link_queue.URGENT,
+                rank=priority if is_ranked else link_queue.URGENT,
                 message=message,
                 address=address,
             ),
--- a/tests/unit/connection/packets/test_link_queue.py
+++ b/tests/unit/connection/packets/test_link_queue.py
@@ -121,6 +121,21 @@
             self.advance()
         self.assertLess(self.now - 100, 0.05)
 
+    def test_lookups_leave_after_data_of_open_flows(self):
+        """Guards against lookups that displace the packets clients wait for."""
+        self.submit(data_packet(0, 0))
+        for number in range(1, 100):
+            self.submit(data_packet(number, 0, rank=link_queue.LOOKUP))
+        for number in range(1000, 1040):
+            self.submit(data_packet(number, 0, rank=256))
+        sent_at_once = len(self.sent)
+        self.drain()
+        self.assertEqual(len(self.sent), 140)
+        ranks = [one.rank for _, one in self.sent[sent_at_once:]]
+        last_data = len(ranks) - 1 - ranks[::-1].index(256)
+        passed = ranks[:last_data].count(link_queue.LOOKUP)
+        self.assertLessEqual(passed, 40 / (link_queue.OLDEST_INTERVAL - 1) + 1)
+
     def test_small_upload_is_not_behind_a_large_one(self):
         """Guards against first come, first served among flows."""
         for number in range(300):
--- a/tests/unit/process/packets/test_lost_flows.py
+++ b/tests/unit/process/packets/test_lost_flows.py
@@ -1,8 +1,9 @@
 """Cost of the lookups of flows that are lost with the power."""
 
 import typing
+from unittest import mock
 
-from kumquatport.connection.packets import frame
+from kumquatport.connection.packets import frame, link_queue, request_class
 from kumquatport.process.packets import (
     const,
     flow_lookup,
@@ -308,6 +309,31 @@
         self.assertEqual(self.asked()[1], {frame.KIND_FORWARD})
         self.assertEqual(self.resets, [])
 
+    def test_packets_that_ask_leave_a_narrow_link_last(self):
+        """They displaced packets of open flows, also their own answers."""
+        self.learn(knows_all_flows=False)
+        for size, held_at in ((0, 'side-03'), (1200, 'side-04')):
+            flow = builders.flow(42000 + size)
+            with mock.patch.object(self.forwarder.link, 'send') as send:
+                self.client(flow, size=size)
+                self.client(flow, 1 + 1200, size=size)
+                asked = {call.args[1] for call in send.mock_calls}
+                send.reset_mock()
+                self.forwarder.on_frame(
+                    frame.pack_flows(frame.KIND_HELD, [flow]), AGENTS[held_at]
+                )
+                found = {call.args[1] for call in send.mock_calls}
+            self.assertEqual(asked, {link_queue.LOOKUP})
+            self.assertEqual(found, {request_class.UNSTATED_PRIORITY})
+
+    def test_small_packets_that_ask_are_not_urgent(self):
+        self.forwarder.link.apply_rate(10_000.0)
+        self.learn(knows_all_flows=False)
+        self.client(builders.flow(), size=0)
+        self.assertEqual(
+            set(self.forwarder.link._queue._ranks), {link_queue.LOOKUP}
+        )
+
     def test_questions_in_a_second_are_limited(self):
         """A narrow link must not be filled by questions either."""
         self.silent = set(AGENTS)
