Drop questions that wait when their lookup ends

Cause: questions above the limit of keys a second waited on after the flow was found, reset or opened anew, used up the limit, and reached agents as questions about a former flow.

Change: they are dropped with the lookup.

Result: test_questions_that_wait_end_with_their_lookup failed before. Tests that the packets kept during a planned move reach the agent that a registrar names in order, and that silent registrars are passed over by the timer.

--- a/kumquatport/process/packets/flow_lookup.py
+++ b/kumquatport/process/packets/flow_lookup.py
@@ -194,9 +194,14 @@
 
     def discard(self, flow: bytes) -> None:
         """End the lookup of a flow and drop its packets."""
-        self._lookups.pop(flow, None)
+        self._end(flow)
         self._waiting.discard(flow)
 
+    def _end(self, flow: bytes) -> None:
+        """Wait for no more answers about a flow, and ask no more."""
+        self._lookups.pop(flow, None)
+        self.questions.cancel(flow)
+
     def expire(self) -> None:
         """Drop packets that have become useless and expired registrations."""
         self._waiting.expire(clock.now())
@@ -367,7 +372,7 @@
         # The agent has delivered the packet that it was asked with.
         delivered = cached.search.asked_with.get(instance) if kept else None
         cached.confirm(instance)
-        self._lookups.pop(flow, None)
+        self._end(flow)
         for packet in kept:
             if waiting_packets.identity(packet) != delivered:
                 self._actions.forward(packet, instance, 0)
@@ -404,7 +409,7 @@
         key = unresolved.packet.flow
         unresolved.flow.agents = (instance,)
         self._log.note('flow found', key, agent=instance)
-        self._lookups.pop(key, None)
+        self._end(key)
         # FORWARD_PROBE lets a restarted agent, whose flow table is lost, test
         # whether its backend server holds the flow.
         detail = frame.FORWARD_QUERY | frame.FORWARD_PROBE
@@ -588,7 +593,7 @@
         """
         packet, route, flow = unresolved
         flow.search.waits_until = 0
-        self._lookups.pop(packet.flow, None)
+        self._end(packet.flow)
         missing = len(flow.search.not_holding)
         unknown_holders = self._unknown_holders(flow.search)
         if unknown_holders:
--- a/kumquatport/process/packets/lookup_questions.py
+++ b/kumquatport/process/packets/lookup_questions.py
@@ -76,6 +76,14 @@
         """Return whether a question about a flow has not been sent yet."""
         return flow in self._queued_flows
 
+    def cancel(self, flow: bytes) -> None:
+        """Drop the questions about a flow that have not been sent yet."""
+        if self._queued_flows.pop(flow, 0):
+            for receiver, flows in tuple(self._queued.items()):
+                flows.pop(flow, None)
+                if not flows:
+                    self._queued.pop(receiver)
+
     def can_ask(self, instance: str) -> bool:
         """Return whether an instance is not known to ignore questions."""
         return clock.now() >= self._former_until.get(instance, -math.inf)
--- a/tests/unit/process/packets/test_flow_registration.py
+++ b/tests/unit/process/packets/test_flow_registration.py
@@ -237,6 +237,37 @@
         self.client()
         self.assertEqual(self.kinds(), [forwarded])
 
+    def test_kept_packets_go_to_the_named_agent_at_once_and_in_order(self):
+        """FLOW: a planned move must not cost a retransmission."""
+        for sequence in (1, 2401, 1201):
+            self.packet = builders.datagram(
+                self.flow, sequence=sequence, acknowledged=7, data=b'x'
+            )
+            self.client()
+        self.answer(self.first, 'side-2')
+        forwarded = [frame.unpack(datagram) for datagram, _ in self.sent]
+        parse = builders.CODEC.parse_client_packet
+        self.assertEqual(
+            [(parse(one.datagram).sequence, one.detail) for one in forwarded],
+            [
+                (1, frame.FORWARD_QUERY | frame.FORWARD_PROBE),
+                (1201, 0),
+                (2401, 0),
+            ],
+        )
+
+    def test_silent_registrars_are_passed_over_without_another_packet(self):
+        """FLOW: the client's next packet may come only 1.6 s later."""
+        self.client()
+        self.sent.clear()
+        self.run_until(self.now + 0.11)
+        query = (BALANCERS[self.second], frame.KIND_FIND)
+        self.assertEqual(self.kinds(), [query])
+        self.sent.clear()
+        self.run_until(self.now + 0.11)
+        asked = [(address, frame.KIND_HOLDS) for address in AGENTS.values()]
+        self.assertEqual(self.kinds(), asked)
+
     def test_second_registrar_and_then_the_agents_are_queried(self):
         self.client()
         self.answer(self.first, '')
--- a/tests/unit/process/packets/test_lost_flows.py
+++ b/tests/unit/process/packets/test_lost_flows.py
@@ -345,3 +345,13 @@
             len(frame.unpack_flows(datagram)) for datagram, _ in self.sent
         )
         self.assertEqual(asked, limit)
+
+    def test_questions_that_wait_end_with_their_lookup(self):
+        """They would use up the limit, and be about a former flow."""
+        flow = builders.flow()
+        self.silent = set(AGENTS)
+        self.client(flow)
+        opening = builders.datagram(flow, builders.SYN)
+        self.forwarder.on_client(opening, (builders.CLIENT, 9000))
+        self.run_until(self.now + 0.3)
+        self.assertEqual(self.asked()[1], {frame.KIND_FORWARD})
