--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -1,5 +1,6 @@
 """Forwarding of client packets by a balancer."""
 
+import functools
 import math
 import typing
 from collections import abc
@@ -11,6 +12,7 @@
     edge_rejection,
     flow_cache,
     frame,
+    link_queue,
     opening_wait,
     request_class,
 )
@@ -78,7 +80,11 @@
             codec,
             self._log,
             flow_lookup.PacketActions(
-                self._forward, self._reset_lost_flow, self._flows.remove
+                self._forward,
+                self._forward_as_lookup,
+                self._reset_lost_flow,
+                self._flows.remove,
+                self._route,
             ),
         )
         self._choice = agent_choice.AgentChoice(
@@ -97,6 +103,14 @@
             frame.KIND_HANDOVER: self._lookup.registrar.on_handover,
             frame.KIND_LOCATE: self._lookup.registrar.on_query,
             frame.KIND_LOCATION: self._on_location,
+            frame.KIND_FIND: self._on_find,
+            frame.KIND_FOUND: self._on_found,
+            frame.KIND_NOT_HELD: functools.partial(
+                self._on_answer, self._lookup.on_denied
+            ),
+            frame.KIND_HOLDS: functools.partial(
+                self._on_answer, self._lookup.on_undecided
+            ),
         }
 
     @property
@@ -133,7 +147,7 @@
         table = self._configuration.routes
         idle_s = table.idle_timeout_s if table else 0
         self._flows.expire(clock.now(), idle_s)
-        self._lookup.registrar.expire()
+        self._lookup.expire()
         self._log.flush()
 
     def on_client(self, datagram: bytes, _sender: tuple[str, int]) -> None:
@@ -214,8 +228,9 @@
         """Offer an opening packet to an agent.
 
         A retransmission means that no agent has answered, so it is offered to
-        another one.
+        another one. The packets that are kept belong to a former flow.
         """
+        self._lookup.discard(packet.flow)
         if flow.agents and not packet.acknowledged:
             self._forward(packet, flow.agents[-1], 0)
             return
@@ -370,6 +385,17 @@
 
     def _forward(
         self, packet: packets.Packet, instance: str, detail: int
+    ) -> None:
+        self._forward_at(self._priority(packet), packet, instance, detail)
+
+    def _forward_as_lookup(
+        self, packet: packets.Packet, instance: str, detail: int
+    ) -> None:
+        """Forward a packet that asks whether an agent holds its flow."""
+        self._forward_at(link_queue.LOOKUP, packet, instance, detail)
+
+    def _forward_at(
+        self, rank: int, packet: packets.Packet, instance: str, detail: int
     ) -> None:
         record = self._mesh.registry.get(instance)
         if record is None:
@@ -382,7 +408,7 @@
             if packet.is_opening
             else packet.datagram,
         )
-        self.link.send(packet, self._priority(packet), message, record.address)
+        self.link.send(packet, rank, message, record.address)
 
     def _priority(self, packet: packets.Packet) -> int:
         """Return the priority that the route of a packet states."""
@@ -420,7 +446,34 @@
         """Record the agent that holds each of the given flows."""
         now = clock.now()
         for flow in frame.unpack_flows(message):
-            self._flows.touch(flow, now).confirm(instance)
+            self._lookup.on_held(flow, self._flows.touch(flow, now), instance)
+
+    def _on_answer(
+        self,
+        handle: abc.Callable[[bytes, flow_cache.CachedFlow, str], None],
+        message: bytes,
+        instance: str,
+    ) -> None:
+        """Handle an agent's answer about some flows."""
+        self._lookup.questions.note_answer(instance)
+        for flow in frame.unpack_flows(message):
+            cached = self._flows.get(flow)
+            if cached is not None:
+                handle(flow, cached, instance)
+
+    def _on_find(self, message: bytes, instance: str) -> None:
+        """Answer the query of a balancer for the agents of some flows."""
+        self._lookup.questions.note_answer(instance)
+        self._lookup.registrar.on_find(message, instance)
+
+    def _on_found(self, message: bytes, sender: str) -> None:
+        """Handle a registrar's answer to a query by the keys of flows."""
+        self._lookup.questions.note_answer(sender)
+        for found in frame.unpack_found(message):
+            cached = self._flows.get(found.flow)
+            if cached is not None:
+                address = packets.address_from_mark(found.address)
+                self._lookup.on_found(found.flow, cached, sender, address)
 
     def _on_return_frame(self, datagram: bytes, instance: str) -> None:
         """Handle a packet that an agent returned undelivered."""
@@ -449,6 +502,7 @@
                 self._offer(packet, route, flow)
             return
         unresolved = flow_lookup.UnresolvedPacket(packet, route, flow)
+        self._lookup.keep_returned(unresolved)
         self._lookup.on_not_held(unresolved, instance, was_only=was_only)
 
     def _on_location(self, message: bytes, sender: str) -> None:
@@ -461,16 +515,15 @@
         if answer is None or packet is None or route is None:
             return
         flow = self._flows.touch(packet.flow, clock.now())
-        if flow.agents:
-            # An answer to an earlier packet has already resolved the flow.
-            self._forward(packet, flow.agents[-1], 0)
-        else:
+        # Otherwise the kept packets have been forwarded to the agent already.
+        if not flow.agents:
             unresolved = flow_lookup.UnresolvedPacket(packet, route, flow)
             address = packets.address_from_mark(answer.address)
             self._lookup.on_location(unresolved, sender, address)
 
     def on_peer_started(self, record: members.InstanceRecord) -> None:
         """Send a restarted instance the flows that it may hold or keep."""
+        self._lookup.questions.forget(record.instance)
         if record.kind != members.KIND_AGENT:
             self._lookup.registrar.handover.on_balancer_started(record)
             return
