Add a query where a balancer would send a flow

GET /placement on the metrics address of a balancer reports the route, the agents of the sample with their scores, and the agent that would be chosen or the reason why none. It uses the code of the choice itself, and judges backend servers on a copy, so that a query places, counts and logs nothing. kumquatportctl placement asks several balancers and prints the answers.

--- a/kumquatport/connection/packets/packet.py
+++ b/kumquatport/connection/packets/packet.py
@@ -72,6 +72,20 @@
         return bool(self.flags & FLAG_RST)
 
 
+class NamedFlow(typing.NamedTuple):
+    """A flow that is named by its two ends.
+
+    Attributes:
+        flow: Key of the flow, as in its packets.
+        service_address: IPv4 address of the service, as an integer.
+        service_port: Port of the service.
+    """
+
+    flow: bytes
+    service_address: int
+    service_port: int
+
+
 class Codec(typing.NamedTuple):
     """Packet format, provided by the platform adapter.
 
@@ -82,6 +96,8 @@
             or bounced; returns None if it is malformed.
         client_address: Returns the client address of a flow, as text.
         format_flow: Returns both ends of a flow as text, for logs.
+        parse_flow: Parses the text of ``format_flow``; returns None if it is
+            malformed.
         with_mark: Returns a datagram as its receiver gets it, with a mark that
             a bounce preserves and without a service tag.
         with_service_tag: Returns a datagram with a service tag, for another
@@ -94,6 +110,7 @@
     parse_backend_server_packet: abc.Callable[[bytes], Packet | None]
     client_address: abc.Callable[[bytes], str]
     format_flow: abc.Callable[[bytes], str]
+    parse_flow: abc.Callable[[str], NamedFlow | None]
     with_mark: abc.Callable[[bytes, int], bytes]
     with_service_tag: abc.Callable[[bytes, int], bytes]
     build_reset: abc.Callable[[bytes, int], bytes]
--- a/kumquatport/connection/packets/placement.py
+++ b/kumquatport/connection/packets/placement.py
@@ -14,6 +14,7 @@
 """
 
 import math
+import operator
 import typing
 from collections import abc
 
@@ -58,6 +59,10 @@
 # agents that are equal otherwise are chosen within the failure domain.
 CROSSING_PRICE: typing.Final = 0.02
 
+# What a score is: expected seconds to an answer, or share of slots in use.
+BASIS_TIME: typing.Final = 'expected_s'
+BASIS_LOAD: typing.Final = 'load'
+
 
 class Expectation(typing.NamedTuple):
     """What a request can expect at an agent, by the agent's report.
@@ -109,6 +114,26 @@
     is_avoided: bool = False
 
 
+class Scored(typing.NamedTuple):
+    """The candidates that are compared for a flow, in its order.
+
+    Attributes:
+        basis: What the scores measure: ``BASIS_TIME`` or ``BASIS_LOAD``.
+        scores: Each candidate and its score; the lowest is chosen, the first
+            of equal ones.
+    """
+
+    basis: str
+    scores: tuple[tuple[Candidate, float], ...]
+
+    @property
+    def chosen(self) -> Candidate | None:
+        """Return the candidate that is chosen; None without candidates."""
+        if not self.scores:
+            return None
+        return min(self.scores, key=operator.itemgetter(1))[0]
+
+
 def penalty(*, is_cold: bool, is_failing: bool) -> float:
     """Return the additional cost of an impaired backend server.
 
@@ -210,14 +235,23 @@
         flow_cost: Mean number of requests in progress per open flow.
         objective_s: Objective of the route; None if it has none.
     """
+    return scored(candidates, flow_cost, objective_s).chosen
+
+
+def scored(
+    candidates: abc.Iterable[Candidate],
+    flow_cost: float,
+    objective_s: float | None = None,
+) -> Scored:
+    """Return the scores by which ``choose`` chooses; see there."""
     sample = sample_of(candidates)
-    if not sample:
-        return None
     if objective_s is not None:
-        chosen = _choose_by_expectation(sample, objective_s)
-        if chosen is not None:
-            return chosen
-    return min(sample, key=lambda candidate: score(candidate, flow_cost))
+        by_expectation = _score_by_expectation(sample, objective_s)
+        if by_expectation is not None:
+            return by_expectation
+    return Scored(
+        BASIS_LOAD, tuple((one, score(one, flow_cost)) for one in sample)
+    )
 
 
 def sample_of(
@@ -238,10 +272,10 @@
     return (healthy + suspect)[:size]
 
 
-def _choose_by_expectation(
-    sample: abc.Iterable[Candidate], objective_s: float
-) -> Candidate | None:
-    """Choose by the expected time; None if a needed report is missing.
+def _score_by_expectation(
+    sample: abc.Sequence[Candidate], objective_s: float
+) -> Scored | None:
+    """Score by the expected time; None if a needed report is missing.
 
     The report of a suspect agent is not needed while there are others, nor that
     of an avoided one, which may get too few requests to be measured. A unit of
@@ -258,4 +292,7 @@
     if not healthy or len(works_s) < len(healthy):
         return None
     unit_s = max(*works_s, objective_s / FAILING_COST)
-    return min(healthy, key=lambda one: expected_s(one, objective_s, unit_s))
+    return Scored(
+        BASIS_TIME,
+        tuple((one, expected_s(one, objective_s, unit_s)) for one in healthy),
+    )
--- a/kumquatport/connection/packets/server_capacity.py
+++ b/kumquatport/connection/packets/server_capacity.py
@@ -217,6 +217,11 @@
             return 1
         return server.share(now)
 
+    def state(self, instance: str) -> State:
+        """Return the state of an agent's backend server."""
+        server = self._servers.get(instance)
+        return server.state if server else State.HEALTHY
+
 
 def _relative_work(
     observations: abc.Mapping[str, Observation],
--- a/kumquatport/exceptions.py
+++ b/kumquatport/exceptions.py
@@ -78,6 +78,12 @@
     code = 'KQ-1003'
 
 
+class FlowNameError(KumquatportError):
+    """A text does not name a flow as ``CLIENT:PORT>SERVICE:PORT``."""
+
+    code = 'KQ-6014'
+
+
 class PlatformUnavailableError(KumquatportError):
     """The platform did not answer, or a read failed; nothing changed."""
 
--- a/kumquatport/platform/packet.py
+++ b/kumquatport/platform/packet.py
@@ -1,10 +1,12 @@
 """Wire format of the platform's packets."""
 
+import ipaddress
 import socket
 import struct
 import typing
 
 from kumquatport.connection.packets import packet as packets
+from kumquatport.helpers import decoding
 
 # src, dst, sport, dport, sum, seq, ack, flags, pad, len, echo
 _HEADER: typing.Final = struct.Struct('<IIHHIIIB5sHI')
@@ -165,6 +167,27 @@
     return '{}:{}>{}:{}'.format(*endpoints)
 
 
+def parse_flow(text: str) -> packets.NamedFlow | None:
+    """Parse both endpoints of a flow, as ``format_flow`` writes them.
+
+    Returns:
+        The flow, or None if the text does not name one.
+    """
+    client_end, _, service_end = text.partition('>')
+    try:
+        client, client_port = _parse_endpoint(client_end)
+        service, service_port = _parse_endpoint(service_end)
+    except ValueError:
+        return None
+    flow = _FLOW.pack(client, service, client_port, service_port)
+    return packets.NamedFlow(flow, service, service_port)
+
+
+def _parse_endpoint(text: str) -> tuple[int, int]:
+    address, _, port = text.partition(':')
+    return int(ipaddress.IPv4Address(address)), decoding.parse_port(port)
+
+
 def _format_address(address: int) -> str:
     return socket.inet_ntoa(address.to_bytes(_ADDRESS_BYTES))
 
@@ -179,6 +202,7 @@
     parse_backend_server_packet=parse_backend_server_packet,
     client_address=client_address,
     format_flow=format_flow,
+    parse_flow=parse_flow,
     with_mark=with_mark,
     with_service_tag=with_service_tag,
     build_reset=build_reset,
--- a/kumquatport/process/ctl/__main__.py
+++ b/kumquatport/process/ctl/__main__.py
@@ -9,12 +9,14 @@
 
 from kumquatport import exceptions
 from kumquatport.platform import client as platform
+from kumquatport.platform import packet
 from kumquatport.process import logs
 from kumquatport.process.ctl import (
     arguments,
     domain,
     explain,
     output,
+    placement,
     recovery,
     settings,
     status,
@@ -49,6 +51,9 @@
         'validate': lambda: verbs.validate(options.file),
         'explain': lambda: explain.explain(options.flow, options.logs),
         'recovery': lambda: recovery.recovery(options.logs, options.since),
+        'placement': lambda: placement.placement(
+            options.flow, options.at, packet.CODEC
+        ),
     }
     run_offline = offline.get(options.verb)
     if run_offline is not None:
--- a/kumquatport/process/ctl/arguments.py
+++ b/kumquatport/process/ctl/arguments.py
@@ -15,19 +15,22 @@
   kumquatportctl --platform URL domain out accra-a
   kumquatportctl recovery --logs *.log
   kumquatportctl explain '100.64.0.7:40001>198.18.0.1:443' --logs *.log
+  kumquatportctl placement '100.64.0.7:40001>198.18.0.1:443' --at URL
 
 exit codes:
   0  done
   2  wrong usage or settings, or the document is not valid
   3  conflict: another document took effect, this one did not
   4  not known yet whether the document took effect; ask with: outcome
-  5  the platform did not answer; nothing was changed
+  5  the platform or a balancer did not answer; nothing was changed
   6  a guard rail held the change back; repeat with --confirm
 """
 
 
 # Verbs that run without access to the platform.
-_OFFLINE_VERBS: typing.Final = frozenset(('validate', 'explain', 'recovery'))
+_OFFLINE_VERBS: typing.Final = frozenset(
+    ('validate', 'explain', 'recovery', 'placement')
+)
 
 
 def parse(argv: abc.Sequence[str] | None) -> argparse.Namespace:
@@ -124,6 +127,17 @@
         help='ISO time to count from; else the first start',
     )
     _add_logs(recovery)
+    placement = verbs.add_parser(
+        'placement', help='ask balancers where a flow would be sent, and why'
+    )
+    placement.add_argument('flow', help='CLIENT:PORT>SERVICE:PORT')
+    placement.add_argument(
+        '--at',
+        metavar='URL',
+        action='append',
+        required=True,
+        help="root of a balancer's metrics server; may be repeated",
+    )
 
 
 def _add_logs(verb: argparse.ArgumentParser) -> None:
--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -10,6 +10,7 @@
     edge_rejection,
     placement,
     request_class,
+    server_capacity,
 )
 from kumquatport.connection.packets import packet as packets
 from kumquatport.helpers import clock
@@ -20,6 +21,7 @@
     known_configuration,
     mesh,
     models,
+    peers,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -40,10 +42,47 @@
     Attributes:
         service: Service of its flow.
         terms: Terms of its route; None if the route has none.
+        flow: Key of its flow.
+        share: Returns the share of the usual new flows that an agent of a
+            service gets.
     """
 
     service: str
     terms: request_class.RequestClass | None
+    flow: bytes
+    share: abc.Callable[[str, str], float]
+
+
+class ViewedAgent(typing.NamedTuple):
+    """An agent in the order of a flow, as placement sees it.
+
+    Attributes:
+        record: Its record.
+        peer: Its state by its messages; None if it was never heard.
+        candidate: What placement knows of it; None if it takes no flows.
+        capacity: State of its backend server among those of the service.
+    """
+
+    record: members.InstanceRecord
+    peer: peers.Peer | None
+    candidate: placement.Candidate | None
+    capacity: server_capacity.State
+
+
+class Preview(typing.NamedTuple):
+    """Where a new flow would be placed.
+
+    Attributes:
+        service: Service of the flow.
+        agents: The agents in its order, up to the last one of the sample.
+        scored: Scores of the sample.
+        exhaustion: Why no agent can serve it in time; None if one may.
+    """
+
+    service: str
+    agents: tuple[ViewedAgent, ...]
+    scored: placement.Scored
+    exhaustion: edge_rejection.Exhaustion | None
 
 
 class AgentChoice:
@@ -93,9 +132,9 @@
         Returns:
             The agent; None if none accepts flows.
         """
-        request = _request_of(packet, route)
+        request = self._request(packet.flow, route)
         return placement.choose(
-            self._candidates(packet, request, excluded),
+            self._candidates(request, excluded),
             self._flow_cost(request.service),
             request.terms.objective_s if request.terms else None,
         )
@@ -114,14 +153,41 @@
             chosen: Agent that would be offered it. While this one has time, no
                 other one has to be looked at.
         """
-        request = _request_of(packet, route)
-        if request.terms is None:
-            return None
-        left_s = edge_rejection.time_left_s(request.terms, packet.acknowledged)
-        if not edge_rejection.is_too_late(chosen, left_s):
-            return None
-        return edge_rejection.find_exhaustion(
-            self._candidates(packet, request, frozenset()), left_s
+        request = self._request(packet.flow, route)
+        return self._exhaustion(request, chosen, packet.acknowledged)
+
+    def preview(self, flow: bytes, route: routes.Route) -> Preview:
+        """Return where a new flow would be placed, without placing it.
+
+        Nothing that a later choice depends on is changed.
+
+        Args:
+            flow: Key of the flow.
+            route: Route of the flow.
+        """
+        service = flow_lookup.service_of(route, flow)
+        capacity = self._capacity.preview(service)
+        now = clock.now()
+        request = _Request(
+            service,
+            route.request_class,
+            flow,
+            lambda _, instance: capacity.share(instance, now),
+        )
+        flow_cost = self._cached_flow_cost(service)
+        if flow_cost is None:
+            flow_cost = self._mean_flow_cost(service)
+        scored = placement.scored(
+            self._candidates(request, frozenset()),
+            flow_cost,
+            request.terms.objective_s if request.terms else None,
+        )
+        chosen = scored.chosen
+        return Preview(
+            service,
+            tuple(self._viewed_agents(request, capacity)),
+            scored,
+            chosen and self._exhaustion(request, chosen, copy=0),
         )
 
     def note_placed(self, instance: str) -> None:
@@ -131,27 +197,66 @@
             peer.placed_flows += 1
             peer.placed_since_room += 1
 
+    def _request(self, flow: bytes, route: routes.Route) -> _Request:
+        return _Request(
+            flow_lookup.service_of(route, flow),
+            route.request_class,
+            flow,
+            self._capacity.share,
+        )
+
+    def _exhaustion(
+        self, request: _Request, chosen: placement.Candidate, copy: int
+    ) -> edge_rejection.Exhaustion | None:
+        if request.terms is None:
+            return None
+        left_s = edge_rejection.time_left_s(request.terms, copy)
+        if not edge_rejection.is_too_late(chosen, left_s):
+            return None
+        return edge_rejection.find_exhaustion(
+            self._candidates(request, frozenset()), left_s
+        )
+
+    def _viewed_agents(
+        self, request: _Request, capacity: server_capacity.ServerCapacity
+    ) -> abc.Iterator[ViewedAgent]:
+        """Yield the agents in the order of a flow until a sample is full."""
+        healthy = 0
+        for instance in self._agent_order(request.service, request.flow):
+            record = self._mesh.registry.get(instance)
+            if record is None:
+                continue
+            candidate = self._candidate(record, request)
+            yield ViewedAgent(
+                record,
+                self._mesh.peer(instance),
+                candidate,
+                capacity.state(instance),
+            )
+            healthy += candidate is not None and not candidate.is_suspect
+            if healthy == placement.SAMPLE_SIZE:
+                return
+
     def _candidates(
         self,
-        packet: packets.Packet,
         request: _Request,
         excluded: abc.Set[str],
     ) -> abc.Iterator[placement.Candidate]:
         """Yield the agents that accept flows, in the order of the flow."""
-        for instance in self._agent_order(request.service, packet.flow):
+        for instance in self._agent_order(request.service, request.flow):
             record = self._mesh.registry.get(instance)
             if record is None or instance in excluded:
                 continue
-            candidate = self._candidate(record, packet, request.terms)
+            candidate = self._candidate(record, request)
             if candidate is not None:
                 yield candidate
 
     def _candidate(
         self,
         record: members.InstanceRecord,
-        packet: packets.Packet,
-        terms: request_class.RequestClass | None,
+        request: _Request,
     ) -> placement.Candidate | None:
+        terms = request.terms
         if record.state != members_const.STATE_READY:
             return None
         if record.failure_domain in self._configuration.domains_out:
@@ -161,7 +266,7 @@
             return None
         share: float = 1
         if terms is not None:
-            share = self._capacity.share(record.service, record.instance)
+            share = request.share(record.service, record.instance)
         return placement.Candidate(
             instance=record.instance,
             slots=peer.load.slots,
@@ -176,7 +281,7 @@
                 is_cold=peer.load.is_cold, is_failing=peer.load.is_failing
             ),
             expectation=self._expectation(record, terms) if terms else None,
-            is_avoided=share < 1 and _position(packet.flow) >= share,
+            is_avoided=share < 1 and _position(request.flow) >= share,
         )
 
     def _expectation(
@@ -200,22 +305,24 @@
 
     def _flow_cost(self, service: str) -> float:
         """Return the mean number of requests in progress per open flow."""
-        now = clock.now()
-        valid_until, cost = self._flow_costs.get(service, (-math.inf, 1.0))
-        if now >= valid_until:
-            cost = placement.busy_per_flow(
-                (peer.load.busy, peer.load.flows)
-                for record in self._mesh.registry.agents(service)
-                if (peer := self._mesh.peer(record.instance)) is not None
-                and peer.load is not None
-            )
-            self._flow_costs[service] = (now + FLOW_COST_TTL_S, cost)
+        cost = self._cached_flow_cost(service)
+        if cost is None:
+            cost = self._mean_flow_cost(service)
+            valid_until = clock.now() + FLOW_COST_TTL_S
+            self._flow_costs[service] = (valid_until, cost)
         return cost
 
+    def _cached_flow_cost(self, service: str) -> float | None:
+        valid_until, cost = self._flow_costs.get(service, (-math.inf, 1.0))
+        return cost if clock.now() < valid_until else None
 
-def _request_of(packet: packets.Packet, route: routes.Route) -> _Request:
-    service = flow_lookup.service_of(route, packet.flow)
-    return _Request(service, route.request_class)
+    def _mean_flow_cost(self, service: str) -> float:
+        return placement.busy_per_flow(
+            (peer.load.busy, peer.load.flows)
+            for record in self._mesh.registry.agents(service)
+            if (peer := self._mesh.peer(record.instance)) is not None
+            and peer.load is not None
+        )
 
 
 def _position(flow: bytes) -> float:
--- a/kumquatport/process/packets/balancer.py
+++ b/kumquatport/process/packets/balancer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from collections import abc
 
 from kumquatport import exceptions
 from kumquatport.connection.packets import packet as packets
@@ -13,6 +14,7 @@
     http_services,
     models,
     node,
+    placement_view,
     store_watch,
 )
 from kumquatport.version import members
@@ -56,6 +58,7 @@
         self._mesh.on_frame = self._forwarder.on_frame
         self._mesh.on_peer_started = self._forwarder.on_peer_started
         self._is_leaving = False
+        self._query_handlers[placement_view.PATH] = self._view_placement
 
     async def on_start(self) -> None:
         """Bind the socket for client packets and start the periodic task.
@@ -123,6 +126,13 @@
         if self._mesh.live_balancers()[0] == self._settings.instance:
             self.add_future(peer_discovery.async_remove_expired(record))
 
+    def _view_placement(
+        self, query: abc.Mapping[str, str]
+    ) -> placement_view.PlacementView:
+        return self._forwarder.view_placement(
+            query.get(placement_view.FIELD_FLOW, '')
+        )
+
     def _schedule_retry(self) -> None:
         """Schedule a retry of the queued packets."""
         if not self._is_retry_scheduled:
--- a/kumquatport/process/packets/capacity_watch.py
+++ b/kumquatport/process/packets/capacity_watch.py
@@ -1,5 +1,6 @@
 """Judges the backend servers of each service by the reports of their agents."""
 
+import copy
 import math
 import typing
 
@@ -69,6 +70,22 @@
             self._judge(service, judged.capacity, now)
         return judged.capacity.share(instance, now)
 
+    def preview(self, service: str) -> server_capacity.ServerCapacity:
+        """Return the states by which the next flow is placed.
+
+        A judgement that is due is made on a copy, so nothing changes.
+
+        Args:
+            service: Name of the service.
+        """
+        now = clock.now()
+        judged = self._services.get(service) or _Judged()
+        if now < judged.valid_until:
+            return judged.capacity
+        capacity = copy.deepcopy(judged.capacity)
+        capacity.update(self._observations(service), now)
+        return capacity
+
     def _judge(
         self,
         service: str,
@@ -76,11 +93,7 @@
         now: float,
     ) -> None:
         was_panic = capacity.is_panic
-        observations = {
-            record.instance: observation
-            for record in self._mesh.registry.agents(service)
-            if (observation := self._observation(record)) is not None
-        }
+        observations = self._observations(service)
         for change in capacity.update(observations, now):
             self._counts[f'backend server {change.after}'] += 1
             self.lines.info(
@@ -101,6 +114,15 @@
             )
         self.lines.log_dropped_lines()
 
+    def _observations(
+        self, service: str
+    ) -> dict[str, server_capacity.Observation]:
+        return {
+            record.instance: observation
+            for record in self._mesh.registry.agents(service)
+            if (observation := self._observation(record)) is not None
+        }
+
     def _observation(
         self, record: members.InstanceRecord
     ) -> server_capacity.Observation | None:
--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from kumquatport import exceptions
 from kumquatport.connection.packets import (
     backlog,
     edge_rejection,
@@ -26,6 +27,7 @@
     link_sender,
     mesh,
     models,
+    placement_view,
 )
 from kumquatport.version import members, routes
 from kumquatport.version.members import const as members_const
@@ -131,6 +133,40 @@
             'link_wait_s': self.link.wait_s,
         }
 
+    def view_placement(self, text: str) -> placement_view.PlacementView:
+        """Return where a packet of a flow would be sent now, and why.
+
+        This only reads: a query must not shift load.
+
+        Args:
+            text: Both ends of the flow, as in the log.
+
+        Raises:
+            FlowNameError: The text does not name a flow.
+        """
+        named = self._codec.parse_flow(text)
+        if named is None:
+            raise exceptions.FlowNameError(
+                f'{text}: expected CLIENT:PORT>SERVICE:PORT'
+            )
+        table = self._configuration.routes
+        key = (named.service_address, named.service_port)
+        route = table.routes.get(key) if table else None
+        preview = self._choice.preview(named.flow, route) if route else None
+        cached = self._flows.get(named.flow)
+        return placement_view.build(
+            self._settings,
+            self._configuration,
+            placement_view.Inputs(
+                text,
+                route,
+                preview,
+                self._live_agents(cached) if cached else (),
+                route is not None and self._should_wait(0, route),
+                self.link.wait_s,
+            ),
+        )
+
     def apply_settings(self, settings: models.Settings) -> None:
         """Apply settings that changed at run time."""
         self._settings = settings
@@ -274,7 +310,7 @@
             )
         elif flow.agents:
             self._forward(packet, flow.agents[-1], 0)
-        elif self._should_wait(packet, route):
+        elif self._should_wait(packet.acknowledged, route):
             self._queue_opening(packet, excluded)
         else:
             self._reset(packet, 'no_agent')
@@ -310,11 +346,11 @@
                 tried=sorted(refused_by),
             )
 
-    def _should_wait(self, packet: packets.Packet, route: routes.Route) -> bool:
+    def _should_wait(self, copy: int, route: routes.Route) -> bool:
         """Return whether an opening packet waits for its retransmission."""
         now = clock.now()
         return opening_wait.should_wait(
-            packet.acknowledged,
+            copy,
             now - self._started_at,
             [
                 self._agent_view(record, now)
@@ -341,13 +377,7 @@
         flow: flow_cache.CachedFlow,
     ) -> None:
         """Forward a packet of an established flow to the agent holding it."""
-        registry = self._mesh.registry
-        flow.agents = tuple(
-            instance
-            for instance in flow.agents
-            if (record := registry.get(instance)) is not None
-            and not members.is_departed(record)
-        )
+        flow.agents = self._live_agents(flow)
         if len(flow.agents) == 1:
             self._forward(packet, flow.agents[0], 0)
         elif flow.agents:
@@ -358,6 +388,16 @@
                 flow_lookup.UnresolvedPacket(packet, route, flow)
             )
 
+    def _live_agents(self, flow: flow_cache.CachedFlow) -> tuple[str, ...]:
+        """Return the agents of a flow that have not departed."""
+        registry = self._mesh.registry
+        return tuple(
+            instance
+            for instance in flow.agents
+            if (record := registry.get(instance)) is not None
+            and not members.is_departed(record)
+        )
+
     def _reset_lost_flow(self, packet: packets.Packet, missing: int) -> None:
         """Send a reset for a flow that no agent holds."""
         self._reset(packet, 'not_held', missing=missing)
--- a/kumquatport/process/packets/http_services.py
+++ b/kumquatport/process/packets/http_services.py
@@ -66,4 +66,7 @@
     ]
 
 
+# Returns what a query is answered with as JSON, from the query's fields.
+QueryHandler = abc.Callable[[abc.Mapping[str, str]], object]
+
 Loader = abc.Callable[[], HttpServices]
--- a/kumquatport/process/packets/metrics.py
+++ b/kumquatport/process/packets/metrics.py
@@ -3,9 +3,13 @@
 import typing
 from collections import abc
 
+import msgspec
 from aiohttp import web
 from hdrh import histogram
 
+from kumquatport import exceptions
+from kumquatport.process.packets import http_services
+
 PATH: typing.Final = '/metrics'
 PREFIX: typing.Final = 'kumquatport'
 
@@ -21,6 +25,9 @@
 
 CounterSource = abc.Callable[[], abc.Mapping[str, float]]
 
+_CONTENT_TYPE: typing.Final = 'application/json'
+_BAD_REQUEST: typing.Final = 400
+
 
 class Metrics:
     """Metrics of one process."""
@@ -29,6 +36,7 @@
         """Start without metrics."""
         self._sources: dict[str, CounterSource] = {}
         self._histograms: dict[tuple[str, str], histogram.HdrHistogram] = {}
+        self._handlers: dict[str, http_services.QueryHandler] = {}
 
     def add_source(self, name: str, source: CounterSource) -> None:
         """Register a family of counters or gauges.
@@ -39,6 +47,18 @@
         """
         self._sources[name] = source
 
+    def add_handler(
+        self, path: str, handler: http_services.QueryHandler
+    ) -> None:
+        """Serve a query beside the metrics.
+
+        Args:
+            path: Path of the query.
+            handler: Called for each query. A ``KumquatportError`` that it
+                raises is answered with its code.
+        """
+        self._handlers[path] = handler
+
     def observer(self, name: str) -> abc.Callable[[str, float], None]:
         """Return a function that records seconds by label.
 
@@ -78,11 +98,31 @@
         return '\n'.join(lines) + '\n'
 
     def application(self) -> web.Application:
-        """Return a web application that serves the metrics."""
+        """Return a web application that serves metrics and queries."""
         app = web.Application()
 
         async def respond(_request: web.Request) -> web.Response:
             return web.Response(text=self.render())
 
         app.router.add_get(PATH, respond)
+        for path, handler in self._handlers.items():
+            app.router.add_get(path, _responder(handler))
         return app
+
+
+def _responder(
+    handler: http_services.QueryHandler,
+) -> abc.Callable[[web.Request], abc.Awaitable[web.Response]]:
+    async def respond(request: web.Request) -> web.Response:
+        try:
+            answer, status = handler(request.query), 200
+        except exceptions.KumquatportError as error:
+            answer = {'error': error.code, 'message': str(error)}
+            status = _BAD_REQUEST
+        return web.Response(
+            body=msgspec.json.encode(answer),
+            content_type=_CONTENT_TYPE,
+            status=status,
+        )
+
+    return respond
--- a/kumquatport/process/packets/node.py
+++ b/kumquatport/process/packets/node.py
@@ -56,6 +56,7 @@
         self._http_services: http_services.HttpServices | None = None
         self._close_callbacks: list[abc.Callable[[], None]] = []
         self._servers: list[http_services.Server] = []
+        self._query_handlers: dict[str, http_services.QueryHandler] = {}
 
     def on_init_dependencies(self) -> abc.Iterable[typing.Any]:
         """Return the services that start and stop with this one."""
@@ -89,6 +90,8 @@
         services.metrics.add_source('decisions', lambda: source.counts)
         services.metrics.add_source('state', source.gauges)
         services.metrics.add_source('store_calls', lambda: services.store.calls)
+        for path, handler in self._query_handlers.items():
+            services.metrics.add_handler(path, handler)
         port = self._settings.metrics_port
         if port:
             endpoint = models.Endpoint(self._settings.address, port)
