Schedule by request class only where the settings ask for it

Openings of feeds wait at one agent after the other until their client gives up.

Both parts, with the capacity reports, now act only if the settings say ScheduleByClass. Classes on routes, service times, link priorities and metrics stay in force.

--- a/kumquatport/platform/settings.py
+++ b/kumquatport/platform/settings.py
@@ -41,6 +41,8 @@
         vol.Optional('Bootstrap', default=False): bool,
         vol.Optional('HeartbeatMs', default=1000): _NON_NEGATIVE_NUMBER,
         vol.Optional('Service', default=''): str,
+        # Own key, which the template of a deployment may add.
+        vol.Optional('ScheduleByClass', default=False): bool,
         vol.Optional('app'): _parse_endpoint,
         vol.Required('Listen'): vol.Schema(
             {
@@ -163,6 +165,7 @@
         is_first_start=checked['Bootstrap'],
         store=_to_store_settings(checked['platform']),
         bounds=_to_bounds(checked['Bounds']),
+        schedules_by_class=checked['ScheduleByClass'],
         link_bytes_per_s=checked['Limits']['LinkMbps'] * _BYTES_PER_MEGABIT,
     )
 
--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -170,7 +170,7 @@
         now = clock.now()
         request = _Request(
             service,
-            route.request_class,
+            self._terms_of(route),
             flow,
             lambda _, instance: capacity.share(instance, now),
         )
@@ -197,10 +197,18 @@
             peer.placed_flows += 1
             peer.placed_since_room += 1
 
+    def _terms_of(
+        self, route: routes.Route
+    ) -> request_class.RequestClass | None:
+        """Return the terms of a route, None if they decide nothing here."""
+        if not self._settings.schedules_by_class:
+            return None
+        return route.request_class
+
     def _request(self, flow: bytes, route: routes.Route) -> _Request:
         return _Request(
             flow_lookup.service_of(route, flow),
-            route.request_class,
+            self._terms_of(route),
             flow,
             self._capacity.share,
         )
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -430,7 +430,7 @@
         reason = self._refusal_reason(packet, version)
         if reason:
             self._return_opening(packet, reason, sender, version)
-        elif not self.openings.hold(
+        elif not self._settings.schedules_by_class or not self.openings.hold(
             packet, sender, version, self._route(packet)
         ):
             self._admit(packet, sender, version)
@@ -774,6 +774,8 @@
 
     def room(self) -> messages.Room | None:
         """Return the room that short heartbeats carry; None if unknown."""
+        if not self._settings.schedules_by_class:
+            return None
         return self._room_report.room()
 
     def load(self) -> messages.Load:
--- a/kumquatport/process/packets/models.py
+++ b/kumquatport/process/packets/models.py
@@ -80,6 +80,8 @@
         bounds: Limits guaranteed to the users.
         metrics_port: TCP port of the metrics; 0 for none.
         link_bytes_per_s: Rate of the host's link; 0 if none is stated.
+        schedules_by_class: Whether openings are queued and placed by the terms
+            of their routes.
     """
 
     instance: str
@@ -101,6 +103,7 @@
     bounds: Bounds
     metrics_port: int = 0
     link_bytes_per_s: float = 0
+    schedules_by_class: bool = False
 
 
 class BackendServerReport(typing.NamedTuple):
--- a/tests/builders/packets.py
+++ b/tests/builders/packets.py
@@ -99,6 +99,7 @@
             apply_s=3.0,
             evacuate_s=5.0,
         ),
+        schedules_by_class=True,
     )
     return defaults._replace(**fields)
 
--- a/tests/unit/process/packets/test_admission_control.py
+++ b/tests/unit/process/packets/test_admission_control.py
@@ -347,6 +347,15 @@
         self.call(*['streams'] * 30)
         self.assertEqual((self.queued, len(self.reached())), (0, 30))
 
+    def test_nothing_is_queued_unless_the_settings_ask_for_it(self):
+        """Guards against new decisions in deployments that do not want them."""
+        agent = self.played.agent
+        agent.apply_settings(builders.settings(schedules_by_class=False))
+        self.call(*['streams'] * 30)
+        self.assertEqual((self.queued, len(self.reached())), (0, 30))
+        with self.played.clock():
+            self.assertIsNone(agent.room())
+
     def test_work_that_is_unknown_is_admitted(self):
         self.played.start_agent()
         self.call(*['streams'] * 9)
