Name the capacity reports of agents by the term of the field

'Room' is a word of the request. The message is CapacityReport, the field and the callback are capacity, the module is capacity_reporter.

--- a/kumquatport/process/packets/agent.py
+++ b/kumquatport/process/packets/agent.py
@@ -59,7 +59,7 @@
         self._mesh.on_peer_started = self._datapath.on_peer_started
         self._mesh.load = self._datapath.load
         self._mesh.on_draining_reported = self._handle_draining_reported
-        self._mesh.room = self._datapath.room
+        self._mesh.capacity = self._datapath.capacity
         self._discovery: discovery.Discovery | None = None
 
     async def on_start(self) -> None:
--- a/kumquatport/process/packets/agent_choice.py
+++ b/kumquatport/process/packets/agent_choice.py
@@ -195,7 +195,7 @@
         peer = self._mesh.peer(instance)
         if peer is not None:
             peer.placed_flows += 1
-            peer.placed_since_room += 1
+            peer.placed_since_report += 1
 
     def _terms_of(
         self, route: routes.Route
@@ -298,16 +298,16 @@
         terms: request_class.RequestClass,
     ) -> placement.Expectation | None:
         """Return what a request can expect; None if no report is recent."""
-        room = self._mesh.room_of(record.instance)
+        capacity = self._mesh.capacity_of(record.instance)
         peer = self._mesh.peer(record.instance)
-        if room is None or peer is None:
+        if capacity is None or peer is None:
             return None
         return placement.Expectation(
-            wait_s=room.wait_s(terms.priority),
-            age_s=clock.now() - peer.room_at,
-            work_s=room.work_s,
-            committed=room.committed,
-            placed=peer.placed_since_room,
+            wait_s=capacity.wait_s(terms.priority),
+            age_s=clock.now() - peer.capacity_at,
+            work_s=capacity.work_s,
+            committed=capacity.committed,
+            placed=peer.placed_since_report,
             round_trip_s=self._mesh.round_trip_s(record.failure_domain),
         )
 
--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -23,13 +23,13 @@
 from kumquatport.process.packets import (
     admission_control,
     backend_server,
+    capacity_reporter,
     decision_log,
     known_configuration,
     mass_restart,
     mesh,
     messages,
     models,
-    room_report,
     udp_sockets,
 )
 from kumquatport.version import members, routes
@@ -108,7 +108,7 @@
         self._was_failing = False
         self._pending_queries = pending_queries.PendingQueries()
         self._unanswered_data = unanswered_data.UnansweredData()
-        self._room_report = room_report.RoomReport(
+        self._capacity_reporter = capacity_reporter.CapacityReporter(
             settings.service,
             configuration,
             self._flows,
@@ -777,11 +777,11 @@
             if record is not None:
                 self._mesh.send_flows(kind, flows, record.address)
 
-    def room(self) -> messages.Room | None:
-        """Return the room that short heartbeats carry; None if unknown."""
+    def capacity(self) -> messages.CapacityReport | None:
+        """Return the capacity for short heartbeats; None if it is unknown."""
         if not self._settings.schedules_by_class:
             return None
-        return self._room_report.room()
+        return self._capacity_reporter.capacity()
 
     def load(self) -> messages.Load:
         """Return the load that heartbeats carry."""
--- a/kumquatport/process/packets/room_report.py
+++ b/kumquatport/process/packets/capacity_reporter.py
@@ -21,8 +21,8 @@
 _ROUTE_TAGS: typing.Final = 256
 
 
-class RoomReport:
-    """Determines the room that heartbeats carry."""
+class CapacityReporter:
+    """Determines the capacity report that heartbeats carry."""
 
     def __init__(
         self,
@@ -47,8 +47,8 @@
         self._table: routes.RouteTable | None = None
         self._has_objective = False
 
-    def room(self) -> messages.Room | None:
-        """Return the room; None if it is unknown or no route needs it."""
+    def capacity(self) -> messages.CapacityReport | None:
+        """Return the report; None if it is unknown or no route needs it."""
         if not self._is_needed():
             return None
         work_s = self._flows.service_times.overall_mean_s(clock.now())
@@ -58,18 +58,20 @@
             return None
         first, second, third, lower = known_s
         return self._with_routes(
-            messages.Room((first, second, third, lower), work_s)
+            messages.CapacityReport((first, second, third, lower), work_s)
         )
 
-    def _with_routes(self, room: messages.Room) -> messages.Room:
-        """Return a room with what is measured by route."""
+    def _with_routes(
+        self, capacity: messages.CapacityReport
+    ) -> messages.CapacityReport:
+        """Return a capacity report with what is measured by route."""
         now = clock.now()
         times = self._flows.service_times
         committed = self._flows.committed_s(now) / self._flows.slots
         route = times.busiest_route(now)
         if route is None:
-            return room._replace(committed=committed)
-        return room._replace(
+            return capacity._replace(committed=committed)
+        return capacity._replace(
             committed=committed,
             main_route=_route_tag(route),
             main_work_s=times.mean_s(route, now) or 0,
--- a/kumquatport/process/packets/capacity_watch.py
+++ b/kumquatport/process/packets/capacity_watch.py
@@ -130,9 +130,9 @@
         peer = self._mesh.peer(record.instance)
         if peer is None or peer.load is None or not peer.load.accepts:
             return None
-        room = self._mesh.room_of(record.instance)
-        if room is None or not room.main_work_s:
+        capacity = self._mesh.capacity_of(record.instance)
+        if capacity is None or not capacity.main_work_s:
             return server_capacity.Observation(None, peer.load.is_failing)
         return server_capacity.Observation(
-            room.main_work_s, peer.load.is_failing, room.main_route
+            capacity.main_work_s, peer.load.is_failing, capacity.main_route
         )
--- a/kumquatport/process/packets/const.py
+++ b/kumquatport/process/packets/const.py
@@ -31,7 +31,7 @@
 # Heartbeat periods of silence after which a peer is suspect.
 SUSPECT_MISSED_HEARTBEATS: typing.Final = 3.4
 
-# Heartbeat periods after which a reported room counts as unknown.
+# Heartbeat periods after which a reported capacity report counts as unknown.
 ROOM_PERIODS: typing.Final = 3
 
 # Seconds within which an agent answers an offer that requests its load: a round
@@ -43,9 +43,10 @@
 LOAD_REQUEST_AGE_S: typing.Final = 0.075
 
 # Bytes per second of heartbeats, above which they become less frequent, and
-# bytes of a short heartbeat with its UDP and IP headers. A store era and a room
-# add 22 bytes, which this limit leaves space for. Control traffic of an
-# instance is limited to 25 KB/s, the rest of which is for records and routes.
+# bytes of a short heartbeat with its UDP and IP headers. A store era and a
+# capacity report add 22 bytes, which this limit leaves space for. Control
+# traffic of an instance is limited to 25 KB/s, the rest of which is for records
+# and routes.
 HEARTBEAT_BYTES_PER_S: typing.Final = 15_000
 HEARTBEAT_BYTES: typing.Final = 82
 
--- a/kumquatport/process/packets/liveness.py
+++ b/kumquatport/process/packets/liveness.py
@@ -157,19 +157,23 @@
         if load is not None and load.has_report:
             peer.was_draining = load.is_draining
 
-    def update_room(self, peer: peers.Peer, room: messages.Room | None) -> None:
-        """Store the room of a peer, as of now."""
-        peer.room = room
-        peer.room_at = clock.now()
-        peer.placed_since_room = 0
-
-    def room(self, instance: str) -> messages.Room | None:
-        """Return the room of an agent; None if it is unknown or too old."""
+    def update_capacity(
+        self, peer: peers.Peer, capacity: messages.CapacityReport | None
+    ) -> None:
+        """Store the capacity report of a peer, as of now."""
+        peer.capacity = capacity
+        peer.capacity_at = clock.now()
+        peer.placed_since_report = 0
+
+    def capacity(self, instance: str) -> messages.CapacityReport | None:
+        """Return the capacity of an agent; None if it is unknown or too old."""
         peer = self._peers.get(instance)
-        if peer is None or peer.room is None:
+        if peer is None or peer.capacity is None:
             return None
         limit_s = const.ROOM_PERIODS * self._period_s(instance, peer)
-        return peer.room if clock.now() - peer.room_at <= limit_s else None
+        return (
+            peer.capacity if clock.now() - peer.capacity_at <= limit_s else None
+        )
 
     def expire_silent(self) -> abc.Iterator[str]:
         """Log silent peers, and remove and yield the expired ones."""
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -48,8 +48,8 @@
         on_peer_expired: Called with the record of a peer that has been silent
             for ``const.PEER_EXPIRY_S``.
         load: Returns the load that heartbeats carry; None for a balancer.
-        room: Returns the room that short heartbeats to balancers carry; None
-            for a balancer, or if it is unknown.
+        capacity: Returns the capacity that short heartbeats to balancers carry;
+            None for a balancer, or if it is unknown.
     """
 
     def __init__(
@@ -92,7 +92,9 @@
         )
         self.load: abc.Callable[[], messages.Load | None] = _no_load
         self._started_at = clock.now()
-        self.room: abc.Callable[[], messages.Room | None] = _no_room
+        self.capacity: abc.Callable[[], messages.CapacityReport | None] = (
+            _no_capacity
+        )
         self._settings = settings
         self._configuration = configuration
         self._liveness = liveness.Liveness(
@@ -187,9 +189,9 @@
         """Return whether an instance has not answered an offer in time."""
         return self._liveness.is_unresponsive(instance)
 
-    def room_of(self, instance: str) -> messages.Room | None:
-        """Return the room of an agent; None if it is unknown or too old."""
-        return self._liveness.room(instance)
+    def capacity_of(self, instance: str) -> messages.CapacityReport | None:
+        """Return the capacity of an agent; None if it is unknown or too old."""
+        return self._liveness.capacity(instance)
 
     def round_trip_s(self, failure_domain: str) -> float | None:
         """Return the round trip to a failure domain; None if unknown."""
@@ -204,9 +206,9 @@
         domain = record.failure_domain if record else ''
         round_s = self._liveness.announced_round_s(domain)
         heartbeat = self._short_heartbeat(members.KIND_BALANCER, round_s)
-        if heartbeat.room is not None:
-            room = heartbeat.room._replace(is_answer=True)
-            heartbeat = heartbeat._replace(room=room)
+        if heartbeat.capacity is not None:
+            capacity = heartbeat.capacity._replace(is_answer=True)
+            heartbeat = heartbeat._replace(capacity=capacity)
         self.send(messages.encode_short_heartbeat(heartbeat), address)
 
     def tell_confirmation(self, balancers: abc.Iterable[str]) -> None:
@@ -483,7 +485,7 @@
             round_s=round_s,
             load=self.load(),
             is_informed=self._membership.is_informed,
-            room=self.room(),
+            capacity=self.capacity(),
         )
 
     def _full_heartbeat(
@@ -538,8 +540,8 @@
         peer.round_s = heartbeat.round_s
         self._note_heartbeat(peer, record)
         self._liveness.update_load(peer, heartbeat.load)
-        self._liveness.update_room(peer, heartbeat.room)
-        if heartbeat.room is not None and heartbeat.room.is_answer:
+        self._liveness.update_capacity(peer, heartbeat.capacity)
+        if heartbeat.capacity is not None and heartbeat.capacity.is_answer:
             self._liveness.note_answer(peer, record.failure_domain)
         is_newer = self._configuration.compare(
             heartbeat.routes_version,
@@ -593,7 +595,7 @@
             self._send_reply(peer, record, state.routes_version)
         self._liveness.update_load(peer, message.load)
         if is_new:
-            self._liveness.update_room(peer, None)
+            self._liveness.update_capacity(peer, None)
             peer.offered_at = math.inf
             self._on_peer_started(peer, record)
 
@@ -872,5 +874,5 @@
     """Return no load, as for a balancer."""
 
 
-def _no_room() -> messages.Room | None:
-    """Return no room, as for a balancer."""
+def _no_capacity() -> messages.CapacityReport | None:
+    """Return no capacity report, as for a balancer."""
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -42,7 +42,7 @@
     is_failing: bool = False
 
 
-class Room(typing.NamedTuple):
+class CapacityReport(typing.NamedTuple):
     """Capacity of an agent's backend server for further requests.
 
     Attributes:
@@ -207,7 +207,7 @@
             if the store has none or the sender's build knows none.
         is_informed: Whether the sender's members come from the store, directly
             or from peers.
-        room: Capacity of an agent's backend server; None if it is unknown, no
+        capacity: Capacity of an agent's backend server; None if it is unknown, no
             route of its service states an objective, or the sender's build
             reports none.
     """
@@ -222,12 +222,12 @@
     load: Load | None
     store_era: int = 0
     is_informed: bool = False
-    room: Room | None = None
+    capacity: CapacityReport | None = None
 
 
 _SHORT_HEARTBEAT: typing.Final = struct.Struct('!QIQQQfHBHHHf')
-# Follows a short heartbeat if the store has eras or a room follows, 0 for no
-# era; other builds ignore it.
+# Follows a short heartbeat if the store has eras or a capacity report follows, 0
+# for no era; other builds ignore it.
 _STORE_ERA: typing.Final = struct.Struct('!Q')
 _STORE_ERA_OFFSET: typing.Final = 1 + _SHORT_HEARTBEAT.size
 # Follows the era: waits in ms, work in ms, committed share in thousandths and
@@ -373,10 +373,10 @@
         + load.is_failing * _IS_FAILING
     )
     era = heartbeat.store_era
-    room = heartbeat.room
-    suffix = _STORE_ERA.pack(era) if era or room else b''
-    if room is not None:
-        suffix += _encode_room(room)
+    capacity = heartbeat.capacity
+    suffix = _STORE_ERA.pack(era) if era or capacity else b''
+    if capacity is not None:
+        suffix += _encode_capacity(capacity)
     body = _SHORT_HEARTBEAT.pack(
         heartbeat.incarnation,
         heartbeat.sequence,
@@ -434,25 +434,25 @@
         load=load,
         store_era=_decode_store_era(datagram),
         is_informed=bool(flags & _IS_INFORMED),
-        room=_decode_room(datagram),
+        capacity=_decode_capacity(datagram),
     )
 
 
-def _encode_room(room: Room) -> bytes:
+def _encode_capacity(capacity: CapacityReport) -> bytes:
     return _ROOM.pack(
-        *(_to_count(wait_s * _MS_PER_S) for wait_s in room.waits_s),
-        max(_to_count(room.work_s * _MS_PER_S), 1),
-        _to_count(room.committed * _COMMITTED_SCALE),
-        room.is_answer * _IS_ANSWER
-        + (_encode_relative_work(room) << _RELATIVE_WORK_SHIFT)
-        + ((room.main_route & _MAIN_ROUTE_MASK) << _MAIN_ROUTE_SHIFT),
+        *(_to_count(wait_s * _MS_PER_S) for wait_s in capacity.waits_s),
+        max(_to_count(capacity.work_s * _MS_PER_S), 1),
+        _to_count(capacity.committed * _COMMITTED_SCALE),
+        capacity.is_answer * _IS_ANSWER
+        + (_encode_relative_work(capacity) << _RELATIVE_WORK_SHIFT)
+        + ((capacity.main_route & _MAIN_ROUTE_MASK) << _MAIN_ROUTE_SHIFT),
     )
 
 
-def _encode_relative_work(room: Room) -> int:
-    if room.main_work_s <= 0 or room.work_s <= 0:
+def _encode_relative_work(capacity: CapacityReport) -> int:
+    if capacity.main_work_s <= 0 or capacity.work_s <= 0:
         return 0
-    doublings = math.log2(room.main_work_s / room.work_s)
+    doublings = math.log2(capacity.main_work_s / capacity.work_s)
     steps = round(_STEPS_PER_DOUBLING * doublings) + _RELATIVE_WORK_EQUAL
     return min(max(steps, 1), _RELATIVE_WORK_MASK)
 
@@ -470,15 +470,15 @@
     return round(min(max(number, 0), _MAX_COUNT))
 
 
-def _decode_room(datagram: bytes) -> Room | None:
-    """Return the room that follows the era; None if none follows."""
+def _decode_capacity(datagram: bytes) -> CapacityReport | None:
+    """Return the capacity report that follows the era; None if none follows."""
     if len(datagram) < _ROOM_OFFSET + _ROOM.size:
         return None
     *waits_ms, work_ms, committed, flags = _ROOM.unpack_from(
         datagram, _ROOM_OFFSET
     )
     first, second, third, lower = (wait / _MS_PER_S for wait in waits_ms)
-    return Room(
+    return CapacityReport(
         (first, second, third, lower),
         work_ms / _MS_PER_S,
         committed / _COMMITTED_SCALE,
--- a/kumquatport/process/packets/peers.py
+++ b/kumquatport/process/packets/peers.py
@@ -44,9 +44,9 @@
         placed_flows: Flows placed on the agent since the last heartbeat.
         offered_at: Monotonic seconds of the offer whose answer is timed;
             infinity if there is none.
-        room: Room that the agent has reported; None if it reports none.
-        room_at: Monotonic seconds of the reception of ``room``.
-        placed_since_room: Flows placed on the agent since then.
+        capacity: Last capacity report of the agent; None if it sends none.
+        capacity_at: Monotonic seconds of the reception of ``capacity``.
+        placed_since_report: Flows placed on the agent since then.
         was_draining: Whether the backend server was draining when the agent
             last reported it, even if the agent has restarted since.
         members_digest: Digest of the records that both share.
@@ -68,9 +68,9 @@
         'members_digest',
         'offered_at',
         'placed_flows',
-        'placed_since_room',
-        'room',
-        'room_at',
+        'placed_since_report',
+        'capacity',
+        'capacity_at',
         'round_s',
         'started_at',
     )
@@ -84,9 +84,9 @@
         self.load: messages.Load | None = None
         self.placed_flows = 0
         self.offered_at = math.inf
-        self.room: messages.Room | None = None
-        self.room_at = -math.inf
-        self.placed_since_room = 0
+        self.capacity: messages.CapacityReport | None = None
+        self.capacity_at = -math.inf
+        self.placed_since_report = 0
         self.was_draining = False
         self.members_digest = 0
         self.is_informed = False
--- a/tests/builders/rooms.py
+++ b/tests/builders/capacity_reports.py
@@ -1,4 +1,4 @@
-"""Balancer with agents that report their room, for a route with terms."""
+"""Balancer with agents that report their capacity, for a route with terms."""
 
 import itertools
 
@@ -12,19 +12,19 @@
 )
 
 
-class RoomTestCase(balancers.BalancerTestCase):
+class CapacityReportTestCase(balancers.BalancerTestCase):
     """A balancer in failure domain a that knows some agents.
 
     Attributes:
-        rooms: Expected wait and mean work in seconds by agent; an agent without
-            them reports no room.
+        capacity_reports: Expected wait and mean work in seconds by agent; an
+            agent without them reports no capacity report.
         domains: Failure domain of each agent; a if it is not stated.
     """
 
     def setUp(self) -> None:
         """Build the balancer with a route that has terms."""
         super().setUp()
-        self.rooms: dict[str, tuple[float, float] | None] = {}
+        self.capacity_reports: dict[str, tuple[float, float] | None] = {}
         self.domains: dict[str, str] = {}
         self._ports = itertools.count(40000)
         self.set_terms(TERMS, 2)
@@ -42,7 +42,7 @@
 
     def report(self, is_answer: bool = False, **load: int) -> None:
         """Deliver a heartbeat of each agent."""
-        for instance in self.rooms:
+        for instance in self.capacity_reports:
             self.report_one(instance, is_answer=is_answer, **load)
 
     def report_one(
@@ -62,16 +62,16 @@
                 record, reported, state, wants_reply=False
             )
             self.mesh.on_datagram(messages.encode(message), (address, 7000))
-        seconds = self.rooms[instance]
-        room = None
+        seconds = self.capacity_reports[instance]
+        capacity = None
         if seconds is not None:
             wait_s, work_s = seconds
             waits_s = (0.0, wait_s, 0.0, 0.0)
-            room = messages.Room(
+            capacity = messages.CapacityReport(
                 waits_s, work_s, is_answer=is_answer, main_work_s=work_s
             )
         heartbeat = messages.ShortHeartbeat(
-            1, 1, 0, 2, 0, 0.0, 0.3, reported, room=room
+            1, 1, 0, 2, 0, 0.0, 0.3, reported, capacity=capacity
         )
         self.mesh.on_datagram(
             messages.encode_short_heartbeat(heartbeat), (address, 7000)
--- a/tests/unit/connection/packets/test_expected_wait.py
+++ b/tests/unit/connection/packets/test_expected_wait.py
@@ -65,7 +65,7 @@
                 self.assertEqual(_choose(*reversed(pair)), 'b')
 
     def test_missing_report_leaves_the_former_score(self):
-        """Agents of an older build report no room."""
+        """Agents of an older build report no capacity report."""
         busy = _candidate('busy', wait_s=0.0, busy=4)
         unknown = _candidate('unknown', busy=1, expectation=None)
         self.assertEqual(_choose(busy, unknown), 'unknown')
--- a/tests/unit/process/ctl/test_placement.py
+++ b/tests/unit/process/ctl/test_placement.py
@@ -4,13 +4,13 @@
 
 from kumquatport import exceptions
 from kumquatport.process.ctl import const, placement
+from tests.builders import capacity_reports
 from tests.builders import packets as builders
-from tests.builders import rooms
 
 FLOW = '100.64.0.7:40001>198.18.0.1:443'
 
 
-class PlacementVerbTest(rooms.RoomTestCase):
+class PlacementVerbTest(capacity_reports.CapacityReportTestCase):
     """Lines and exit codes, with answers of a balancer without sockets."""
 
     async def fetch(self, url, flow):
@@ -25,7 +25,7 @@
         return placement.placement(flow, urls, builders.CODEC, self.fetch)
 
     def test_lines_name_agents_scores_and_reasons(self):
-        self.rooms = {'1': (0.0, 0.02), '2': (0.3, 0.02)}
+        self.capacity_reports = {'1': (0.0, 0.02), '2': (0.3, 0.02)}
         self.report()
         flow = self.forwarder._codec.format_flow(self.open()[:12])
         carried = self.ask('http://front', flow=flow)
--- a/tests/unit/process/packets/test_admission_control.py
+++ b/tests/unit/process/packets/test_admission_control.py
@@ -354,7 +354,7 @@
         self.call(*['streams'] * 30)
         self.assertEqual((self.queued, len(self.reached())), (0, 30))
         with self.played.clock():
-            self.assertIsNone(agent.room())
+            self.assertIsNone(agent.capacity())
 
     def test_work_that_is_unknown_is_admitted(self):
         self.played.start_agent()
--- a/tests/unit/process/packets/test_agent_choice.py
+++ b/tests/unit/process/packets/test_agent_choice.py
@@ -1,19 +1,19 @@
-"""Tests of a balancer that chooses agents by their reported room."""
+"""Tests of a balancer that chooses agents by their reported capacity."""
 
 from unittest import mock
 
 from kumquatport.connection.packets import frame, request_class
 from kumquatport.process.packets import agent_datapath, const, messages
+from tests.builders import capacity_reports
 from tests.builders import packets as builders
-from tests.builders import rooms
 
 
-class ChoiceTest(rooms.RoomTestCase):
+class ChoiceTest(capacity_reports.CapacityReportTestCase):
     """Which agent is offered a new flow."""
 
     def setUp(self):
         super().setUp()
-        self.rooms = {'1': (0.2, 0.02), '2': (0.0, 0.02)}
+        self.capacity_reports = {'1': (0.2, 0.02), '2': (0.0, 0.02)}
 
     def test_lowest_wait_of_the_priority_until_flows_are_placed(self):
         self.report()
@@ -30,15 +30,15 @@
         self.assertEqual(self.chosen(1), ['2'])
         self.set_terms(None, 3)
         self.assertEqual(self.chosen(1), ['1'])
-        self.set_terms(rooms.TERMS, 4)
-        self.rooms['2'] = None
+        self.set_terms(capacity_reports.TERMS, 4)
+        self.capacity_reports['2'] = None
         self.report_one('2', busy=4)
         self.assertEqual(self.chosen(1), ['1'])
 
     def test_measured_round_trip_is_that_of_answers(self):
         """A heartbeat between an offer and its answer is not an answer."""
         self.domains = {'1': 'b'}
-        self.rooms = {'1': (0.0, 0.02)}
+        self.capacity_reports = {'1': (0.0, 0.02)}
         self.report()
         self.now += const.LOAD_REQUEST_AGE_S
         self.open()
@@ -57,31 +57,40 @@
 
     def test_traffic_leaves_the_failure_domain_for_a_shorter_time(self):
         self.domains = {'1': 'b'}
-        self.rooms = {'1': (0.0, 0.02), '2': (0.005, 0.02)}
+        self.capacity_reports = {'1': (0.0, 0.02), '2': (0.005, 0.02)}
         self.report()
         self.now += const.LOAD_REQUEST_AGE_S
         self.assertEqual(self.chosen(1), ['2'])
-        self.rooms['2'] = (0.1, 0.02)
+        self.capacity_reports['2'] = (0.1, 0.02)
         self.report()
         self.assertEqual(self.chosen(1), ['1'])
 
 
-class SlowServerTest(rooms.RoomTestCase):
+class SlowServerTest(capacity_reports.CapacityReportTestCase):
     """A backend server with three times the work of the others."""
 
     def test_slow_server_is_avoided_until_it_has_returned(self):
-        self.rooms = {'1': (0.0, 0.06), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.capacity_reports = {
+            '1': (0.0, 0.06),
+            '2': (0.06, 0.02),
+            '3': (0.06, 0.02),
+        }
         self.report()
         # Its expected time would be the shortest one, without the cost.
         self.assertNotIn('1', self.chosen(1))
         self.assertEqual(self.forwarder.counts['backend server slow'], 1)
-        self.rooms = {
-            name: (0.5, work) for name, (_, work) in self.rooms.items()
+        self.capacity_reports = {
+            name: (0.5, work)
+            for name, (_, work) in self.capacity_reports.items()
         }
-        self.rooms['1'] = (0.0, 0.06)
+        self.capacity_reports['1'] = (0.0, 0.06)
         self.report()
         self.assertEqual(self.chosen(1), ['1'])
-        self.rooms = {'1': (0.0, 0.02), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.capacity_reports = {
+            '1': (0.0, 0.02),
+            '2': (0.06, 0.02),
+            '3': (0.06, 0.02),
+        }
         returned = []
         for _ in range(12):
             self.now += 0.5
@@ -95,13 +104,17 @@
 
     def test_none_is_slow_without_terms_of_the_route(self):
         self.set_terms(None, 3)
-        self.rooms = {'1': (0.0, 0.06), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.capacity_reports = {
+            '1': (0.0, 0.06),
+            '2': (0.06, 0.02),
+            '3': (0.06, 0.02),
+        }
         self.report()
         self.chosen(5)
         self.assertNotIn('backend server slow', self.forwarder.counts)
 
 
-class ReportTest(rooms.RoomTestCase):
+class ReportTest(capacity_reports.CapacityReportTestCase):
     """What an agent reports."""
 
     def setUp(self):
@@ -149,21 +162,21 @@
     def test_wait_follows_the_requests_in_progress(self):
         for port in range(4):
             self.request(port, 0.02)
-        self.assertIsNone(self.agent.room())
+        self.assertIsNone(self.agent.capacity())
         self.request(4, 0.02)
-        room = self.agent.room()
-        self.assertAlmostEqual(room.work_s, 0.02)
-        self.assertEqual(room.waits_s, (0, 0, 0, 0))
+        capacity = self.agent.capacity()
+        self.assertAlmostEqual(capacity.work_s, 0.02)
+        self.assertEqual(capacity.waits_s, (0, 0, 0, 0))
         for port in range(3):
             self.request_again(port, 4)
-        self.assertAlmostEqual(self.agent.room().wait_s(2), 0.06)
+        self.assertAlmostEqual(self.agent.capacity().wait_s(2), 0.06)
 
     def test_no_report_where_no_route_has_terms(self):
         """Heartbeats of other deployments keep their bytes."""
         for port in range(5):
             self.request(port, 0.02)
-        self.assertIsInstance(self.agent.room(), messages.Room)
+        self.assertIsInstance(self.agent.capacity(), messages.CapacityReport)
         self.set_terms(None, 3)
-        self.assertIsNone(self.agent.room())
+        self.assertIsNone(self.agent.capacity())
         self.set_terms(request_class.RequestClass(0, 1, 1, False), 4)
-        self.assertIsNotNone(self.agent.room())
+        self.assertIsNotNone(self.agent.capacity())
--- a/tests/unit/process/packets/test_room.py
+++ b/tests/unit/process/packets/test_capacity_report.py
@@ -1,4 +1,4 @@
-"""Tests of the room in short heartbeats: encoding, age and other builds."""
+"""Tests of capacity reports: encoding, age and other builds."""
 
 import unittest
 from unittest import mock
@@ -9,23 +9,23 @@
 from tests.builders import former_builds, meshes
 from tests.builders import packets as builders
 
-ROOM = messages.Room((0.001, 0.02, 0.3, 4.0), 0.022, 0.65)
+ROOM = messages.CapacityReport((0.001, 0.02, 0.3, 4.0), 0.022, 0.65)
 AGENT = '10.0.0.11'
 
 
-class RoomMessageTest(unittest.TestCase):
-    """The room follows the era of a heartbeat of the former size."""
+class CapacityReportMessageTest(unittest.TestCase):
+    """The capacity report follows the era of a heartbeat of the former size."""
 
     def setUp(self):
         self.plain = messages.ShortHeartbeat(
             1, 2, 3, 4, 5, 0.5, 0.25, builders.load()
         )
 
-    def test_room_is_encoded_with_and_without_an_era(self):
+    def test_capacity_report_is_encoded_with_and_without_an_era(self):
         for era in (0, 7):
             for is_answer in (False, True):
                 sent = self.plain._replace(
-                    store_era=era, room=ROOM._replace(is_answer=is_answer)
+                    store_era=era, capacity=ROOM._replace(is_answer=is_answer)
                 )
                 encoded = messages.encode_short_heartbeat(sent)
                 self.assertEqual(messages.decode_short_heartbeat(encoded), sent)
@@ -33,10 +33,12 @@
     def test_work_of_the_main_route(self):
         """It is encoded relative to the mean work, in steps of 9%."""
         for main_work_s in (0.005, 0.022, 0.5, 60.0):
-            room = ROOM._replace(main_route=201, main_work_s=main_work_s)
+            capacity = ROOM._replace(main_route=201, main_work_s=main_work_s)
             decoded = messages.decode_short_heartbeat(
-                messages.encode_short_heartbeat(self.plain._replace(room=room))
-            ).room
+                messages.encode_short_heartbeat(
+                    self.plain._replace(capacity=capacity)
+                )
+            ).capacity
             self.assertEqual(decoded.main_route, 201)
             largest_s = 0.022 * 2 ** (63 / 8)
             self.assertAlmostEqual(
@@ -45,19 +47,22 @@
 
     def test_out_of_range_values_are_limited(self):
         """A wait longer than 16 bits must not become a short one."""
-        room = messages.Room((1e9, -1.0, 0.0, 70.0), 0.0001, 100.0)
+        capacity = messages.CapacityReport(
+            (1e9, -1.0, 0.0, 70.0), 0.0001, 100.0
+        )
         encoded = messages.encode_short_heartbeat(
-            self.plain._replace(room=room)
+            self.plain._replace(capacity=capacity)
         )
-        decoded = messages.decode_short_heartbeat(encoded).room
+        decoded = messages.decode_short_heartbeat(encoded).capacity
         self.assertEqual(
-            decoded, messages.Room((65.535, 0, 0, 65.535), 0.001, 65.535)
+            decoded,
+            messages.CapacityReport((65.535, 0, 0, 65.535), 0.001, 65.535),
         )
 
     def test_former_builds_read_the_heartbeat_and_send_none(self):
         """A rollout has agents and balancers of both builds."""
         encoded = messages.encode_short_heartbeat(
-            self.plain._replace(room=ROOM)
+            self.plain._replace(capacity=ROOM)
         )
         without = messages.encode_short_heartbeat(self.plain)
         self.assertTrue(encoded.startswith(without))
@@ -65,11 +70,11 @@
         self.assertEqual(fields[:5], self.plain[:5])
         # A former build takes the 8 bytes that follow for the era, 0 for none.
         self.assertEqual(encoded[len(without) :][:8], bytes(8))
-        self.assertIsNone(messages.decode_short_heartbeat(without).room)
+        self.assertIsNone(messages.decode_short_heartbeat(without).capacity)
 
-    def test_truncated_room_is_unknown(self):
+    def test_truncated_capacity_report_is_unknown(self):
         encoded = messages.encode_short_heartbeat(
-            self.plain._replace(room=ROOM, store_era=7)
+            self.plain._replace(capacity=ROOM, store_era=7)
         )
         decoded = messages.decode_short_heartbeat(encoded[:-1])
         self.assertEqual(decoded, self.plain._replace(store_era=7))
@@ -83,8 +88,8 @@
         )
 
 
-class RoomAgeTest(unittest.TestCase):
-    """A balancer forgets the room of an agent that reports no more."""
+class CapacityReportAgeTest(unittest.TestCase):
+    """A balancer forgets the capacity of an agent that reports no more."""
 
     def setUp(self):
         self.now = 100.0
@@ -95,38 +100,38 @@
             'front-1', '10.0.0.1', members.KIND_BALANCER
         )
         self.agent = self.start_agent()
-        self.agent.room = lambda: ROOM
+        self.agent.capacity = lambda: ROOM
         self.network.run_round()
 
     def start_agent(self):
         return self.network.start('side-1', AGENT, members.KIND_AGENT)
 
-    def test_room_is_unknown_after_three_periods(self):
-        self.assertEqual(self.balancer.room_of('side-1'), ROOM)
+    def test_capacity_report_is_unknown_after_three_periods(self):
+        self.assertEqual(self.balancer.capacity_of('side-1'), ROOM)
         self.now += const.ROOM_PERIODS * const.HEARTBEAT_S - 0.01
-        self.assertEqual(self.balancer.room_of('side-1'), ROOM)
+        self.assertEqual(self.balancer.capacity_of('side-1'), ROOM)
         self.now += 0.02
-        self.assertIsNone(self.balancer.room_of('side-1'))
+        self.assertIsNone(self.balancer.capacity_of('side-1'))
         self.network.run_round()
-        self.assertEqual(self.balancer.room_of('side-1'), ROOM)
-        self.assertIsNone(self.balancer.room_of('side-2'))
+        self.assertEqual(self.balancer.capacity_of('side-1'), ROOM)
+        self.assertIsNone(self.balancer.capacity_of('side-2'))
 
-    def test_agent_that_stops_reporting_has_no_room(self):
+    def test_agent_that_stops_reporting_has_no_capacity_report(self):
         """Its build may be an older one after a rollback."""
-        self.agent.room = lambda: None
+        self.agent.capacity = lambda: None
         self.network.run_round()
-        self.assertIsNone(self.balancer.room_of('side-1'))
+        self.assertIsNone(self.balancer.capacity_of('side-1'))
 
-    def test_restarted_agent_has_no_room_until_it_reports(self):
+    def test_restarted_agent_has_no_capacity_report_until_it_sends_one(self):
         """The former process's queue is not the new one's."""
         with mock.patch(
             'kumquatport.helpers.clock.unix_ms', lambda: 4_000_000_000_000
         ):
             self.start_agent()
-        self.assertIsNone(self.balancer.room_of('side-1'))
+        self.assertIsNone(self.balancer.capacity_of('side-1'))
 
     def test_only_an_answer_to_an_offer_is_marked_as_one(self):
-        self.assertFalse(self.balancer.room_of('side-1').is_answer)
+        self.assertFalse(self.balancer.capacity_of('side-1').is_answer)
         self.agent.send_load('10.0.0.1')
         self.network.deliver()
-        self.assertTrue(self.balancer.room_of('side-1').is_answer)
+        self.assertTrue(self.balancer.capacity_of('side-1').is_answer)
--- a/tests/unit/process/packets/test_placement_view.py
+++ b/tests/unit/process/packets/test_placement_view.py
@@ -16,8 +16,8 @@
     metrics,
     placement_view,
 )
+from tests.builders import capacity_reports
 from tests.builders import packets as builders
-from tests.builders import rooms
 
 PORT = 50000
 
@@ -27,12 +27,16 @@
     return codec.format_flow(builders.flow(port))
 
 
-class PlacementViewTest(rooms.RoomTestCase):
+class PlacementViewTest(capacity_reports.CapacityReportTestCase):
     """What a balancer answers, and that it only reads."""
 
     def setUp(self):
         super().setUp()
-        self.rooms = {'1': (0.0, 0.06), '2': (0.06, 0.02), '3': (0.06, 0.02)}
+        self.capacity_reports = {
+            '1': (0.0, 0.06),
+            '2': (0.06, 0.02),
+            '3': (0.06, 0.02),
+        }
 
     def view(self, port=PORT):
         answer = self.forwarder.view_placement(name(port))
@@ -41,7 +45,7 @@
 
     def state(self):
         """Return the state that placement of further flows depends on."""
-        peers = [self.mesh.peer(instance) for instance in self.rooms]
+        peers = [self.mesh.peer(instance) for instance in self.capacity_reports]
         return copy.deepcopy(
             (
                 [
@@ -69,10 +73,10 @@
 
     def test_query_judges_no_backend_server(self):
         """Guards against a change of state that is not counted later."""
-        self.rooms['1'] = (0.0, 0.02)
+        self.capacity_reports['1'] = (0.0, 0.02)
         self.report()
         self.open()
-        self.rooms['1'] = (0.0, 0.06)
+        self.capacity_reports['1'] = (0.0, 0.06)
         self.report()
         self.now += capacity_watch.JUDGE_INTERVAL_S
         self.view()
@@ -102,7 +106,9 @@
     def test_outcomes_without_an_agent(self):
         self.now += 60
         self.assertEqual(self.view()['outcome'], placement_view.NO_AGENT)
-        self.rooms = {str(number): (5.0, 0.02) for number in range(1, 8)}
+        self.capacity_reports = {
+            str(number): (5.0, 0.02) for number in range(1, 8)
+        }
         self.report()
         answer = self.view()
         self.assertEqual(answer['outcome'], placement_view.NO_CAPACITY)
