Move two decisions about ended processes out of the agent's data path

Whether a backend server may serve without its listener stands with its state, and whether it started together with most instances with the mass restart.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -309,17 +309,13 @@
         """Mark all flows as known if the backend server started with the agents.
 
         After a loss of power of all hosts a backend server may start before its
-        agent. No earlier agent has passed flows to it, since all processes had
-        ended before. Its start time is by the clock of this host, which may
-        have been set meanwhile; that counts only after a mass restart, which no
-        planned work causes.
+        agent. No earlier agent has passed flows to it.
         """
         if self._knows_all_flows or math.isinf(self._stated_server_start):
             return
-        first_start = mass_restart.first_start(self._mesh.starts(), clock.now())
-        if first_start is None:
-            return
-        if self._stated_server_start > first_start - mass_restart.MIN_OUTAGE_S:
+        if mass_restart.is_part_of(
+            self._stated_server_start, self._mesh.starts(), clock.now()
+        ):
             self._mark_all_flows_known()
 
     def note_reported_draining(self) -> bool:
@@ -342,23 +338,16 @@
     ) -> bool:
         """Return whether a refused connection leaves open flows possible.
 
-        A socket alone does not show that the process lives: another one may
-        have bound the port. It counts while nothing has been heard from the
-        backend server, as after a restart of all instances: then nobody knows
-        whether it has said that it exits.
-
         Args:
             udp_socket: State of the UDP socket at the port; None if unknown.
         """
-        server = self.backend_server
-        if server.is_gone or (
-            udp_socket is not None and not udp_socket.is_bound
-        ):
-            return False
-        is_unheard_and_bound = server.report is None and udp_socket is not None
-        if not server.may_close_listener and not is_unheard_and_bound:
+        if udp_socket is not None and not udp_socket.is_bound:
             return False
-        return not self._knows_all_flows or bool(self._flows.open_count())
+        if not self._knows_all_flows or self._flows.open_count():
+            return self.backend_server.may_serve_without_listener(
+                is_socket_bound=udp_socket is not None
+            )
+        return False
 
     def _reset_unanswered_flows(self) -> None:
         """Reset the flows whose data a leaving backend server ignores."""
--- a/kumquatport/process/packets/backend_server.py
+++ b/kumquatport/process/packets/backend_server.py
@@ -127,22 +127,6 @@
             return self._was_draining
         return self.is_gone or self.is_exiting or self.report.is_draining
 
-    @property
-    def may_close_listener(self) -> bool:
-        """Return whether it may serve flows after it closed its listener.
-
-        It may once it drains or has said that it exits, also if heartbeats
-        have revoked that: the notice was its own or one of an earlier start.
-        """
-        if self.is_listener_closed:
-            return True
-        if self.report is None:
-            return self._was_draining or bool(self._exit_announced_by)
-        return (
-            self._exit_announced_by == self.report.identifier
-            or self.report.is_draining
-        )
-
     @property
     def last_active_at(self) -> float:
         """Return the monotonic seconds of its last heartbeat or packet."""
@@ -305,6 +289,34 @@
             self._has_bounced = False
         return may_have_ended
 
+    def may_serve_without_listener(self, *, is_socket_bound: bool) -> bool:
+        """Return whether it may serve open flows after it closed its listener.
+
+        It may once it drains or has said that it exits, also if heartbeats
+        have revoked that: the notice was its own or one of an earlier start.
+        While nothing has been heard from it, as after a restart of all
+        instances, nobody knows whether it has said so; then its socket counts,
+        although another process may have bound the port.
+
+        Args:
+            is_socket_bound: Whether a UDP socket is known to be bound at its
+                port.
+        """
+        if self.is_gone:
+            return False
+        if self.is_listener_closed:
+            return True
+        if self.report is None:
+            return (
+                is_socket_bound
+                or self._was_draining
+                or bool(self._exit_announced_by)
+            )
+        return (
+            self._exit_announced_by == self.report.identifier
+            or self.report.is_draining
+        )
+
     def note_listening(self) -> None:
         """Record that its listener has not refused a connection."""
         self.is_listener_closed = False
--- a/kumquatport/process/packets/mass_restart.py
+++ b/kumquatport/process/packets/mass_restart.py
@@ -50,6 +50,24 @@
     return first_start(starts, now) is not None
 
 
+def is_part_of(
+    stated_start: float, starts: abc.Collection[Start], now: float
+) -> bool:
+    """Return whether a process started together with most instances.
+
+    All processes had ended before, so no earlier instance has dealt with it.
+
+    Args:
+        stated_start: Its start in monotonic seconds. It may be by the clock of
+            this host, which may have been set since; no planned work restarts
+            most instances, so that counts only in rare cases.
+        starts: Starts of all known instances, including this one.
+        now: Monotonic time in seconds.
+    """
+    first = first_start(starts, now)
+    return first is not None and stated_start > first - MIN_OUTAGE_S
+
+
 def first_start(starts: abc.Collection[Start], now: float) -> float | None:
     """Return when the first of most instances started, if they just have.
 
--- a/kumquatport/process/packets/messages.py
+++ b/kumquatport/process/packets/messages.py
@@ -232,8 +232,8 @@
 _STORE_ERA_OFFSET: typing.Final = 1 + _SHORT_HEARTBEAT.size
 # Follows the era: waits in ms, work in ms, committed share in thousandths and
 # flags. Other builds ignore it.
-_ROOM: typing.Final = struct.Struct('!7H')
-_ROOM_OFFSET: typing.Final = _STORE_ERA_OFFSET + _STORE_ERA.size
+_CAPACITY: typing.Final = struct.Struct('!7H')
+_CAPACITY_OFFSET: typing.Final = _STORE_ERA_OFFSET + _STORE_ERA.size
 _IS_ANSWER: typing.Final = 1
 # The flags also hold the main route, and its work relative to the mean work as
 # a power of 2 in steps of 1/8, 0 if it is unknown. A step is 9%, little compared
@@ -439,7 +439,7 @@
 
 
 def _encode_capacity(capacity: CapacityReport) -> bytes:
-    return _ROOM.pack(
+    return _CAPACITY.pack(
         *(_to_count(wait_s * _MS_PER_S) for wait_s in capacity.waits_s),
         max(_to_count(capacity.work_s * _MS_PER_S), 1),
         _to_count(capacity.committed * _COMMITTED_SCALE),
@@ -472,10 +472,10 @@
 
 def _decode_capacity(datagram: bytes) -> CapacityReport | None:
     """Return the capacity report that follows the era; None if none follows."""
-    if len(datagram) < _ROOM_OFFSET + _ROOM.size:
+    if len(datagram) < _CAPACITY_OFFSET + _CAPACITY.size:
         return None
-    *waits_ms, work_ms, committed, flags = _ROOM.unpack_from(
-        datagram, _ROOM_OFFSET
+    *waits_ms, work_ms, committed, flags = _CAPACITY.unpack_from(
+        datagram, _CAPACITY_OFFSET
     )
     first, second, third, lower = (wait / _MS_PER_S for wait in waits_ms)
     return CapacityReport(
