Deny no flows after a second start of an agent

The test of the second start fails without the check of the own start, the test of few instances without that of the members.

--- a/kumquatport/process/packets/agent_datapath.py
+++ b/kumquatport/process/packets/agent_datapath.py
@@ -309,12 +309,17 @@
         """Mark all flows as known if the backend server started with the agents.
 
         After a loss of power of all hosts a backend server may start before its
-        agent. No earlier agent has passed flows to it.
+        agent. No earlier agent has passed flows to it. The few instances that
+        an agent meets first may have started with it by chance, so its members
+        have to come from the store.
         """
         if self._knows_all_flows or math.isinf(self._stated_server_start):
             return
-        if mass_restart.is_part_of(
-            self._stated_server_start, self._mesh.starts(), clock.now()
+        if self._mesh.is_informed and mass_restart.is_part_of(
+            self._stated_server_start,
+            self._started_at,
+            self._mesh.starts(),
+            clock.now(),
         ):
             self._mark_all_flows_known()
 
--- a/kumquatport/process/packets/mass_restart.py
+++ b/kumquatport/process/packets/mass_restart.py
@@ -51,21 +51,29 @@
 
 
 def is_part_of(
-    stated_start: float, starts: abc.Collection[Start], now: float
+    stated_start: float,
+    own_started_at: float,
+    starts: abc.Collection[Start],
+    now: float,
 ) -> bool:
-    """Return whether a process started together with most instances.
+    """Return whether this and another process started with most instances.
 
-    All processes had ended before, so no earlier instance has dealt with it.
+    All processes had ended before, so no earlier instance on this host has
+    dealt with the other process. One that started again later, on its own, is
+    not the first.
 
     Args:
-        stated_start: Its start in monotonic seconds. It may be by the clock of
-            this host, which may have been set since; no planned work restarts
-            most instances, so that counts only in rare cases.
+        stated_start: Start of the other process in monotonic seconds. It may be
+            by the clock of this host, which may have been set since; no planned
+            work restarts most instances, so that counts only in rare cases.
+        own_started_at: Monotonic seconds of the start of this process.
         starts: Starts of all known instances, including this one.
         now: Monotonic time in seconds.
     """
     first = first_start(starts, now)
-    return first is not None and stated_start > first - MIN_OUTAGE_S
+    if first is None or own_started_at - first > MAX_SPAN_S:
+        return False
+    return stated_start > first - MIN_OUTAGE_S
 
 
 def first_start(starts: abc.Collection[Start], now: float) -> float | None:
--- a/kumquatport/process/packets/mesh.py
+++ b/kumquatport/process/packets/mesh.py
@@ -129,6 +129,11 @@
             members.KIND_AGENT
         ).total_digest()
 
+    @property
+    def is_informed(self) -> bool:
+        """Return whether the members come from the store, or such peers."""
+        return self._membership.is_informed
+
     @property
     def round_s(self) -> float:
         """Return the seconds between two heartbeat rounds."""
--- a/tests/unit/process/packets/test_agent_datapath.py
+++ b/tests/unit/process/packets/test_agent_datapath.py
@@ -1203,7 +1203,9 @@
             for datagram in (messages.encode(heartbeat), uptime):
                 self.mesh.on_datagram(datagram, (address, 7000))
 
-    def start_beside_backend_server(self, uptimes_s, age_s):
+    def start_beside_backend_server(
+        self, uptimes_s, age_s, *, is_informed=True
+    ):
         """Start an agent, and a backend server shortly before or after it.
 
         The backend server has called the agent in vain, so the number of its
@@ -1212,6 +1214,7 @@
         Args:
             uptimes_s: Seconds for which the balancers have been running.
             age_s: Age of the backend server when the agent has started.
+            is_informed: Whether the agent has read members from the store.
         """
         self.make_datapath(1)
         born_ms = self.clock.unix_ms() - round(age_s * 1000)
@@ -1220,6 +1223,8 @@
             builders.report(sequence=5, born_ms=born_ms)
         )
         self.hear_balancers(uptimes_s)
+        if is_informed:
+            self.mesh.note_members_read()
         packet = builders.datagram(builders.flow(40099), acknowledged=7)
         self.forward(packet, frame.FORWARD_QUERY)
         self.datapath.check_mass_restart()
@@ -1239,6 +1244,16 @@
         self.start_beside_backend_server([600.0, 600, 600, 600], age_s=0.18)
         self.assertFalse(self.datapath.load().knows_all_flows)
 
+    def test_agent_that_starts_again_after_all_started_denies_no_flow(self):
+        """FLOW: the first agent after the restart has passed flows to it."""
+        self.start_beside_backend_server([2.3, 2.4, 2.35, 2.5], age_s=1.9)
+        self.assertFalse(self.datapath.load().knows_all_flows)
+
+    def test_agent_that_has_met_few_instances_denies_no_flow(self):
+        """FLOW: one other instance may have started with it by chance."""
+        self.start_beside_backend_server([0.3], age_s=0.18, is_informed=False)
+        self.assertFalse(self.datapath.load().knows_all_flows)
+
     def test_backend_server_that_outlived_the_agents_may_hold_flows(self):
         """FLOW: all processes were killed, the backend servers were not."""
         for age_s in (1.0, 30.0):
