Link queue: order, age, bounds and changes of the rate

Found in a review of the queue. A packet that was lost in the network waited behind later ones of its flow. A lookup that became a packet of an open flow was sent twice. Small packets on a fast link took 309 MB. A rate that fell left a queue of minutes, and an infinite one could turn the credit into no number. A stop of 0.05 s cost 40% of the rate.

An offer that would wait here requests no load, so that its agent does not seem unresponsive.

--- a/kumquatport/process/packets/forwarder.py
+++ b/kumquatport/process/packets/forwarder.py
@@ -302,7 +302,11 @@
                 beliefs_age_s=round(self._configuration.age_s, 2),
             )
             self._choice.note_placed(chosen.instance)
-            requests_load = self._mesh.should_request_load(chosen.instance)
+            # An offer that waits here would make the agent seem unresponsive.
+            requests_load = (
+                not self.link.wait_s
+                and self._mesh.should_request_load(chosen.instance)
+            )
             self._forward(
                 packet,
                 chosen.instance,
--- a/kumquatport/process/packets/link_sender.py
+++ b/kumquatport/process/packets/link_sender.py
@@ -46,6 +46,7 @@
     def apply_rate(self, link_bytes_per_s: float) -> None:
         """Apply a rate of the link that changed at run time."""
         self._queue.apply_rate(link_bytes_per_s, clock.now())
+        self._schedule()
 
     def send(
         self,
@@ -75,7 +76,8 @@
                 rank=priority if is_ranked else link_queue.URGENT,
                 message=message,
                 address=address,
-            )
+            ),
+            now,
         )
         self._schedule()
 
--- a/tests/unit/connection/packets/test_link_queue.py
+++ b/tests/unit/connection/packets/test_link_queue.py
@@ -44,7 +44,7 @@
 
     def submit(self, packet):
         if self.queue.must_wait(self.now):
-            self.queue.add(packet)
+            self.queue.add(packet, self.now)
         else:
             self.send(packet)
 
@@ -183,6 +183,105 @@
         # 5,000 packets a second are several times what such a link carries.
         self.assertLess(time.process_time() - started_at, 1.0)
 
+    def fill(self, count=400):
+        for number in range(count):
+            self.submit(data_packet(number, 0))
+
+    def sent_after(self, count):
+        return [one for _, one in self.sent[count:]]
+
+    def test_opening_packets_leave_in_the_order_of_their_arrival(self):
+        """Guards against openings that wait until their clients give up."""
+        self.fill()
+        already = len(self.sent)
+        for flow in range(300):
+            self.submit(opening_packet(flow))
+        self.drain()
+        openings = [
+            one
+            for one in self.sent_after(already)
+            if one.rank == link_queue.URGENT
+        ]
+        expected = sorted(
+            openings, key=lambda one: int(one.stream[0].split()[1])
+        )
+        self.assertEqual(openings, expected)
+
+    def test_data_is_not_starved_by_opening_packets(self):
+        """Guards against open flows that stand still in a wave of openings."""
+        self.fill(100)
+        already = len(self.sent)
+        for step in range(250):
+            for number in range(40):
+                self.submit(opening_packet(step * 40 + number))
+            self.advance()
+        self.assertTrue(
+            any(
+                one.rank != link_queue.URGENT
+                for one in self.sent_after(already)
+            )
+        )
+
+    def test_packet_lost_in_the_network_passes_later_ones(self):
+        """Guards against data that the receiver cannot use yet."""
+        self.fill()
+        for number in (*range(5, 16), 3, 4):
+            self.submit(data_packet(1000, number))
+        self.drain()
+        own = [
+            one.identity[0]
+            for _, one in self.sent
+            if one.stream == data_packet(1000, 0).stream
+        ]
+        self.assertEqual(own, list(range(3, 16)))
+
+    def test_lookup_becomes_a_packet_of_an_open_flow(self):
+        """Guards against a packet that is sent twice, the second time late."""
+        self.fill()
+        self.submit(data_packet(1000, 0, rank=link_queue.LOOKUP))
+        self.submit(data_packet(1000, 0, rank=1))
+        self.submit(data_packet(1000, 0, rank=link_queue.LOOKUP))
+        self.advance()
+        self.drain()
+        own = [
+            one
+            for _, one in self.sent
+            if one.stream == data_packet(1000, 0).stream
+        ]
+        self.assertEqual(len(own), 1)
+        self.assertEqual(self.queue.replaced, 2)
+
+    def test_packet_that_its_client_does_not_repeat_is_dropped(self):
+        """Guards against a link that carries what nobody waits for."""
+        self.fill()
+        self.submit(data_packet(1000, 0, rank=9))
+        self.now += link_queue.MAX_AGE_S + 0.1
+        before = len(self.sent)
+        self.drain()
+        self.assertEqual(self.sent_after(before), [])
+        self.assertEqual(self.queue.dropped, 401 - before)
+
+    def test_lower_rate_bounds_the_queue_at_once(self):
+        """Guards against a queue of minutes after the settings changed."""
+        self.fill()
+        self.queue.apply_rate(RATE / 100, self.now)
+        self.assertLessEqual(self.queue.wait_s, link_queue.MAX_QUEUE_S)
+
+    def test_all_leaves_once_no_rate_is_stated_any_more(self):
+        self.fill()
+        waiting = 400 - len(self.sent)
+        self.queue.apply_rate(0, self.now)
+        self.assertEqual(self.queue.next_release_s(), 0)
+        self.assertEqual(len(self.queue.release(self.now)), waiting)
+        self.assertIsNone(self.queue.next_release_s())
+
+    def test_small_packets_are_bounded_by_number(self):
+        """Guards against hundreds of megabytes on a fast link."""
+        self.queue = link_queue.LinkQueue(RATE * 20, self.now)
+        for flow in range(link_queue.MAX_PACKETS * 2):
+            self.submit(opening_packet(flow))
+        self.assertGreater(self.queue.dropped, 0)
+
     def test_burst_ends_with_the_queue(self):
         """Guards against an overload that outlasts its cause."""
         for step in range(500):
