--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -337,6 +337,7 @@
         self.popen = None
         self.misses = 2
         self.is_watched = False
+        self.is_held = False
 
     @property
     def is_frontend(self):
@@ -701,6 +702,7 @@
         self.requests = []
         self.runs = {}
         self.open_at = {}
+        self.taken = {}
         self.resets = []
         self.broken = []
         self.store = Store(self)
@@ -792,6 +794,8 @@
         chosen = chosen or in_rotation(known) or known
         if chosen:
             node = chosen[zlib.crc32(datagram[:12]) % len(chosen)]
+            taken = self.taken.setdefault(datagram[:12], [])
+            taken.append((time.monotonic(), node.address))
             self.router.sendto(datagram, (node.address, DATAGRAM_PORT))
 
     async def _probe(self):
@@ -810,7 +814,7 @@
         while True:
             await asyncio.sleep(0.5)
             for machine in self.machines:
-                if machine.is_watched and machine.popen.poll() is not None:
+                if machine.is_watched and not machine.is_held and machine.popen.poll() is not None:
                     self.note('ended', machine=machine.name, code=machine.popen.returncode)
                     machine.start()
 
@@ -829,7 +833,7 @@
     def on_reset(self, client, sender):
         flow = client.flow
         key = FLOW.pack(flow['src'], flow['dst'], flow['sport'], flow['dport'])
-        backend = self.open_at.get(key, (None,))[0]
+        backend = self.open_at.get(key, (None, 0.0))[0]
         is_open = backend is not None and backend.is_up and key in backend.flows
         self.resets.append((time.monotonic(), key, sender, backend if is_open else None))
         self.note('reset', client=client.address, sport=flow['sport'], sender=sender,
