--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -423,6 +423,7 @@
         self.flows = {}
         self.opened = []
         self.strays = []
+        self.own = []
         self.is_up = False
         self.acknowledged_draining_at = None
 
@@ -516,6 +517,7 @@
             connection.is_open = True
             self.opened.append((time.monotonic(), key))
             self.world.on_open(key, self)
+        self.own.append((time.monotonic(), key))
         if packet.data:
             self._on_data(packet, key, connection)
         if packet.flags & FIN:
