--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -23,7 +23,9 @@
 
 
 async def scenario(world, has_trouble):
-    await world.start({ROUTE: ('desk', 'safe'), ('198.18.0.2', 443): ('desk-2', 'safe')})
+    await world.start(
+        {ROUTE: ('desk', 'safe'), ('198.18.0.2', 443): ('desk-2', 'safe')}
+    )
     for number, service in enumerate(('desk', 'desk-2') * 3):
         machine = world.add(f'side-{number + 1}', SIDES[number // 2], service)
         machine.start(bootstrap=True)
@@ -42,7 +44,9 @@
     world.put_configuration()
     await asyncio.sleep(CONTACT_S + 1.0)
     before = len(world.resets)
-    survivors = {one.address for one in world.frontends() if one.name not in KILLED}
+    survivors = {
+        one.address for one in world.frontends() if one.name not in KILLED
+    }
     if has_trouble:
         killed = [one for one in world.frontends() if one.name in KILLED]
         for machine in killed:
@@ -55,17 +59,32 @@
     served = world.served_share(world.started, time.monotonic() - 3.0)
     broken = 0
     for at, key, sender, backend in world.resets:
-        if backend is None or sender not in survivors or world.taken[key][-1][1] not in survivors:
+        if (
+            backend is None
+            or sender not in survivors
+            or world.taken[key][-1][1] not in survivors
+        ):
             continue
         opened_at = world.open_at[key][1]
         if at - opened_at < FLOW_TTL_S:
             broken += 1
-            world.fail('FLOW', f'{sender} reset a flow that is open at {backend.identifier},'
-                       f' {backend.machine.service}, for {at - opened_at:.1f} s')
-    print(f'{len(world.resets)} resets, {before} before the kills;'
-          f' {broken} of open flows by frontends in touch; served %.3f of %d' % served[::-1])
-    world.note('result', resets=len(world.resets), before=before, broken=broken,
-               served=f'{served[1]:.3f}')
+            world.fail(
+                'FLOW',
+                f'{sender} reset a flow that is open at {backend.identifier},'
+                f' {backend.machine.service}, for {at - opened_at:.1f} s',
+            )
+    print(
+        f'{len(world.resets)} resets, {before} before the kills;'
+        f' {broken} of open flows by frontends in touch; served %.3f of %d'
+        % served[::-1]
+    )
+    world.note(
+        'result',
+        resets=len(world.resets),
+        before=before,
+        broken=broken,
+        served=f'{served[1]:.3f}',
+    )
     return None if served[0] < 100 else not broken
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -112,13 +112,38 @@
 
 
 def checksum(src, dst, sport, dport, seq, ack, flags, data):
-    body = struct.pack('<IIHHIIBH', src, dst, sport, dport, seq, ack, flags & ~BOUNCED, len(data))
+    body = struct.pack(
+        '<IIHHIIBH',
+        src,
+        dst,
+        sport,
+        dport,
+        seq,
+        ack,
+        flags & ~BOUNCED,
+        len(data),
+    )
     return zlib.crc32(body + data + b'key') or 1
 
 
 def pack(src, dst, sport, dport, seq, ack, flags, data=b''):
     total = checksum(src, dst, sport, dport, seq, ack, flags, data)
-    return HEADER.pack(src, dst, sport, dport, total, seq, ack, flags, bytes(5), len(data), 0) + data
+    return (
+        HEADER.pack(
+            src,
+            dst,
+            sport,
+            dport,
+            total,
+            seq,
+            ack,
+            flags,
+            bytes(5),
+            len(data),
+            0,
+        )
+        + data
+    )
 
 
 class Packet:
@@ -127,14 +152,23 @@
     def __init__(self, datagram):
         fields = HEADER.unpack_from(datagram)
         self.src, self.dst, self.sport, self.dport, self.sum = fields[:5]
-        self.seq, self.ack, self.flags, self.pad, self.len, self.echo = fields[5:]
+        self.seq, self.ack, self.flags, self.pad, self.len, self.echo = fields[
+            5:
+        ]
         self.data = datagram[HEADER.size :]
         self.datagram = datagram
 
     @property
     def is_genuine(self):
         return self.len == len(self.data) and self.sum == checksum(
-            self.src, self.dst, self.sport, self.dport, self.seq, self.ack, self.flags, self.data
+            self.src,
+            self.dst,
+            self.sport,
+            self.dport,
+            self.seq,
+            self.ack,
+            self.flags,
+            self.data,
         )
 
 
@@ -249,9 +283,13 @@
                 lines = head.decode().split('\r\n')
                 method, target, _ = lines[0].split(' ')
                 fields = dict(
-                    line.lower().split(': ', 1) for line in lines[1:] if ': ' in line
+                    line.lower().split(': ', 1)
+                    for line in lines[1:]
+                    if ': ' in line
+                )
+                body = await reader.readexactly(
+                    int(fields.get('content-length', 0))
                 )
-                body = await reader.readexactly(int(fields.get('content-length', 0)))
                 status, answer = await self._answer(method, target, body)
                 payload = json.dumps(answer).encode()
                 writer.write(
@@ -286,7 +324,9 @@
         stored = self.objects.get(key)
         if stored is None:
             return 404, {}
-        expected = query.get('Revision', payload.get('meta', {}).get('Revision'))
+        expected = query.get(
+            'Revision', payload.get('meta', {}).get('Revision')
+        )
         if expected is not None and int(expected) != stored['meta']['Revision']:
             return 409, stored
         if method == 'GET':
@@ -297,7 +337,9 @@
         return 200, self.put(*key, payload['spec'])
 
     def _page(self, kind, after):
-        names = sorted(name for one, name in self.objects if one == kind and name > after)
+        names = sorted(
+            name for one, name in self.objects if one == kind and name > after
+        )
         return {
             'items': [self.objects[kind, name] for name in names[:500]],
             'HasMore': len(names) > 500,
@@ -346,7 +388,9 @@
     def write_settings(self, bootstrap):
         extra = listen = ''
         if self.service:
-            extra = f'app = "{self.address}:{APP_PORT}"\nService = "{self.service}"'
+            extra = (
+                f'app = "{self.address}:{APP_PORT}"\nService = "{self.service}"'
+            )
             listen = (
                 f'outbound = "{self.address}:{OUTBOUND_PORT}"\n'
                 f'Control = "{self.address}:{CONTROL_PORT}"'
@@ -378,7 +422,12 @@
         env['KUMQUATPORT_SETTINGS'] = str(self.settings)
         with (self.world.folder / f'{self.name}.log').open('ab') as log:
             self.popen = subprocess.Popen(
-                command, cwd=ROOT, env=env, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+                command,
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         self.is_watched = True
         self.world.note('start', machine=self.name, address=self.address)
@@ -386,7 +435,9 @@
     def signal(self, number):
         if self.popen is not None and self.popen.poll() is None:
             self.popen.send_signal(number)
-            self.world.note('signal', machine=self.name, signal=signal.Signals(number).name)
+            self.world.note(
+                'signal', machine=self.name, signal=signal.Signals(number).name
+            )
 
     def remove(self):
         """Lose the machine for good."""
@@ -395,7 +446,9 @@
         self.popen.wait()
 
     def log(self):
-        return (self.world.folder / f'{self.name}.log').read_text(errors='replace')
+        return (self.world.folder / f'{self.name}.log').read_text(
+            errors='replace'
+        )
 
 
 class Connection:
@@ -435,7 +488,9 @@
         self.tcp = await asyncio.start_server(self._health, address, APP_PORT)
         self.task = asyncio.create_task(self._beat())
         self.world.backends.append(self)
-        self.world.note('backend starts', backend=self.identifier, machine=self.machine.name)
+        self.world.note(
+            'backend starts', backend=self.identifier, machine=self.machine.name
+        )
 
     async def stop(self, reason='ends'):
         self.is_up = False
@@ -448,7 +503,9 @@
         try:
             await reader.readuntil(b'\r\n\r\n')
             status = 200 if self.state == 'ready' else 503
-            writer.write(f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'.encode())
+            writer.write(
+                f'HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n'.encode()
+            )
             await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -472,9 +529,15 @@
         self.sequence += 1
         state = self.state
         endpoint = self.machine.address, CONTROL_PORT
-        status, _ = await call('PUT', endpoint, f'/instances/{self.identifier}', self.body())
+        status, _ = await call(
+            'PUT', endpoint, f'/instances/{self.identifier}', self.body()
+        )
         is_acknowledged = 200 <= status < 300
-        if is_acknowledged and state == 'draining' and self.acknowledged_draining_at is None:
+        if (
+            is_acknowledged
+            and state == 'draining'
+            and self.acknowledged_draining_at is None
+        ):
             self.acknowledged_draining_at = time.monotonic()
             self.world.note('draining acknowledged', backend=self.identifier)
         return is_acknowledged
@@ -482,7 +545,9 @@
     async def _beat(self):
         while True:
             await self.beat_once()
-            await asyncio.sleep(self.world.heartbeat_ms / 1000 * random.uniform(0.95, 1.05))
+            await asyncio.sleep(
+                self.world.heartbeat_ms / 1000 * random.uniform(0.95, 1.05)
+            )
 
     def _send(self, packet_bytes):
         self.udp.sendto(packet_bytes, (self.machine.address, OUTBOUND_PORT))
@@ -493,18 +558,28 @@
         packet = Packet(datagram)
         key = datagram[:12]
         if not packet.is_genuine:
-            self.world.fail('UNASKED', f'{self.identifier} got a packet that its sender did not write')
+            self.world.fail(
+                'UNASKED',
+                f'{self.identifier} got a packet that its sender did not write',
+            )
             return
         connection = self.flows.get(key)
         if packet.flags & SYN:
             if connection is None:
                 connection = Connection(packet.seq, random.getrandbits(32))
                 self.flows[key] = connection
-            self._send_back(packet, connection.own_seq, connection.expected, SYN | ACK)
+            self._send_back(
+                packet, connection.own_seq, connection.expected, SYN | ACK
+            )
             return
         if connection is None:
             self.strays.append((time.monotonic(), key))
-            bounced = datagram[:24] + bytes((packet.flags | BOUNCED,)) + bytes(5) + datagram[30:]
+            bounced = (
+                datagram[:24]
+                + bytes((packet.flags | BOUNCED,))
+                + bytes(5)
+                + datagram[30:]
+            )
             self._send(bounced)
             return
         if packet.flags & RST:
@@ -521,18 +596,29 @@
         if packet.data:
             self._on_data(packet, key, connection)
         if packet.flags & FIN:
-            self._send_back(packet, connection.next_seq, packet.seq + packet.len + 1, FIN | ACK)
+            self._send_back(
+                packet,
+                connection.next_seq,
+                packet.seq + packet.len + 1,
+                FIN | ACK,
+            )
             self.flows.pop(key, None)
 
     def _on_data(self, packet, key, connection):
         """Run a request that fits into one packet; answer repeats again."""
-        name = packet.data.split(b'X-Request-Id: ')[1].split(b'\r\n')[0].decode()
+        name = (
+            packet.data.split(b'X-Request-Id: ')[1].split(b'\r\n')[0].decode()
+        )
         if packet.seq in connection.answers:
             answer = connection.answers[packet.seq]
             if answer is None:
-                self._send_back(packet, connection.next_seq, connection.expected, ACK)
+                self._send_back(
+                    packet, connection.next_seq, connection.expected, ACK
+                )
             else:
-                self._send_back(packet, answer[0], connection.expected, ACK, answer[1])
+                self._send_back(
+                    packet, answer[0], connection.expected, ACK, answer[1]
+                )
             return
         if packet.seq != connection.expected:
             return
@@ -540,13 +626,17 @@
         connection.expected = (packet.seq + packet.len) & 0xFFFFFFFF
         self.world.on_run(name, self)
         work_s = random.uniform(0.03, 0.08)
-        asyncio.get_running_loop().call_later(work_s, self._finish, packet, key, connection, name)
+        asyncio.get_running_loop().call_later(
+            work_s, self._finish, packet, key, connection, name
+        )
 
     def _finish(self, packet, key, connection, name):
         if not self.is_up or self.flows.get(key) is not connection:
             return
         body = f'{name} by {self.identifier}'.encode()
-        data = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        data = (
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body
+        )
         seq = connection.next_seq
         connection.next_seq = (seq + len(data)) & 0xFFFFFFFF
         connection.answers[packet.seq] = seq, data
@@ -554,8 +644,16 @@
 
     def _send_back(self, packet, seq, ack, flags, data=b''):
         self._send(
-            pack(packet.dst, packet.src, packet.dport, packet.sport, seq & 0xFFFFFFFF,
-                 ack & 0xFFFFFFFF, flags, data)
+            pack(
+                packet.dst,
+                packet.src,
+                packet.dport,
+                packet.sport,
+                seq & 0xFFFFFFFF,
+                ack & 0xFFFFFFFF,
+                flags,
+                data,
+            )
         )
 
 
@@ -567,7 +665,9 @@
         pause_s: Seconds between two requests.
     """
 
-    def __init__(self, world, zone, route, is_long, pause_s, deadline_s=2.5, retries=2):
+    def __init__(
+        self, world, zone, route, is_long, pause_s, deadline_s=2.5, retries=2
+    ):
         self.world = world
         self.zone = zone
         self.route = route
@@ -587,20 +687,33 @@
     def _receive(self, datagram, sender):
         packet = Packet(datagram)
         if self.flow is None or datagram[:12] != FLOW.pack(
-            self.flow['dst'], self.flow['src'], self.flow['dport'], self.flow['sport']
+            self.flow['dst'],
+            self.flow['src'],
+            self.flow['dport'],
+            self.flow['sport'],
         ):
             return
         if packet.sum == 0 and packet.flags == RST:
             self.world.on_reset(self, sender[0])
         elif not packet.is_genuine:
-            self.world.fail('MIXED', f'client {self.address} got a packet that nobody wrote')
+            self.world.fail(
+                'MIXED', f'client {self.address} got a packet that nobody wrote'
+            )
             return
         self.inbox.put_nowait(packet)
 
     def send(self, seq, ack, flags, data=b''):
         flow = self.flow
-        datagram = pack(flow['src'], flow['dst'], flow['sport'], flow['dport'],
-                        seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, flags, data)
+        datagram = pack(
+            flow['src'],
+            flow['dst'],
+            flow['sport'],
+            flow['dport'],
+            seq & 0xFFFFFFFF,
+            ack & 0xFFFFFFFF,
+            flags,
+            data,
+        )
         self.world.route(self.zone, datagram)
 
     async def _next(self, timeout):
@@ -634,9 +747,13 @@
     async def _open(self, until):
         self.port += 1
         self.flow = {
-            'src': to_number(self.address), 'dst': to_number(self.route[0]),
-            'sport': self.port, 'dport': self.route[1],
-            'seq': random.getrandbits(32), 'ack': 0, 'opened_at': 0.0,
+            'src': to_number(self.address),
+            'dst': to_number(self.route[0]),
+            'sport': self.port,
+            'dport': self.route[1],
+            'seq': random.getrandbits(32),
+            'ack': 0,
+            'opened_at': 0.0,
         }
         self.inbox = asyncio.Queue()
         started = time.monotonic()
@@ -659,8 +776,10 @@
     async def _exchange(self, until):
         flow = self.flow
         name = self.world.new_request()
-        data = (f'POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: {name}\r\n'
-                'Content-Length: 0\r\n\r\n').encode()
+        data = (
+            f'POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: {name}\r\n'
+            'Content-Length: 0\r\n\r\n'
+        ).encode()
         wait_s = 0.2
         while time.monotonic() < until:
             self.send(flow['seq'], flow['ack'], ACK, data)
@@ -684,7 +803,11 @@
 
     def _close(self, is_regular):
         if self.flow is not None:
-            self.send(self.flow['seq'], self.flow['ack'], FIN | ACK if is_regular else RST)
+            self.send(
+                self.flow['seq'],
+                self.flow['ack'],
+                FIN | ACK if is_regular else RST,
+            )
         self.flow = None
 
 
@@ -695,7 +818,9 @@
         self.heartbeat_ms = heartbeat_ms
         self.started = time.monotonic()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
-        self.deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+        self.deploy = tomllib.loads(
+            (ROOT / 'deploy' / 'system.toml').read_text()
+        )
         self.prefix = self._claim_prefix()
         self.hosts = iter(range(2, 250))
         self.machines = []
@@ -716,7 +841,9 @@
 
     def _claim_prefix(self):
         while True:
-            prefix = f'127.{random.randrange(20, 250)}.{random.randrange(1, 250)}'
+            prefix = (
+                f'127.{random.randrange(20, 250)}.{random.randrange(1, 250)}'
+            )
             self.claim = socket.socket()
             try:
                 self.claim.bind((f'{prefix}.1', 39001))
@@ -754,13 +881,25 @@
         spec = {
             'Version': self.version,
             'Routes': [
-                {'Name': f'r{number}', 'Host': host, 'PathPrefix': f'/{port}/', 'Service': service,
-                 'Type': kind, 'TimeoutMs': 2500, 'LatencyGoalMs': 270, 'Priority': 1,
-                 'MaxAttempts': 1}
-                for number, ((host, port), (service, kind)) in enumerate(self.routes.items())
+                {
+                    'Name': f'r{number}',
+                    'Host': host,
+                    'PathPrefix': f'/{port}/',
+                    'Service': service,
+                    'Type': kind,
+                    'TimeoutMs': 2500,
+                    'LatencyGoalMs': 270,
+                    'Priority': 1,
+                    'MaxAttempts': 1,
+                }
+                for number, ((host, port), (service, kind)) in enumerate(
+                    self.routes.items()
+                )
+            ],
+            'Services': [
+                {'Name': name, 'HealthPath': '/health', 'WarmupPerS': 20.0}
+                for name in services
             ],
-            'Services': [{'Name': name, 'HealthPath': '/health', 'WarmupPerS': 20.0}
-                         for name in services],
             'Limits': {'IdleTimeoutMs': 15000},
         }
         self.store.put('config', 'main', spec)
@@ -772,7 +911,9 @@
         return machine
 
     def frontends(self):
-        return [one for one in self.machines if one.is_frontend and one.is_watched]
+        return [
+            one for one in self.machines if one.is_frontend and one.is_watched
+        ]
 
     async def wait_ready(self, count, timeout=20.0):
         """Wait until some frontends are in rotation; False if too late."""
@@ -785,6 +926,7 @@
 
     def route(self, zone, datagram):
         """Hand a client's packet to a frontend, as the platform's routers do."""
+
         def in_rotation(nodes):
             return [one for one in nodes if one.misses < 2]
 
@@ -802,22 +944,36 @@
 
     async def _probe(self):
         async def probe(machine):
-            status, _ = await call('GET', (machine.address, READY_PORT), '/ready', timeout=0.45)
+            status, _ = await call(
+                'GET', (machine.address, READY_PORT), '/ready', timeout=0.45
+            )
             before = machine.misses
             machine.misses = 0 if status == 200 else machine.misses + 1
             if (before < 2) != (machine.misses < 2):
-                self.note('rotation', machine=machine.name, isin=machine.misses < 2)
+                self.note(
+                    'rotation', machine=machine.name, isin=machine.misses < 2
+                )
 
         while True:
-            await asyncio.gather(*map(probe, self.frontends()), asyncio.sleep(0.5))
+            await asyncio.gather(
+                *map(probe, self.frontends()), asyncio.sleep(0.5)
+            )
 
     async def _restart_ended(self):
         """Start processes again that have ended, after a short delay."""
         while True:
             await asyncio.sleep(0.5)
             for machine in self.machines:
-                if machine.is_watched and not machine.is_held and machine.popen.poll() is not None:
-                    self.note('ended', machine=machine.name, code=machine.popen.returncode)
+                if (
+                    machine.is_watched
+                    and not machine.is_held
+                    and machine.popen.poll() is not None
+                ):
+                    self.note(
+                        'ended',
+                        machine=machine.name,
+                        code=machine.popen.returncode,
+                    )
                     machine.start()
 
     def new_request(self):
@@ -837,18 +993,35 @@
         key = FLOW.pack(flow['src'], flow['dst'], flow['sport'], flow['dport'])
         backend = self.open_at.get(key, (None, 0.0))[0]
         is_open = backend is not None and backend.is_up and key in backend.flows
-        self.resets.append((time.monotonic(), key, sender, backend if is_open else None))
-        self.note('reset', client=client.address, sport=flow['sport'], sender=sender,
-                  open_at=backend.identifier if is_open else None)
+        self.resets.append(
+            (time.monotonic(), key, sender, backend if is_open else None)
+        )
+        self.note(
+            'reset',
+            client=client.address,
+            sport=flow['sport'],
+            sender=sender,
+            open_at=backend.identifier if is_open else None,
+        )
 
     def on_request(self, client, sent_at, served, tries):
         self.requests.append((sent_at, client, served))
-        self.note('request', sent=f'{sent_at - self.started:.3f}', client=client.address,
-                  route=client.route[0], served=served, tries=tries)
+        self.note(
+            'request',
+            sent=f'{sent_at - self.started:.3f}',
+            client=client.address,
+            route=client.route[0],
+            served=served,
+            tries=tries,
+        )
 
     def served_share(self, since, until):
         """Return requests sent in a span, and the share that was served."""
-        found = [served for sent_at, _, served in self.requests if since <= sent_at < until]
+        found = [
+            served
+            for sent_at, _, served in self.requests
+            if since <= sent_at < until
+        ]
         return len(found), sum(found) / len(found) if found else 0.0
 
     def end_processes(self):
