Review case 7: backends start once the node beside them runs

Cause: with backends that started before their nodes, these may not know all flows and then stay silent, so the script did not always show the fault.

--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -29,9 +29,15 @@
     for number, service in enumerate(('desk', 'desk-2') * 3):
         machine = world.add(f'side-{number + 1}', SIDES[number // 2], service)
         machine.start(bootstrap=True)
-        await standins.Backend(world, machine, f'i-{number:08x}').start()
     for number, zone in enumerate(FRONTENDS):
         world.add(f'frontend-{number + 1}', zone).start(bootstrap=True)
+    # A backend starts once the node beside it runs, so that this one has seen
+    # all of its flows and says so.
+    sides = [one for one in world.machines if not one.is_frontend]
+    if not await world.wait_started(sides):
+        return None
+    for number, machine in enumerate(sides):
+        await standins.Backend(world, machine, f'i-{number:08x}').start()
     if not await world.wait_ready(len(FRONTENDS)):
         return None
     for number in range(60):
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -924,6 +924,17 @@
             await asyncio.sleep(0.1)
         return True
 
+    async def wait_started(self, machines, timeout=20.0):
+        """Wait until all machines answer that they are ready; False if too late."""
+        until = time.monotonic() + timeout
+        for machine in machines:
+            endpoint = machine.address, READY_PORT
+            while (await call('GET', endpoint, '/ready'))[0] != 200:
+                if time.monotonic() > until:
+                    return False
+                await asyncio.sleep(0.1)
+        return True
+
     def route(self, zone, datagram):
         """Hand a client's packet to a frontend, as the platform's routers do."""
 
